--- /dev/null
+++ b/cmd/persimmonpick/main.go
@@ -0,0 +1,5 @@
+// Command persimmonpick is the operators' command line.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/cmd/persimmonpickd/main.go
@@ -0,0 +1,5 @@
+// Command persimmonpickd runs an entry host.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the JSON settings of the programs.
+package settings
--- /dev/null
+++ b/table/tables.go
@@ -0,0 +1,71 @@
+package table
+
+// WriterState is what the fold keeps of one writer to detect repeated batches.
+type WriterState struct {
+	Seq     uint64 // highest sequence number folded
+	Changed Offset
+}
+
+// Tables holds every entity that the fold of the log yields; one goroutine owns it.
+type Tables struct {
+	Applied    Offset // last offset folded
+	Hosts      map[SeatID]*EntryHost
+	Writers    map[Incarnation]*WriterState
+	Workers    map[WorkerID]*Worker
+	Instances  map[InstanceID]*Instance
+	Kinds      map[KindID]*Kind
+	Teams      map[TeamID]*Team
+	Limits     map[LimitID]*Limit
+	Drains     map[string]*Drain // by Drain.Name
+	Jobs       map[JobID]*Job
+	Tasks      map[TaskID]*Task
+	Claims     map[ClaimKey]*Claim
+	TeamUsed   map[TeamID]Resources // sum of leases held by the tasks of each team
+	TeamJobs   map[TeamID]int       // unfinished jobs of each team
+	ConfigSeen Offset               // offset of the last configuration change
+}
+
+// New returns empty tables.
+func New() *Tables {
+	return &Tables{
+		Hosts:     map[SeatID]*EntryHost{},
+		Writers:   map[Incarnation]*WriterState{},
+		Workers:   map[WorkerID]*Worker{},
+		Instances: map[InstanceID]*Instance{},
+		Kinds:     map[KindID]*Kind{},
+		Teams:     map[TeamID]*Team{},
+		Limits:    map[LimitID]*Limit{},
+		Drains:    map[string]*Drain{},
+		Jobs:      map[JobID]*Job{},
+		Tasks:     map[TaskID]*Task{},
+		Claims:    map[ClaimKey]*Claim{},
+		TeamUsed:  map[TeamID]Resources{},
+		TeamJobs:  map[TeamID]int{},
+	}
+}
+
+// Name returns the key of d, such as "rack/r1" or "worker/w1".
+func (d Drain) Name() string {
+	if d.Rack != "" {
+		return "rack/" + string(d.Rack)
+	}
+	return "worker/" + string(d.Worker)
+}
+
+// Drained says whether an operator has drained w or its rack.
+func (t *Tables) Drained(w *Worker) bool {
+	if t.Drains["worker/"+string(w.ID)] != nil {
+		return true
+	}
+	return w.Rack != "" && t.Drains["rack/"+string(w.Rack)] != nil
+}
+
+// Open says whether w may be given new work.
+func (t *Tables) Open(w *Worker) bool {
+	return !w.Gone && !w.Leaving && !w.Quarantined && !t.Drained(w)
+}
+
+// Free returns what w has left for new leases.
+func (w *Worker) Free() Resources {
+	return w.Capacity.Minus(w.Used)
+}
--- /dev/null
+++ b/table/view.go
@@ -0,0 +1,50 @@
+package table
+
+// View is an immutable copy of what traffic needs; the control goroutine replaces it as a whole.
+type View struct {
+	Applied   Offset
+	Kinds     map[KindID]Kind
+	Teams     map[TeamID]Team
+	Limits    map[LimitID]int64
+	Instances map[ServiceID][]Instance // instances that may be sent requests, sorted by ID
+	Closed    map[InstanceID]bool      // instances that are leaving, drained or on such a worker
+	Hosts     map[SeatID]EntryHost
+}
+
+// NewView copies from t what traffic needs.
+func NewView(t *Tables) *View {
+	v := &View{
+		Applied:   t.Applied,
+		Kinds:     make(map[KindID]Kind, len(t.Kinds)),
+		Teams:     make(map[TeamID]Team, len(t.Teams)),
+		Limits:    make(map[LimitID]int64, len(t.Limits)),
+		Instances: map[ServiceID][]Instance{},
+		Closed:    map[InstanceID]bool{},
+		Hosts:     make(map[SeatID]EntryHost, len(t.Hosts)),
+	}
+	for id, k := range t.Kinds {
+		v.Kinds[id] = *k
+	}
+	for id, team := range t.Teams {
+		v.Teams[id] = *team
+	}
+	for id, l := range t.Limits {
+		v.Limits[id] = l.Value
+	}
+	for id, h := range t.Hosts {
+		v.Hosts[id] = *h
+	}
+	for _, id := range SortedInstances(t) {
+		v.addInstance(t, t.Instances[id])
+	}
+	return v
+}
+
+func (v *View) addInstance(t *Tables, in *Instance) {
+	w := t.Workers[in.Worker]
+	if in.Leaving || (w != nil && (w.Gone || w.Leaving || t.Drained(w))) {
+		v.Closed[in.ID] = true
+		return
+	}
+	v.Instances[in.Service] = append(v.Instances[in.Service], *in)
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs every test. Tests named in KNOWN-RED.txt run last, and their result is printed and does not count.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+red=
+[ -f KNOWN-RED.txt ] && red=$(sed -n 's/^Test: *//p' KNOWN-RED.txt | paste -sd'|' -)
+skip=()
+[ -n "$red" ] && skip=(-skip "^($red)\$")
+
+# The race detector runs on the packages in which goroutines share state.
+race=$(go list ./... | grep -E '/(journal|peer|share|route|claim|entry|platform|burn)$' || true)
+rest=$(go list ./... | grep -vxF "${race:-none}")
+# shellcheck disable=SC2086
+if [ -n "$race" ]; then go test -race -count=1 "${skip[@]}" $race; fi
+# shellcheck disable=SC2086
+go test -count=1 "${skip[@]}" $rest
+
+if [ -n "$red" ]; then
+  printf 'known red tests, see KNOWN-RED.txt:\n'
+  go test -count=1 -run "^($red)\$" ./... | grep -v 'no test files' || true
+fi
