--- /dev/null
+++ b/share/doc.go
@@ -0,0 +1,2 @@
+// Package share divides the slots of instances among entry hosts: each instance has one owner seat, which lends slots for a bounded time.
+package share
--- /dev/null
+++ b/share/lend.go
@@ -0,0 +1,107 @@
+package share
+
+import (
+	"context"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/table"
+)
+
+// HandleBorrow lends free slots of an instance that this seat owns; a repeat of a call gets the same answer.
+func (m *Manager) HandleBorrow(req BorrowRequest) (BorrowReply, error) {
+	if Owner(m.cfg.Seats, req.Instance) != m.cfg.Seat {
+		return BorrowReply{}, fault.New(fault.Conflict, "seat %s does not own instance %s", m.cfg.Seat, req.Instance)
+	}
+	inst, found := m.cfg.Lookup(req.Instance)
+	if !found {
+		return BorrowReply{}, fault.New(fault.NotFound, "instance %s is not in use", req.Instance)
+	}
+	if !m.cfg.Usable() {
+		return BorrowReply{}, fault.New(fault.NotCurrent, "seat %s may not lend slots", m.cfg.Seat)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.state(inst)
+	now := time.Now()
+	free := s.free(now)
+	if l := s.lent[req.Loan]; l != nil {
+		return BorrowReply{Slots: l.slots}, nil
+	}
+	n := max(0, min(req.Slots, free))
+	if n > 0 {
+		s.lent[req.Loan] = &lent{slots: n, end: now.Add(m.cfg.hold())}
+	}
+	return BorrowReply{Slots: n}, nil
+}
+
+// HandleReturn takes slots of a loan back; it never raises a loan and never frees a slot twice.
+func (m *Manager) HandleReturn(req ReturnRequest) {
+	m.mu.Lock()
+	s := m.states[req.Instance]
+	if s == nil || s.owner != m.cfg.Seat {
+		m.mu.Unlock()
+		return
+	}
+	m.takeBack(s, req, time.Now())
+	inst := s.inst
+	m.mu.Unlock()
+	m.signal(s, inst)
+}
+
+func (m *Manager) takeBack(s *state, req ReturnRequest, now time.Time) {
+	l := s.lent[req.Loan]
+	if l == nil {
+		// The call to borrow may still arrive after this one; the entry makes it get nothing.
+		s.lent[req.Loan] = &lent{end: now.Add(m.cfg.hold())}
+		return
+	}
+	l.slots = max(0, min(l.slots, req.Keep))
+}
+
+// startRecall asks the borrowers of an instance for idle slots, at most once in recallPause.
+func (m *Manager) startRecall(s *state, now time.Time) {
+	if m.cfg.Recall == nil || s.recalling || now.Sub(s.recalled) < recallPause {
+		return
+	}
+	seats := map[table.SeatID]bool{}
+	for id, l := range s.lent {
+		if l.slots > 0 {
+			seats[id.Borrower] = true
+		}
+	}
+	if len(seats) == 0 {
+		return
+	}
+	s.recalling = true
+	s.recalled = now
+	go m.recall(s, s.inst, seats)
+}
+
+func (m *Manager) recall(s *state, inst table.Instance, seats map[table.SeatID]bool) {
+	done := make(chan struct{})
+	for seat := range seats {
+		go func() {
+			m.recallFrom(seat, inst.ID)
+			done <- struct{}{}
+		}()
+	}
+	for range seats {
+		<-done
+	}
+	m.mu.Lock()
+	s.recalling = false
+	m.mu.Unlock()
+}
+
+func (m *Manager) recallFrom(seat table.SeatID, id table.InstanceID) {
+	ctx, cancel := context.WithTimeout(context.Background(), m.cfg.callTimeout())
+	defer cancel()
+	reply, err := m.cfg.Recall(ctx, seat, RecallRequest{Instance: id})
+	if err != nil {
+		return
+	}
+	for _, ret := range reply.Returns {
+		m.HandleReturn(ret)
+	}
+}
