--- /dev/null
+++ b/settings/bounds.go
@@ -0,0 +1,157 @@
+package settings
+
+import (
+	"time"
+
+	"persimmonpick/table"
+)
+
+// The bounds that do not follow from other settings.
+const (
+	minLeaseTerm    = time.Second // shorter terms end during an ordinary pause of a process
+	minKeyRetention = time.Minute
+	maxTick         = time.Second // urgent work must start within 4.5 s
+	maxBatchDelay   = 100 * time.Millisecond
+	maxTime         = 366 * 24 * time.Hour // keeps sums and products of times far from overflow
+	// A repeat of a request must meet its key even after several whole request times.
+	keyRetentionRequests = 10
+	leaseClockBounds     = 3
+	leaseReportPeriods   = 2
+)
+
+func (l Limits) check(f *faults) {
+	sizes := []struct {
+		name  string
+		value table.Bytes
+	}{{"MaxBody", l.MaxBody}, {"MaxAnswer", l.MaxAnswer}, {"MaxHeader", l.MaxHeader}}
+	for _, size := range sizes {
+		checkPositive("Limits."+size.name, int64(size.value), f)
+	}
+	counts := []struct {
+		name  string
+		value int
+	}{
+		{"MaxConnections", l.MaxConnections},
+		{"MaxInFlight", l.MaxInFlight},
+		{"MaxQueue", l.MaxQueue},
+		{"MaxTasksPerJob", l.MaxTasksPerJob},
+	}
+	for _, count := range counts {
+		checkPositive("Limits."+count.name, int64(count.value), f)
+	}
+}
+
+func checkPositive(path string, value int64, f *faults) {
+	if value <= 0 {
+		f.add(path, "must be above 0")
+	}
+}
+
+func (t Timing) check(f *faults) {
+	t.checkPositive(f)
+	t.checkBounds(f)
+	t.checkRelations(f)
+}
+
+func (t Timing) checkPositive(f *faults) {
+	times := []struct {
+		name  string
+		value Duration
+	}{
+		{"Tick", t.Tick},
+		{"Heartbeat", t.Heartbeat},
+		{"PeerTimeout", t.PeerTimeout},
+		{"LogGrace", t.LogGrace},
+		{"LeaseTerm", t.LeaseTerm},
+		{"ClockBound", t.ClockBound},
+		{"BatchDelay", t.BatchDelay},
+		{"HostListPeriod", t.HostListPeriod},
+		{"ReportPeriod", t.ReportPeriod},
+		{"RequestTimeout", t.RequestTimeout},
+		{"MaxRequestTime", t.MaxRequestTime},
+		{"LoanTerm", t.LoanTerm},
+		{"DrainDelay", t.DrainDelay},
+		{"StopTimeout", t.StopTimeout},
+		{"KeyRetention", t.KeyRetention},
+		{"JobRetention", t.JobRetention},
+		{"SnapshotPeriod", t.SnapshotPeriod},
+	}
+	for _, d := range times {
+		checkPositive("Timing."+d.name, int64(d.value), f)
+		atMost("Timing."+d.name, d.value, maxTime, "", f)
+	}
+}
+
+func (t Timing) checkBounds(f *faults) {
+	atLeast("Timing.LeaseTerm", t.LeaseTerm, minLeaseTerm, "", f)
+	atLeast("Timing.KeyRetention", t.KeyRetention, minKeyRetention, "", f)
+	atMost("Timing.Tick", t.Tick, maxTick, "", f)
+	atMost("Timing.BatchDelay", t.BatchDelay, maxBatchDelay, "", f)
+}
+
+func (t Timing) checkRelations(f *faults) {
+	atLeast("Timing.KeyRetention", t.KeyRetention, keyRetentionRequests*t.MaxRequestTime.D(), "10 times MaxRequestTime", f)
+	above("Timing.PeerTimeout", t.PeerTimeout, t.Heartbeat.D(), "Heartbeat", f)
+	above("Timing.LogGrace", t.LogGrace, t.PeerTimeout.D(), "PeerTimeout", f)
+	above("Timing.LeaseTerm", t.LeaseTerm, leaseClockBounds*t.ClockBound.D(), "3 times ClockBound", f)
+	above("Timing.LeaseTerm", t.LeaseTerm, leaseReportPeriods*t.ReportPeriod.D(), "2 times ReportPeriod", f)
+	atMost("Timing.RequestTimeout", t.RequestTimeout, t.MaxRequestTime.D(), "MaxRequestTime", f)
+	// A planned stop interrupts no request in flight.
+	atLeast("Timing.StopTimeout", t.StopTimeout, t.DrainDelay.D()+t.MaxRequestTime.D(), "DrainDelay + MaxRequestTime", f)
+}
+
+// named appends what a bound is made of to its value.
+func named(bound time.Duration, name string) string {
+	if name == "" {
+		return bound.String()
+	}
+	return bound.String() + " (" + name + ")"
+}
+
+func atLeast(path string, d Duration, bound time.Duration, name string, f *faults) {
+	if d.D() < bound {
+		f.add(path, "must be at least %s", named(bound, name))
+	}
+}
+
+func atMost(path string, d Duration, bound time.Duration, name string, f *faults) {
+	if d.D() > bound {
+		f.add(path, "must be at most %s", named(bound, name))
+	}
+}
+
+func above(path string, d Duration, bound time.Duration, name string, f *faults) {
+	if d.D() <= bound {
+		f.add(path, "must be above %s", named(bound, name))
+	}
+}
+
+func (p Policy) check(f *faults) {
+	shares := []struct {
+		name  string
+		value float64
+	}{
+		{"LatencyWeight", p.LatencyWeight},
+		{"QuarantineShare", p.QuarantineShare},
+		{"UrgentHeadroom", p.UrgentHeadroom},
+		{"ListDropShare", p.ListDropShare},
+		{"RetryBudget", p.RetryBudget},
+		{"EjectFloor", p.EjectFloor},
+	}
+	for _, share := range shares {
+		if !(share.value >= 0 && share.value <= 1) {
+			f.add("Policy."+share.name, "must be between 0 and 1")
+		}
+	}
+	if !(p.EvictionBudget >= 0) {
+		f.add("Policy.EvictionBudget", "must be at least 0")
+	}
+	if p.ZonePreference < 0 {
+		f.add("Policy.ZonePreference", "must be at least 0s")
+	}
+	checkPositive("Policy.QuarantineAfter", int64(p.QuarantineAfter), f)
+	checkPositive("Policy.QuarantineFor", int64(p.QuarantineFor), f)
+	checkPositive("Policy.EjectAfter", int64(p.EjectAfter), f)
+	checkPositive("Policy.BurnShortWindow", int64(p.BurnShortWindow), f)
+	above("Policy.BurnLongWindow", p.BurnLongWindow, p.BurnShortWindow.D(), "BurnShortWindow", f)
+}
--- /dev/null
+++ b/settings/duration.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// D returns d as a time.Duration.
+func (d Duration) D() time.Duration {
+	return time.Duration(d)
+}
+
+// String formats d such as "250ms".
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
+// MarshalJSON writes d as a string such as "250ms".
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(d.String())
+}
+
+// UnmarshalJSON reads a string such as "250ms".
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	parsed, err := time.ParseDuration(s)
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
--- /dev/null
+++ b/settings/faults.go
@@ -0,0 +1,32 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"persimmonpick/fault"
+)
+
+// faults collects every fault of a settings file, so that one run names them all.
+type faults struct {
+	list []string
+}
+
+func (f *faults) add(path, format string, args ...any) {
+	f.list = append(f.list, path+": "+fmt.Sprintf(format, args...))
+}
+
+func (f *faults) err() error {
+	if len(f.list) == 0 {
+		return nil
+	}
+	return fault.New(fault.Invalid, "settings: %s", strings.Join(f.list, "; "))
+}
+
+// join extends path by a field name.
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/tlsfiles/files.go
@@ -0,0 +1,161 @@
+package tlsfiles
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/settings"
+)
+
+// checkPeriod bounds how often handshakes look at the files.
+const checkPeriod = time.Second
+
+// stamp tells whether a file changed.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// Files holds the certificate, key and authority of one listener.
+type Files struct {
+	listener settings.Listener
+
+	mu      sync.Mutex
+	checked time.Time
+	stamps  [3]stamp
+	cert    *tls.Certificate
+	pool    *x509.CertPool
+}
+
+// New loads the files of l, which must not be plain.
+func New(l settings.Listener) (*Files, error) {
+	f := &Files{listener: l}
+	stamps, err := f.stat()
+	if err != nil {
+		return nil, err
+	}
+	if err := f.load(stamps); err != nil {
+		return nil, err
+	}
+	f.checked = time.Now()
+	return f, nil
+}
+
+// ServerConfig returns the TLS configuration of l, or nil where it is plain.
+func ServerConfig(l settings.Listener) (*tls.Config, error) {
+	if l.Plain {
+		return nil, nil
+	}
+	f, err := New(l)
+	if err != nil {
+		return nil, err
+	}
+	return f.Server(), nil
+}
+
+// Server returns a configuration that requires client certificates where the listener names an authority.
+func (f *Files) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return f.current(), nil
+		},
+	}
+}
+
+// Client returns a configuration for one dial to a server of the same authority.
+func (f *Files) Client() *tls.Config {
+	cert, pool := f.reload()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{*cert},
+		RootCAs:      pool,
+	}
+}
+
+func (f *Files) current() *tls.Config {
+	cert, pool := f.reload()
+	config := &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{*cert},
+		// A ticket issued before a change of the authority would skip the check of the certificate.
+		SessionTicketsDisabled: true,
+	}
+	if pool != nil {
+		config.ClientCAs = pool
+		config.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return config
+}
+
+// reload returns what the files hold; files that cannot be loaded leave the former content in use.
+func (f *Files) reload() (*tls.Certificate, *x509.CertPool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if now.Sub(f.checked) < checkPeriod {
+		return f.cert, f.pool
+	}
+	f.checked = now
+	stamps, err := f.stat()
+	if err == nil && stamps != f.stamps {
+		err = f.load(stamps)
+	}
+	if err != nil {
+		slog.Error("TLS files not reloaded", "Address", f.listener.Address, "Error", err)
+	}
+	return f.cert, f.pool
+}
+
+func (f *Files) names() [3]string {
+	return [3]string{f.listener.CertFile, f.listener.KeyFile, f.listener.CAFile}
+}
+
+func (f *Files) stat() ([3]stamp, error) {
+	var stamps [3]stamp
+	for i, name := range f.names() {
+		if name == "" {
+			continue
+		}
+		info, err := os.Stat(name)
+		if err != nil {
+			return stamps, fault.Wrap(err, fault.Invalid, "TLS file")
+		}
+		stamps[i] = stamp{info.ModTime(), info.Size()}
+	}
+	return stamps, nil
+}
+
+// load keeps the stamps taken before the files were read, so that a change during the read is seen next time.
+func (f *Files) load(stamps [3]stamp) error {
+	cert, err := tls.LoadX509KeyPair(f.listener.CertFile, f.listener.KeyFile)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "TLS certificate and key")
+	}
+	var pool *x509.CertPool
+	if f.listener.CAFile != "" {
+		pool, err = loadPool(f.listener.CAFile)
+		if err != nil {
+			return err
+		}
+	}
+	f.cert, f.pool, f.stamps = &cert, pool, stamps
+	return nil
+}
+
+func loadPool(name string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "TLS authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fault.New(fault.Invalid, "TLS authority %s: no certificate in the file", name)
+	}
+	return pool, nil
+}
