Add package peer: heartbeats over net/rpc, liveness and the fence

Cause: leases and slots must not be used by a host whose tables are old, and the log can be down for long. Ruled out: counting the own seat towards the majority of Current. Two processes on one seat, one replaced and cut off from the log, would both count it, and two majorities then need not share a process. Before and after: no membership before; the tests of the fence cover a pause, an outage of the log, a silent host, a minority and a replaced process. Conclusion: one mechanism serves lease expiry and slot handover.

--- a/journal/record.go
+++ b/journal/record.go
@@ -99,10 +99,11 @@
 	Holder table.SeatID
 }
 
-// LeaseStarted says that the worker confirmed the start.
+// LeaseStarted says that the worker confirmed the start or, for a non-idempotent task, that it is about to be sent; the first one counts.
 type LeaseStarted struct {
-	Task  table.TaskID
-	Token table.Token
+	Task    table.TaskID
+	Token   table.Token
+	Starter table.Incarnation
 }
 
 // LeaseRevoked asks for a task to stop; nobody renews its lease after reading this.
--- /dev/null
+++ b/peer/fence_test.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/table"
+)
+
+const grace = 30 * time.Second
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	seats = []table.SeatID{"a", "b", "c", "d", "e"}
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func newFence(joined ...table.SeatID) *Fence {
+	f := NewFence(FenceConfig{Seat: "a", Seats: seats, LogGrace: grace})
+	hosts := map[table.SeatID]*table.EntryHost{}
+	for _, id := range joined {
+		hosts[id] = &table.EntryHost{Seat: id, Incarnation: table.Incarnation(id + "1")}
+	}
+	f.Hosts(hosts, start, false)
+	return f
+}
+
+func report(id table.SeatID, off table.Offset) Heartbeat {
+	return Heartbeat{Seat: id, Incarnation: table.Incarnation(id + "1"), Applied: off}
+}
+
+// Guards against a host that acts on old tables after a pause.
+func TestCurrentEndsAfterGrace(t *testing.T) {
+	is := is.New(t)
+	f := newFence(seats...)
+	is.True(!f.Current(start)) // nothing read yet
+	f.Folded(10, start, start)
+	is.True(f.Current(at(grace)))
+	is.True(!f.Current(at(grace + 1)))
+}
+
+// Guards against leases and slots that lapse in an outage of the log while most entry hosts still see each other.
+func TestCurrentByMajorityDuringOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFence(seats...)
+	f.Folded(10, start, start)
+	now := at(10 * time.Minute)
+	f.Answered(report("b", 10), now, now)
+	f.Answered(report("c", 9), now, now)
+	is.True(!f.Current(now)) // two of five, and the own seat does not count
+	f.Answered(report("d", 11), now, now)
+	is.True(!f.Current(now)) // d has read further
+	f.Answered(report("e", 10), now, now)
+	is.True(f.Current(now))
+	is.True(!f.Current(now.Add(grace + 1)))
+}
+
+// Guards against a peer's own call being taken for an answer, which says nothing about when the peer read the log.
+func TestHeardDoesNotMakeCurrent(t *testing.T) {
+	is := is.New(t)
+	f := newFence(seats...)
+	f.Folded(10, time.Time{}, start)
+	for _, id := range seats[1:] {
+		f.Heard(report(id, 10), start)
+	}
+	is.True(!f.Current(start))
+}
+
+// Guards against a lease that moves while a silent host may still renew it.
+func TestPassedNeedsAllOrMajorityAndGrace(t *testing.T) {
+	is := is.New(t)
+	f := newFence(seats...)
+	f.Folded(10, start, start)
+	for _, id := range seats[1:4] {
+		f.Heard(report(id, 10), start)
+	}
+	is.True(!f.Passed(10, at(grace)))   // e is silent
+	is.True(f.Passed(10, at(grace+1)))  // majority and grace
+	is.True(!f.Passed(11, at(grace+1))) // not folded here
+	f.Heard(report("e", 10), at(time.Second))
+	is.True(f.Passed(10, at(time.Second)))
+}
+
+// Guards against a minority that moves leases of hosts it cannot hear.
+func TestPassedNeverByMinority(t *testing.T) {
+	is := is.New(t)
+	f := newFence(seats...)
+	f.Folded(10, start, start)
+	f.Heard(report("b", 10), start)
+	is.True(!f.Passed(10, at(time.Hour)))
+}
+
+// Guards against the replaced process of a seat that is only frozen and wakes within its grace.
+func TestReplacedProcessDelaysPassed(t *testing.T) {
+	is := is.New(t)
+	f := newFence("a", "b")
+	f.Folded(10, start, start)
+	f.Heard(report("b", 10), start)
+	is.True(f.Passed(10, start)) // c, d and e never joined
+	f.Hosts(map[table.SeatID]*table.EntryHost{"b": {Seat: "b", Incarnation: "b2"}}, start, false)
+	f.Folded(11, start, start)
+	f.Heard(Heartbeat{Seat: "b", Incarnation: "b2", Applied: 11}, start)
+	is.True(!f.Passed(11, at(grace)))
+	is.True(f.Passed(11, at(grace+1)))
+}
+
+// Guards against waiting for a host that handed everything back.
+func TestLeftHostIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	f := newFence("a", "b")
+	f.Hosts(map[table.SeatID]*table.EntryHost{"b": {Seat: "b", Incarnation: "b1", Left: true}}, start, false)
+	f.Folded(10, start, start)
+	is.True(f.Passed(10, start))
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"persimmonpick/share"
+	"persimmonpick/table"
+)
+
+// Heartbeat is what entry hosts tell each other, both as argument and as reply.
+type Heartbeat struct {
+	Seat        table.SeatID
+	Incarnation table.Incarnation
+	Applied     table.Offset // last offset folded by the sender
+	Ready       bool
+	Stopping    bool
+	InFlight    int              // requests being served
+	Unreachable []table.WorkerID // workers that the sender watches and cannot reach
+	Burn        []byte           // encoded burn.Snapshot, empty if unchanged
+}
+
+// SnapshotArgs asks a peer for its tables.
+type SnapshotArgs struct {
+	Seat table.SeatID
+}
+
+// SnapshotReply carries the tables of a peer as the chunks of a snapshot.
+type SnapshotReply struct {
+	Applied table.Offset
+	Chunks  [][]byte
+}
+
+// Handlers are the functions that answer calls of peers.
+type Handlers struct {
+	Heartbeat func(Heartbeat) Heartbeat
+	Snapshot  func(SnapshotArgs) (SnapshotReply, error)
+	Borrow    func(share.BorrowRequest) (share.BorrowReply, error)
+	Return    func(share.ReturnRequest)
+	Recall    func(share.RecallRequest) share.RecallReply
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"persimmonpick/fault"
+	"persimmonpick/share"
+)
+
+// maxConns bounds the connections of peers; each of 9 seats needs one, and restarts briefly need a second.
+const maxConns = 64
+
+// Server answers the calls of peers.
+type Server struct {
+	rpc *rpc.Server
+	ln  net.Listener
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// service holds the methods that net/rpc exposes.
+type service struct {
+	h Handlers
+}
+
+// Heartbeat exchanges state with a peer.
+func (s *service) Heartbeat(args Heartbeat, reply *Heartbeat) error {
+	*reply = s.h.Heartbeat(args)
+	return nil
+}
+
+// Snapshot returns the tables of this host.
+func (s *service) Snapshot(args SnapshotArgs, reply *SnapshotReply) error {
+	r, err := s.h.Snapshot(args)
+	*reply = r
+	return encodeError(err)
+}
+
+// Borrow lends slots of instances that this host owns.
+func (s *service) Borrow(args share.BorrowRequest, reply *share.BorrowReply) error {
+	r, err := s.h.Borrow(args)
+	*reply = r
+	return encodeError(err)
+}
+
+// Return takes lent slots back.
+func (s *service) Return(args share.ReturnRequest, _ *struct{}) error {
+	s.h.Return(args)
+	return nil
+}
+
+// Recall asks this host to give idle borrowed slots back.
+func (s *service) Recall(args share.RecallRequest, reply *share.RecallReply) error {
+	*reply = s.h.Recall(args)
+	return nil
+}
+
+// codeError carries the code of a kind, as net/rpc transports errors as strings.
+type codeError string
+
+func (e codeError) Error() string { return string(e) }
+
+func encodeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return codeError(fault.Of(err).String())
+}
+
+// Serve starts answering peers on ln; with a TLS configuration it asks peers for certificates as that says.
+func Serve(ln net.Listener, conf *tls.Config, h Handlers) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), ln: ln, conns: map[net.Conn]bool{}}
+	if err := s.rpc.RegisterName("Peer", &service{h}); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "register the peer service")
+	}
+	if conf != nil {
+		s.ln = tls.NewListener(ln, conf)
+	}
+	go s.accept()
+	return s, nil
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		if !s.add(conn) {
+			conn.Close()
+			continue
+		}
+		go func() {
+			s.rpc.ServeConn(conn)
+			s.remove(conn)
+		}()
+	}
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConns {
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops accepting and ends the connections of peers.
+func (s *Server) Close() {
+	s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.Close()
+	}
+}
--- a/table/entity.go
+++ b/table/entity.go
@@ -163,7 +163,8 @@
 	Need      Resources
 	Holder    SeatID // seat that proposed it
 	Granted   UnixMillis
-	Started   bool // the worker confirmed the start
+	Started   bool        // the start was announced or confirmed
+	Starter   Incarnation // process that announced it, which alone may send a non-idempotent start
 	Revoked   Offset
 	Cancelled bool // ends as Cancelled once stopped
 }
