Add the order of pending work and the placement of batch tasks

Cause: deferred work needs an order (quotas, fair shares, urgency, deadlines) and a choice of workers. Change: package queue yields entries one by one and reports jobs that fit nowhere; package placement grants places, keeps reservations for blocked large jobs and preempts for urgent work.

--- /dev/null
+++ b/placement/input.go
@@ -0,0 +1,31 @@
+package placement
+
+import (
+	"persimmonpick/interference"
+	"persimmonpick/queue"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+)
+
+// Input is what Place needs beside the tables; nil fields switch their part off.
+type Input struct {
+	Policy   settings.Policy
+	Holder   table.SeatID // seat that proposes
+	Queue    queue.Config
+	Reserved *Reservations // kept between ticks by the control goroutine
+
+	// Slowdown predicts the factor on p99 that neighbours cause to a service at a load, and a confidence from 0 to 1.
+	Slowdown func(service table.ServiceID, ns []interference.Neighbour, load float64) (float64, float64)
+	// Load returns the newest known load of an instance, as a share of its slots.
+	Load func(id table.InstanceID) float64
+	// Calm says whether more batch work may start beside an instance; nil means always.
+	Calm func(id table.InstanceID) bool
+}
+
+// Bounds on the work of one tick.
+const (
+	maxGrants     = 256 // entries placed in one tick
+	maxRefused    = 512 // entries that were looked at and did not fit
+	maxCandidates = 64  // feasible workers that are scored for one task
+	maxPreempted  = 32  // tasks revoked for urgent work in one tick
+)
--- /dev/null
+++ b/placement/preempt.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"persimmonpick/journal"
+	"persimmonpick/queue"
+	"persimmonpick/table"
+)
+
+// Factors on the cost of revoking a task.
+const (
+	nonIdempotentCost = 4.0 // it becomes Unknown if its worker is lost while it stops
+	repeatCost        = 1.0 // added for each earlier eviction
+	minLostSeconds    = 1.0 // so that a task that has just started still costs something
+)
+
+// ReasonUrgent is the reason of leases revoked to make room for urgent work.
+const ReasonUrgent = "urgent work needs the place"
+
+// preempt makes room for each task of e by revoking the cheapest batch tasks.
+func (p *tick) preempt(e queue.Entry) {
+	for range e.Tasks {
+		if !p.awaitComing(e) {
+			p.revokeCheapest(e)
+		}
+	}
+}
+
+// awaitComing claims a place that revoked tasks will free, if there is one.
+func (p *tick) awaitComing(e queue.Entry) bool {
+	for _, s := range p.sites {
+		later := s.free.Plus(s.coming).Minus(s.claimed)
+		if s.open && s.free != later && e.Need.Fits(later) {
+			s.claimed = s.claimed.Plus(e.Need)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *tick) revokeCheapest(e queue.Entry) {
+	var where *site
+	var victims []*table.Task
+	lowest := math.Inf(1)
+	for _, s := range p.sites {
+		set, cost := p.victims(s, e)
+		if cost < lowest {
+			where, victims, lowest = s, set, cost
+		}
+	}
+	if where == nil || p.revoked+len(victims) > maxPreempted {
+		return
+	}
+	for _, task := range victims {
+		p.revoked++
+		where.coming = where.coming.Plus(task.Lease.Need)
+		p.records = append(p.records, revocation(task, ReasonUrgent))
+	}
+	where.held = slices.DeleteFunc(slices.Clone(where.held), func(task *table.Task) bool {
+		return slices.Contains(victims, task)
+	})
+	where.claimed = where.claimed.Plus(e.Need)
+}
+
+// victims returns the cheapest tasks of s that make room for one task of e, and their cost; the cost is infinite if there are none.
+func (p *tick) victims(s *site, e queue.Entry) ([]*table.Task, float64) {
+	if !s.open {
+		return nil, math.Inf(1)
+	}
+	short := s.free.Plus(s.coming).Minus(s.claimed)
+	var batch []*table.Task
+	reach := short
+	for _, task := range s.held {
+		if p.revocable(task) {
+			batch = append(batch, task)
+			reach = reach.Plus(task.Lease.Need)
+		}
+	}
+	if !e.Need.Fits(reach) {
+		return nil, math.Inf(1)
+	}
+	slices.SortFunc(batch, func(a, b *table.Task) int {
+		return cmp.Or(cmp.Compare(p.cost(a), p.cost(b)), cmp.Compare(a.ID, b.ID))
+	})
+	var set []*table.Task
+	sum := 0.0
+	for _, task := range batch {
+		if e.Need.Fits(short) {
+			break
+		}
+		set = append(set, task)
+		short = short.Plus(task.Lease.Need)
+		sum += p.cost(task)
+	}
+	return set, sum
+}
+
+func (p *tick) revocable(task *table.Task) bool {
+	if task.State != table.TaskLeased && task.State != table.TaskStarted {
+		return false
+	}
+	j := p.t.Jobs[task.Job]
+	return j != nil && !j.Urgent
+}
+
+// cost weighs the work that revoking a task loses.
+func (p *tick) cost(task *table.Task) float64 {
+	ran := p.now.Sub(time.UnixMilli(int64(task.Lease.Granted))).Seconds()
+	cost := max(ran, minLostSeconds) * float64(max(task.Lease.Need.CPU, 1))
+	cost *= 1 + repeatCost*float64(task.Evictions)
+	if j := p.t.Jobs[task.Job]; j != nil && j.NonIdempotent {
+		cost *= nonIdempotentCost
+	}
+	return cost
+}
+
+func revocation(task *table.Task, reason string) journal.Record {
+	return journal.Record{LeaseRevoked: &journal.LeaseRevoked{
+		Task: task.ID, Token: task.Lease.Token, Reason: reason,
+	}}
+}
--- /dev/null
+++ b/queue/config.go
@@ -0,0 +1,61 @@
+package queue
+
+import (
+	"time"
+
+	"persimmonpick/table"
+)
+
+// Defaults of Config.
+const (
+	defaultWindow  = 256
+	defaultSlack   = time.Minute
+	defaultHold    = 10 * time.Minute
+	defaultRunTime = 10 * time.Minute
+)
+
+// deadlineFactor allows for run times that turn out longer than estimated.
+const deadlineFactor = 1.5
+
+// Config adjusts the order; zero fields take defaults.
+type Config struct {
+	Window int           // most entries that Order returns
+	Slack  time.Duration // a job takes precedence this long before its latest start
+	Hold   time.Duration // a job that its team's quota blocks lets younger jobs of the team pass until this age
+
+	// Need returns the resources to plan with for each task of j; nil takes the declared ones.
+	Need func(j *table.Job) table.Resources
+	// RunTime returns the estimated run time of each task of j; nil takes the declared one.
+	RunTime func(j *table.Job) time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Window <= 0 {
+		c.Window = defaultWindow
+	}
+	if c.Slack <= 0 {
+		c.Slack = defaultSlack
+	}
+	if c.Hold <= 0 {
+		c.Hold = defaultHold
+	}
+	if c.Need == nil {
+		c.Need = declaredNeed
+	}
+	if c.RunTime == nil {
+		c.RunTime = DeclaredRunTime
+	}
+	return c
+}
+
+func declaredNeed(j *table.Job) table.Resources {
+	return j.Need
+}
+
+// DeclaredRunTime returns the declared run time of each task of j, or ten minutes where none is declared.
+func DeclaredRunTime(j *table.Job) time.Duration {
+	if j.RunTime <= 0 {
+		return defaultRunTime
+	}
+	return time.Duration(j.RunTime) * time.Millisecond
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,190 @@
+package queue
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"persimmonpick/table"
+)
+
+// Entry is what is placed next: one task, or all pending tasks of a gang.
+type Entry struct {
+	Job     *table.Job
+	Tasks   []*table.Task
+	Need    table.Resources // of each task
+	RunTime time.Duration   // estimated for each task
+}
+
+// Queue yields pending work in order; it serves one tick.
+type Queue struct {
+	cfg   Config
+	now   time.Time
+	scan  *Scan
+	total table.Resources
+	teams []*team
+}
+
+// rank is the class of precedence of a job.
+type rank int
+
+const (
+	rankUrgent rank = iota
+	rankDeadline
+	rankNormal
+	numRanks
+)
+
+// waiting is a job with pending tasks.
+type waiting struct {
+	job    *table.Job
+	tasks  []*table.Task
+	sorted bool
+	need   table.Resources
+	run    time.Duration
+	key    int64 // latest start for rankDeadline, time of submission otherwise
+}
+
+// New prepares the order of the pending work in t.
+func New(t *table.Tables, scan *Scan, now time.Time, cfg Config) *Queue {
+	q := &Queue{cfg: cfg.withDefaults(), now: now, scan: scan, total: totalCapacity(t)}
+	byID := map[table.TeamID]*team{}
+	for id, tasks := range scan.Pending {
+		j := t.Jobs[id]
+		if j == nil || j.State.Final() {
+			continue
+		}
+		tm := byID[j.Team]
+		if tm == nil {
+			tm = newTeam(t, j.Team, q.total)
+			byID[j.Team] = tm
+			q.teams = append(q.teams, tm)
+		}
+		r, w := q.rate(j, tasks)
+		tm.jobs[r] = append(tm.jobs[r], w)
+	}
+	slices.SortFunc(q.teams, func(a, b *team) int { return cmp.Compare(a.id, b.id) })
+	for _, tm := range q.teams {
+		for r := range tm.jobs {
+			heap.Init(&tm.jobs[r])
+		}
+	}
+	return q
+}
+
+// Order returns the tasks that come next, as if each could be placed, at most cfg.Window of them.
+func Order(t *table.Tables, now time.Time, cfg Config) []table.TaskID {
+	q := New(t, NewScan(t), now, cfg)
+	var ids []table.TaskID
+	for len(ids) < q.cfg.Window {
+		e, ok := q.Next()
+		if !ok {
+			break
+		}
+		for _, task := range e.Tasks {
+			ids = append(ids, task.ID)
+		}
+	}
+	return ids
+}
+
+// Next takes the next entry out of the queue and charges it to its team; Refuse gives the charge back.
+func (q *Queue) Next() (Entry, bool) {
+	for r := range numRanks {
+		tm := q.poorest(r)
+		if tm != nil {
+			return q.take(tm, r), true
+		}
+	}
+	return Entry{}, false
+}
+
+// Refuse says that e was not placed; no further task of its job is offered.
+func (q *Queue) Refuse(e Entry) {
+	for _, tm := range q.teams {
+		if tm.id == e.Job.Team {
+			tm.used = tm.used.Minus(times(e.Need, len(e.Tasks)))
+			tm.drop(e.Job.ID)
+		}
+	}
+}
+
+func (q *Queue) rate(j *table.Job, tasks []*table.Task) (rank, *waiting) {
+	w := &waiting{job: j, tasks: tasks, need: q.cfg.Need(j), run: q.cfg.RunTime(j), key: int64(j.Submitted)}
+	if j.Urgent {
+		return rankUrgent, w
+	}
+	if j.Deadline == 0 {
+		return rankNormal, w
+	}
+	deadline := time.UnixMilli(int64(j.Deadline))
+	latest := deadline.Add(-time.Duration(deadlineFactor * float64(w.run)))
+	// A deadline that is missed already must not delay jobs that can still meet theirs.
+	if q.now.After(deadline) || q.now.Before(latest.Add(-q.cfg.Slack)) {
+		return rankNormal, w
+	}
+	w.key = latest.UnixMilli()
+	return rankDeadline, w
+}
+
+// poorest returns the team with the smallest weighted share that has work of rank r and quota for it.
+func (q *Queue) poorest(r rank) *team {
+	var best *team
+	for _, tm := range q.teams {
+		if best != nil && tm.share() >= best.share() {
+			continue
+		}
+		if q.ready(tm, r) {
+			best = tm
+		}
+	}
+	return best
+}
+
+// ready drops the jobs of tm that its quota blocks and says whether one is left at the head.
+func (q *Queue) ready(tm *team, r rank) bool {
+	for tm.jobs[r].Len() > 0 {
+		w := tm.jobs[r][0]
+		if tm.allows(w) {
+			return true
+		}
+		heap.Pop(&tm.jobs[r])
+		// Younger jobs of the team would otherwise use up its quota for ever.
+		if q.now.Sub(time.UnixMilli(int64(w.job.Submitted))) > q.cfg.Hold && tm.couldAllow(w) {
+			tm.holdBehind(r)
+		}
+	}
+	return false
+}
+
+func (q *Queue) take(tm *team, r rank) Entry {
+	w := tm.jobs[r][0]
+	w.sort()
+	e := Entry{Job: w.job, Need: w.need, RunTime: w.run, Tasks: w.tasks[:1]}
+	if w.job.Gang {
+		e.Tasks = w.tasks
+	}
+	w.tasks = w.tasks[len(e.Tasks):]
+	if len(w.tasks) == 0 {
+		heap.Pop(&tm.jobs[r])
+	}
+	tm.charge(times(w.need, len(e.Tasks)))
+	return e
+}
+
+func (w *waiting) sort() {
+	if w.sorted {
+		return
+	}
+	slices.SortFunc(w.tasks, func(a, b *table.Task) int { return cmp.Compare(a.ID, b.ID) })
+	w.sorted = true
+}
+
+func times(r table.Resources, n int) table.Resources {
+	return table.Resources{
+		CPU:          r.CPU * table.Millicores(n),
+		Memory:       r.Memory * table.Bytes(n),
+		Accelerators: r.Accelerators * n,
+	}
+}
--- /dev/null
+++ b/queue/scan.go
@@ -0,0 +1,31 @@
+package queue
+
+import "persimmonpick/table"
+
+// Scan is what one pass over the tasks yields; it is valid until the tables change.
+type Scan struct {
+	Pending map[table.JobID][]*table.Task
+	Held    map[table.WorkerID][]*table.Task
+}
+
+// NewScan walks all tasks of t once.
+func NewScan(t *table.Tables) *Scan {
+	s := &Scan{
+		Pending: make(map[table.JobID][]*table.Task),
+		Held:    make(map[table.WorkerID][]*table.Task, len(t.Workers)),
+	}
+	for _, task := range t.Tasks {
+		s.add(task)
+	}
+	return s
+}
+
+func (s *Scan) add(task *table.Task) {
+	if task.State == table.TaskPending {
+		s.Pending[task.Job] = append(s.Pending[task.Job], task)
+		return
+	}
+	if task.State.Held() {
+		s.Held[task.Lease.Worker] = append(s.Held[task.Lease.Worker], task)
+	}
+}
