--- /dev/null
+++ b/journal/apply_claims.go
@@ -0,0 +1,79 @@
+package journal
+
+import (
+	"persimmonpick/fault"
+	"persimmonpick/table"
+)
+
+// maxKey bounds the length of an idempotency key in bytes.
+const maxKey = 512
+
+func (f *fold) claimMade(r *ClaimMade) fault.Kind {
+	if r.Key.Key == "" || len(r.Key.Key) > maxKey {
+		return fault.Invalid
+	}
+	// Nobody would ever end the claim of a process that has already lost its seat.
+	if !f.seated(r.Seat, r.Incarnation) {
+		return fault.Stale
+	}
+	old := f.t.Claims[r.Key]
+	if old != nil {
+		if k := mayReclaim(old, r, f.off); k != fault.None {
+			return k
+		}
+	}
+	f.t.Claims[r.Key] = &table.Claim{
+		ClaimKey: r.Key, Kind: r.Kind, Digest: r.Digest, State: table.ClaimRunning,
+		Seat: r.Seat, Incarnation: r.Incarnation, Made: f.off,
+	}
+	return fault.None
+}
+
+func mayReclaim(old *table.Claim, r *ClaimMade, off table.Offset) fault.Kind {
+	if old.State == table.ClaimNotRun {
+		// A claim is known by its offset, so a key is claimed once in a batch.
+		if old.Made == off {
+			return fault.Conflict
+		}
+		return fault.None
+	}
+	if old.Digest != r.Digest || old.Kind != r.Kind {
+		return fault.KeyReused
+	}
+	if old.State == table.ClaimRunning {
+		return fault.StillRunning
+	}
+	return fault.Conflict
+}
+
+func (f *fold) claimEnded(r *ClaimEnded) fault.Kind {
+	c := f.t.Claims[r.Key]
+	if c == nil || c.Made != r.Made {
+		return fault.Stale
+	}
+	if k := f.mayEndClaim(c, r.State); k != fault.None {
+		return k
+	}
+	c.State = r.State
+	c.Status = r.Status
+	c.ContentType = r.ContentType
+	c.Answer = r.Answer
+	c.Fault = r.Fault
+	return fault.None
+}
+
+func (f *fold) mayEndClaim(c *table.Claim, state table.ClaimState) fault.Kind {
+	switch state {
+	case table.ClaimDone, table.ClaimUnknown, table.ClaimNotRun:
+	default:
+		return fault.Invalid
+	}
+	if c.State == table.ClaimRunning {
+		return fault.None
+	}
+	// The process that sent the request may learn its answer after others gave it up.
+	if c.State == table.ClaimUnknown && state == table.ClaimDone && f.b.Writer == c.Incarnation {
+		return fault.None
+	}
+	return fault.Conflict
+}
--- /dev/null
+++ b/journal/proposal.go
@@ -0,0 +1,54 @@
+package journal
+
+import (
+	"time"
+
+	"persimmonpick/fault"
+)
+
+// proposalState says how far a proposal has come.
+type proposalState int
+
+const (
+	proposalQueued proposalState = iota
+	proposalSent                 // an append that holds it has begun
+	proposalDone                 // resolved or withdrawn
+)
+
+// proposal is one call of Propose or Submit; the mutex of its Writer guards state.
+type proposal struct {
+	records []Record
+	size    int // encoded bytes
+	queued  time.Time
+	state   proposalState
+	done    func(Result, error)
+}
+
+// newProposal checks and measures records.
+func newProposal(records []Record, done func(Result, error)) (*proposal, error) {
+	if len(records) == 0 {
+		return nil, fault.New(fault.Invalid, "a proposal needs a record")
+	}
+	if len(records) > maxRecords {
+		return nil, fault.New(fault.TooLarge, "proposal of %d records is above the limit of %d", len(records), maxRecords)
+	}
+	data, err := encMode.Marshal(&Batch{Records: records})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "encode proposal")
+	}
+	if len(data)+batchOverhead > MaxEntry {
+		return nil, fault.New(fault.TooLarge, "proposal of %d bytes is above the limit of %d", len(data), MaxEntry)
+	}
+	if _, err := Decode(data); err != nil {
+		return nil, err
+	}
+	return &proposal{records: records, size: len(data), queued: time.Now(), done: done}, nil
+}
+
+// flight is a batch that was sent and is not resolved.
+type flight struct {
+	batch     *Batch
+	data      []byte
+	proposals []*proposal
+	resolved  chan struct{}
+}
--- /dev/null
+++ b/journal/reader.go
@@ -0,0 +1,164 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/platform"
+	"persimmonpick/table"
+)
+
+// Defaults of ReaderConfig.
+const (
+	defaultWait        = time.Second
+	defaultPage        = 256
+	defaultReadTimeout = 10 * time.Second
+)
+
+// errAhead says that the log no longer holds the next entry.
+var errAhead = errors.New("the log was truncated ahead of the reader")
+
+// ReaderConfig configures a Reader; zero fields but Log and Deliver take defaults.
+type ReaderConfig struct {
+	Log         platform.Log
+	Deliver     func(Delivery)                                   // called in order by the goroutine of Run
+	FromPeer    func(ctx context.Context) (*table.Tables, error) // tables of another entry host, if one has any
+	Wait        time.Duration                                    // longest wait of one read for an entry to arrive
+	Page        int                                              // most entries of one read
+	ReadTimeout time.Duration                                    // longest time of one read beyond Wait
+	BackoffMin  time.Duration                                    // first pause after a failed read
+	BackoffMax  time.Duration                                    // longest pause after failed reads
+	Logger      *slog.Logger
+}
+
+// Reader follows the record stream from a snapshot on and delivers what it reads.
+type Reader struct {
+	cfg     ReaderConfig
+	next    table.Offset // offset that is read next
+	started bool         // tables were delivered
+}
+
+// NewReader returns a Reader that starts with the newest snapshot.
+func NewReader(cfg ReaderConfig) *Reader {
+	setDuration(&cfg.Wait, defaultWait)
+	setDuration(&cfg.ReadTimeout, defaultReadTimeout)
+	setDuration(&cfg.BackoffMin, defaultBackoff)
+	setDuration(&cfg.BackoffMax, defaultBackoffTo)
+	setInt(&cfg.Page, defaultPage)
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Reader{cfg: cfg}
+}
+
+// Run delivers tables and then entries until ctx ends; after a failure it tries again with growing pauses.
+func (r *Reader) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		err := r.step(ctx)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.cfg.Logger.Warn("log not read", slog.Uint64("Next", uint64(r.next)), slog.Any("Error", err))
+		select {
+		case <-time.After(backoff(failures, r.cfg.BackoffMin, r.cfg.BackoffMax)):
+		case <-ctx.Done():
+		}
+		failures++
+	}
+}
+
+// step loads tables if there are none or the log is ahead of them, and reads one page otherwise.
+func (r *Reader) step(ctx context.Context) error {
+	if !r.started {
+		return r.reload(ctx)
+	}
+	err := r.readPage(ctx)
+	if errors.Is(err, errAhead) {
+		r.cfg.Logger.Warn("log truncated ahead of the reader", slog.Uint64("Next", uint64(r.next)))
+		return r.reload(ctx)
+	}
+	return err
+}
+
+// reload delivers newer tables than those delivered before.
+func (r *Reader) reload(ctx context.Context) error {
+	t, err := r.load(ctx)
+	if err != nil {
+		return err
+	}
+	if r.started && t.Applied < r.next {
+		return fault.New(fault.NotReady, "tables at offset %d are older than those at %d", t.Applied, r.next-1)
+	}
+	r.started = true
+	r.next = t.Applied + 1
+	r.cfg.Logger.Info("tables loaded", slog.Uint64("Applied", uint64(t.Applied)))
+	r.cfg.Deliver(Delivery{Tables: t})
+	return nil
+}
+
+// readPage delivers one page of entries, which may be empty.
+func (r *Reader) readPage(ctx context.Context) error {
+	began := time.Now()
+	page, err := r.read(ctx, RecordStream, r.next, r.cfg.Page, r.cfg.Wait)
+	if fault.Of(err) == fault.NotFound {
+		return errAhead
+	}
+	if err != nil {
+		return err
+	}
+	entries, err := r.decode(page.Entries)
+	if err != nil {
+		return err
+	}
+	if n := len(entries); n > 0 {
+		r.next = entries[n-1].Offset + 1
+	}
+	if r.next > page.End && page.End != 0 {
+		r.cfg.Logger.Error("log ends before entries that it returned earlier", slog.Uint64("End", uint64(page.End)))
+	}
+	r.cfg.Deliver(Delivery{Entries: entries, AtEnd: r.next == page.End, Began: began})
+	return nil
+}
+
+// read bounds the time of one read.
+func (r *Reader) read(
+	ctx context.Context, stream string, from table.Offset, n int, wait time.Duration,
+) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+r.cfg.ReadTimeout)
+	defer cancel()
+	return r.cfg.Log.Read(ctx, stream, from, n, wait)
+}
+
+// decode returns the entries of a page. A gap means that entries were truncated.
+func (r *Reader) decode(raw []platform.Entry) ([]Entry, error) {
+	entries := make([]Entry, 0, len(raw))
+	want := r.next
+	for _, e := range raw {
+		if e.Offset < want {
+			continue
+		}
+		if e.Offset > want {
+			return nil, errAhead
+		}
+		entries = append(entries, Entry{Offset: e.Offset, Batch: r.decodeBatch(e)})
+		want++
+	}
+	return entries, nil
+}
+
+func (r *Reader) decodeBatch(e platform.Entry) *Batch {
+	b, err := Decode(e.Data)
+	if err != nil {
+		r.cfg.Logger.Error("entry skipped", slog.Uint64("Offset", uint64(e.Offset)), slog.Any("Error", err))
+		return &Batch{}
+	}
+	return b
+}
--- /dev/null
+++ b/journal/snapshot.go
@@ -0,0 +1,114 @@
+package journal
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"persimmonpick/fault"
+	"persimmonpick/platform"
+	"persimmonpick/table"
+)
+
+// image is the encoded form of table.Tables: lists in the order of their keys, so that equal tables give equal bytes.
+type image struct {
+	Applied      table.Offset
+	ConfigSeen   table.Offset
+	RemovedFloor table.Offset
+	Hosts        []*table.EntryHost
+	Workers      []*table.Worker
+	Instances    []*table.Instance
+	Kinds        []*table.Kind
+	Teams        []*table.Team
+	Limits       []*table.Limit
+	Drains       []*table.Drain
+	Jobs         []*table.Job
+	Tasks        []*table.Task
+	Claims       []*table.Claim
+	Writers      map[table.Incarnation]*table.WriterState
+	Replaced     map[table.Incarnation]table.Offset
+	Removed      map[string]table.Offset
+	TeamUsed     map[table.TeamID]table.Resources
+	TeamJobs     map[table.TeamID]int
+	Plans        []table.AppliedPlan
+}
+
+var imageDecMode = newImageDecMode()
+
+func newImageDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		MaxNestedLevels:   maxDepth,
+		MaxArrayElements:  1 << 24,
+		MaxMapPairs:       1 << 20,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// EncodeSnapshot returns the entries of the snapshot stream that hold t.
+func EncodeSnapshot(t *table.Tables) ([][]byte, error) {
+	body, err := encMode.Marshal(newImage(t))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode tables at offset %d", t.Applied)
+	}
+	return split(t.Applied, body)
+}
+
+// WriteSnapshot appends t to the snapshot stream; t must not change meanwhile. It tries nothing twice, as the next
+// snapshot replaces this one.
+func WriteSnapshot(ctx context.Context, log platform.Log, t *table.Tables) error {
+	chunks, err := EncodeSnapshot(t)
+	if err != nil {
+		return err
+	}
+	for i, data := range chunks {
+		if _, err := log.Append(ctx, SnapshotStream, data); err != nil {
+			return fault.Wrap(err, fault.LogUnavailable, "append chunk %d of %d", i+1, len(chunks))
+		}
+	}
+	return nil
+}
+
+func newImage(t *table.Tables) *image {
+	m := &image{
+		Applied: t.Applied, ConfigSeen: t.ConfigSeen, RemovedFloor: t.RemovedFloor,
+		Writers: t.Writers, Replaced: t.Replaced, Removed: t.Removed,
+		TeamUsed: t.TeamUsed, TeamJobs: t.TeamJobs, Plans: t.Plans,
+	}
+	m.Hosts = slices.SortedFunc(maps.Values(t.Hosts), func(a, b *table.EntryHost) int { return cmp.Compare(a.Seat, b.Seat) })
+	m.Workers = slices.SortedFunc(maps.Values(t.Workers), func(a, b *table.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	m.Instances = slices.SortedFunc(maps.Values(t.Instances), func(a, b *table.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	m.Kinds = slices.SortedFunc(maps.Values(t.Kinds), func(a, b *table.Kind) int { return cmp.Compare(a.ID, b.ID) })
+	m.Teams = slices.SortedFunc(maps.Values(t.Teams), func(a, b *table.Team) int { return cmp.Compare(a.ID, b.ID) })
+	m.Limits = slices.SortedFunc(maps.Values(t.Limits), func(a, b *table.Limit) int { return cmp.Compare(a.ID, b.ID) })
+	m.Drains = slices.SortedFunc(maps.Values(t.Drains), func(a, b *table.Drain) int { return cmp.Compare(a.Name(), b.Name()) })
+	m.Jobs = slices.SortedFunc(maps.Values(t.Jobs), func(a, b *table.Job) int { return cmp.Compare(a.ID, b.ID) })
+	m.Tasks = slices.SortedFunc(maps.Values(t.Tasks), func(a, b *table.Task) int { return cmp.Compare(a.ID, b.ID) })
+	m.Claims = slices.SortedFunc(maps.Values(t.Claims), compareClaims)
+	return m
+}
+
+func compareClaims(a, b *table.Claim) int {
+	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Key, b.Key))
+}
+
+// decodeTables returns the tables whose image is in body.
+func decodeTables(body []byte) (*table.Tables, error) {
+	m := &image{}
+	if err := imageDecMode.Unmarshal(body, m); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "decode snapshot")
+	}
+	if !m.complete() {
+		return nil, fault.New(fault.Invalid, "snapshot at offset %d holds entities that do not fit together", m.Applied)
+	}
+	return m.tables(), nil
+}
--- /dev/null
+++ b/journal/writer_run.go
@@ -0,0 +1,233 @@
+package journal
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/table"
+)
+
+// Run appends what is proposed until ctx ends. Then it fails what was not sent with fault.Stopping and what is not
+// resolved with fault.OutcomeUnknown.
+func (w *Writer) Run(ctx context.Context) {
+	defer w.stop()
+	for {
+		if !w.waitForWork(ctx) {
+			return
+		}
+		fl, err := w.take()
+		if err != nil {
+			w.cfg.Logger.Error("batch not encoded", slog.Any("Error", err))
+			continue
+		}
+		if fl != nil && !w.send(ctx, fl) {
+			return
+		}
+	}
+}
+
+// waitForWork waits until a batch should be sent; it returns false when ctx has ended.
+func (w *Writer) waitForWork(ctx context.Context) bool {
+	for w.queued() == 0 {
+		select {
+		case <-w.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for w.ahead() >= w.cfg.MaxAhead {
+		select {
+		case <-w.landed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return w.fill(ctx)
+}
+
+// fill waits until the oldest proposal is Delay old or the batch is full.
+func (w *Writer) fill(ctx context.Context) bool {
+	timer := time.NewTimer(w.cfg.Delay - time.Since(w.oldest()))
+	defer timer.Stop()
+	for !w.holdsBatch() {
+		select {
+		case <-w.full:
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+func (w *Writer) queued() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue)
+}
+
+// oldest returns when the first proposal of the queue was made.
+func (w *Writer) oldest() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queue) == 0 {
+		return time.Now()
+	}
+	return w.queue[0].queued
+}
+
+func (w *Writer) ahead() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.flights)
+}
+
+func (w *Writer) holdsBatch() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytes >= w.cfg.MaxBatch
+}
+
+// take moves the next batch from the queue to flights; it returns nil if the queue is empty.
+func (w *Writer) take() (*flight, error) {
+	w.mu.Lock()
+	taken := w.next()
+	if len(taken) == 0 {
+		w.mu.Unlock()
+		return nil, nil
+	}
+	w.seq++
+	b := &Batch{Writer: w.cfg.Incarnation, Seq: w.seq, Time: table.UnixMillis(time.Now().UnixMilli())}
+	for _, p := range taken {
+		b.Records = append(b.Records, p.records...)
+	}
+	data, err := encMode.Marshal(b)
+	if err == nil {
+		fl := &flight{batch: b, data: data, proposals: taken, resolved: make(chan struct{})}
+		w.flights = append(w.flights, fl)
+		w.mu.Unlock()
+		return fl, nil
+	}
+	for _, p := range taken {
+		p.state = proposalDone
+	}
+	w.mu.Unlock()
+	err = fault.Wrap(err, fault.Invalid, "encode batch")
+	fail(taken, err)
+	return nil, err
+}
+
+// next takes the proposals of one batch off the queue and marks them as sent; the caller holds mu.
+func (w *Writer) next() []*proposal {
+	size, records, n := batchOverhead, 0, 0
+	for _, p := range w.queue {
+		size += p.size
+		records += len(p.records)
+		if n > 0 && (size > w.cfg.MaxBatch || records > maxRecords) {
+			break
+		}
+		w.bytes -= p.size
+		p.state = proposalSent
+		n++
+	}
+	taken := append([]*proposal(nil), w.queue[:n]...)
+	w.queue = append(w.queue[:0], w.queue[n:]...)
+	clear(w.queue[len(w.queue):cap(w.queue)])
+	return taken
+}
+
+// send appends fl until its append succeeds or it is resolved otherwise; it returns false when ctx has ended.
+//
+// After an error it is unknown whether the append took effect. Reading on shows it if it did; if that takes too long
+// the same batch is appended again under the same number, and the fold passes over the repeat.
+func (w *Writer) send(ctx context.Context, fl *flight) bool {
+	for attempt := 0; ; attempt++ {
+		err := w.append(ctx, fl)
+		if err == nil {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		w.cfg.Logger.Warn("append failed", slog.Uint64("Seq", fl.batch.Seq),
+			slog.Int("Attempt", attempt+1), slog.Any("Error", err))
+		if refused(err) {
+			w.drop(fl, attempt, err)
+			return true
+		}
+		select {
+		case <-fl.resolved:
+			return true
+		case <-time.After(w.cfg.ResolveTimeout + w.backoff(attempt)):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (w *Writer) append(ctx context.Context, fl *flight) error {
+	ctx, cancel := context.WithTimeout(ctx, w.cfg.AppendTimeout)
+	defer cancel()
+	_, err := w.cfg.Log.Append(ctx, RecordStream, fl.data)
+	return err
+}
+
+// refused says whether the log will never accept the batch, so that trying again would block all others.
+func refused(err error) bool {
+	switch fault.Of(err) {
+	case fault.Invalid, fault.TooLarge:
+		return true
+	default:
+		return false
+	}
+}
+
+// drop gives up a batch that the log refuses. An earlier attempt may still have taken effect.
+func (w *Writer) drop(fl *flight, attempt int, err error) {
+	if w.land(fl.batch.Seq) == nil {
+		return
+	}
+	if attempt > 0 {
+		err = fault.Wrap(err, fault.OutcomeUnknown, "the log refused a repeat of batch %d", fl.batch.Seq)
+	}
+	fail(fl.proposals, err)
+}
+
+// backoff returns a random pause that doubles with each attempt up to BackoffMax.
+func (w *Writer) backoff(attempt int) time.Duration {
+	return backoff(attempt, w.cfg.BackoffMin, w.cfg.BackoffMax)
+}
+
+func backoff(attempt int, least, most time.Duration) time.Duration {
+	d := most
+	if attempt < 16 {
+		d = min(most, least<<attempt)
+	}
+	return d/2 + rand.N(d/2+1)
+}
+
+// stop fails all proposals that are not resolved.
+func (w *Writer) stop() {
+	w.mu.Lock()
+	w.stopped = true
+	queue := w.queue
+	flights := w.flights
+	w.queue = nil
+	w.bytes = 0
+	w.flights = nil
+	for _, p := range queue {
+		p.state = proposalDone
+	}
+	for _, fl := range flights {
+		w.resolve(fl)
+	}
+	w.mu.Unlock()
+	fail(queue, fault.New(fault.Stopping, "the writer of the log has stopped"))
+	for _, fl := range flights {
+		fail(fl.proposals, fault.New(fault.OutcomeUnknown, "the writer stopped before batch %d was resolved", fl.batch.Seq))
+	}
+}
--- a/table/entity.go
+++ b/table/entity.go
@@ -21,7 +21,11 @@
 	Gone        bool // no longer listed; kept while leases remain
 	Quarantined bool
 	Used        Resources // sum of leases not ended and of instances
-	Changed     Offset
+	Holds       int       // number of leases not ended and of instances
+
+	QuarantineReason string
+	QuarantinedAt    UnixMillis // clock of the writer of the record
+	Changed          Offset
 }
 
 // Instance is one running copy of a service on a worker.
@@ -114,9 +118,20 @@
 	State         JobState
 	Tasks         []TaskID
 	Open          int // tasks that are not final
+	Counts        TaskCounts
+	Digest        uint64 // hash of the submission
+	Cancelled     bool   // its caller cancelled it
 	Changed       Offset
 }
 
+// TaskCounts counts the tasks of a job by state.
+type TaskCounts struct {
+	Held      int
+	Unknown   int
+	Failed    int
+	Cancelled int
+}
+
 // TaskState is the state of a task.
 type TaskState string
 
@@ -147,7 +162,8 @@
 	ID         TaskID
 	Job        JobID
 	State      TaskState
-	Lease      Lease // set while State is held
+	Lease      Lease // set while State is held; in state Unknown it is the lost lease, which counts nowhere
+	LastToken  Token // token of the newest lease, also when it has ended
 	Attempts   int   // leases that ended as Failed
 	Evictions  int
 	Checkpoint []byte
--- a/table/tables.go
+++ b/table/tables.go
@@ -6,6 +6,13 @@
 	Changed Offset
 }
 
+// AppliedPlan remembers a confirmed plan, so that a repeat has no effect.
+type AppliedPlan struct {
+	ID     PlanID
+	Digest uint64 // hash of its intent and base
+	Offset Offset
+}
+
 // Tables holds every entity that the fold of the log yields; one goroutine owns it.
 type Tables struct {
 	Applied    Offset // last offset folded
@@ -23,6 +30,11 @@
 	TeamUsed   map[TeamID]Resources // sum of leases held by the tasks of each team
 	TeamJobs   map[TeamID]int       // unfinished jobs of each team
 	ConfigSeen Offset               // offset of the last configuration change
+
+	Replaced     map[Incarnation]Offset // incarnations that lost or gave back their seat, and when
+	Plans        []AppliedPlan          // newest confirmed plans, oldest first
+	Removed      map[string]Offset      // versions of removed configuration, by a name such as "Team/t1"
+	RemovedFloor Offset                 // highest version dropped from Removed; the version of what was never seen
 }
 
 // New returns empty tables.
@@ -41,6 +53,8 @@
 		Claims:    map[ClaimKey]*Claim{},
 		TeamUsed:  map[TeamID]Resources{},
 		TeamJobs:  map[TeamID]int{},
+		Replaced:  map[Incarnation]Offset{},
+		Removed:   map[string]Offset{},
 	}
 }
 
