--- /dev/null
+++ b/burn/plot.go
@@ -0,0 +1,80 @@
+package burn
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
+)
+
+const (
+	plotWidth  = 640
+	plotHeight = 220
+	minTop     = 1.2 // keeps the line at burn rate 1 visible
+	headroom   = 1.1
+)
+
+var (
+	burnColor  = drawing.ColorFromHex("c0392b")
+	goodColor  = drawing.ColorFromHex("2d7d46")
+	limitColor = drawing.ColorFromHex("888888")
+)
+
+// plotBurn draws the burn rate of each bucket, with a line at 1.
+func plotBurn(k KindReport, from, to time.Time) ([]byte, error) {
+	at, burn, top := series(k, func(p Point) float64 { return p.Burn })
+	limit := chart.TimeSeries{
+		Style:   chart.Style{StrokeColor: limitColor, StrokeWidth: 1, StrokeDashArray: []float64{4, 4}},
+		XValues: []time.Time{from, to},
+		YValues: []float64{1, 1},
+	}
+	return render(from, to, max(top, minTop), []chart.Series{limit, line(burnColor, at, burn)})
+}
+
+// plotRequests draws the good and the bad requests of each bucket.
+func plotRequests(k KindReport, from, to time.Time) ([]byte, error) {
+	at, good, topGood := series(k, func(p Point) float64 { return float64(p.Good) })
+	_, bad, topBad := series(k, func(p Point) float64 { return float64(p.Bad) })
+	return render(from, to, max(topGood, topBad, 1), []chart.Series{line(goodColor, at, good), line(burnColor, at, bad)})
+}
+
+func series(k KindReport, value func(Point) float64) (at []time.Time, values []float64, top float64) {
+	for _, p := range k.Points {
+		v := value(p)
+		at = append(at, p.At)
+		values = append(values, v)
+		top = max(top, v)
+	}
+	if len(at) == 1 {
+		// A line needs two points.
+		at = append(at, at[0].Add(time.Second))
+		values = append(values, values[0])
+	}
+	return at, values, top
+}
+
+func line(color drawing.Color, at []time.Time, values []float64) chart.Series {
+	return chart.TimeSeries{
+		Style:   chart.Style{StrokeColor: color, StrokeWidth: 2, DotColor: color, DotWidth: 1.5},
+		XValues: at,
+		YValues: values,
+	}
+}
+
+// render draws no names of entities, because the library does not escape text.
+func render(from, to time.Time, top float64, list []chart.Series) ([]byte, error) {
+	c := chart.Chart{
+		Width:  plotWidth,
+		Height: plotHeight,
+		XAxis: chart.XAxis{
+			ValueFormatter: chart.TimeValueFormatterWithFormat("15:04"),
+			Range:          &chart.ContinuousRange{Min: chart.TimeToFloat64(from), Max: chart.TimeToFloat64(to)},
+		},
+		YAxis:  chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: top * headroom}},
+		Series: list,
+	}
+	var svg bytes.Buffer
+	err := c.Render(chart.SVG, &svg)
+	return svg.Bytes(), err
+}
--- /dev/null
+++ b/burn/recorder.go
@@ -0,0 +1,180 @@
+package burn
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"persimmonpick/table"
+)
+
+const (
+	// maxNames bounds the names in one dimension of a bucket; later names count as otherName.
+	maxNames  = 512
+	otherName = "(other)"
+
+	// maxLatency is the longest latency that is told apart, in microseconds.
+	maxLatency = 10 * 60 * 1000 * 1000
+	// Two digits keep a histogram near 20 KB, with errors under 1 percent.
+	latencyDigits = 2
+)
+
+// Config holds what a Recorder needs.
+type Config struct {
+	Seat        table.SeatID
+	Incarnation table.Incarnation
+	Windows     Windows
+	Objective   func(table.KindID) table.Objective // objective in force; the zero value where there is none
+}
+
+type counts map[string]*Count
+
+type bucket struct {
+	kinds, instances, workers counts
+}
+
+type latencyKey struct {
+	index int64
+	kind  table.KindID
+}
+
+// Recorder counts the requests of one process.
+type Recorder struct {
+	cfg Config
+
+	mu        sync.Mutex
+	seq       uint64
+	buckets   map[int64]*bucket
+	latencies map[latencyKey]*hdrhistogram.Histogram
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder(cfg Config) *Recorder {
+	return &Recorder{
+		cfg:       cfg,
+		buckets:   map[int64]*bucket{},
+		latencies: map[latencyKey]*hdrhistogram.Histogram{},
+	}
+}
+
+// Observe counts one request; it is good if it was answered without a fault and within the objective's latency.
+func (r *Recorder) Observe(kind table.KindID, instance table.InstanceID, worker table.WorkerID, latency time.Duration, ok bool, at time.Time) {
+	objective := r.cfg.Objective(kind)
+	good := ok
+	if objective.Latency > 0 && latency > time.Duration(objective.Latency)*time.Millisecond {
+		good = false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.bucket(index(at, r.cfg.Windows.width()))
+	b.kinds.add(string(kind), good)
+	b.instances.add(string(instance), good)
+	b.workers.add(string(worker), good)
+	if ok {
+		r.observeLatency(kind, latency, at)
+	}
+}
+
+func (r *Recorder) observeLatency(kind table.KindID, latency time.Duration, at time.Time) {
+	key := latencyKey{index(at, r.cfg.Windows.sliceWidth()), kind}
+	h := r.latencies[key]
+	if h == nil && len(r.latencies) >= maxNames*(slicesPerLong+1) {
+		return
+	}
+	if h == nil {
+		h = newHistogram()
+		r.latencies[key] = h
+	}
+	value := min(max(latency.Microseconds(), 1), maxLatency)
+	if err := h.RecordValue(value); err != nil {
+		slog.Error("latency not recorded", "Kind", kind, "Error", err)
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency, latencyDigits)
+}
+
+func (r *Recorder) bucket(i int64) *bucket {
+	b := r.buckets[i]
+	if b == nil {
+		r.prune(i)
+		b = &bucket{kinds: counts{}, instances: counts{}, workers: counts{}}
+		r.buckets[i] = b
+	}
+	return b
+}
+
+// prune forgets what the long window ending in bucket newest no longer covers.
+func (r *Recorder) prune(newest int64) {
+	ws := r.cfg.Windows
+	end := time.Unix(0, newest*int64(ws.width()))
+	oldest := first(end, ws.Long, ws.width())
+	maps.DeleteFunc(r.buckets, func(i int64, _ *bucket) bool { return i < oldest })
+	oldestSlice := index(end.Add(-ws.Long), ws.sliceWidth())
+	maps.DeleteFunc(r.latencies, func(k latencyKey, _ *hdrhistogram.Histogram) bool { return k.index < oldestSlice })
+}
+
+func (cs counts) add(name string, good bool) {
+	if name == "" {
+		return
+	}
+	c := cs[name]
+	if c == nil && len(cs) >= maxNames {
+		name = otherName
+		c = cs[name]
+	}
+	if c == nil {
+		c = &Count{Name: name}
+		cs[name] = c
+	}
+	if good {
+		c.Good++
+		return
+	}
+	c.Bad++
+}
+
+func (cs counts) sorted() []Count {
+	list := make([]Count, 0, len(cs))
+	for _, c := range cs {
+		list = append(list, *c)
+	}
+	slices.SortFunc(list, func(a, b Count) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Snapshot returns what was counted, under the next sequence number.
+func (r *Recorder) Snapshot(now time.Time) Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prune(index(now, r.cfg.Windows.width()))
+	r.seq++
+	s := Snapshot{Seat: r.cfg.Seat, Incarnation: r.cfg.Incarnation, Seq: r.seq, Taken: now}
+	for _, i := range slices.Sorted(maps.Keys(r.buckets)) {
+		b := r.buckets[i]
+		s.Buckets = append(s.Buckets, Bucket{i, b.kinds.sorted(), b.instances.sorted(), b.workers.sorted()})
+	}
+	for key, h := range r.latencies {
+		data, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+		if err != nil {
+			slog.Error("latencies not encoded", "Kind", key.kind, "Error", err)
+			continue
+		}
+		s.Latencies = append(s.Latencies, Latencies{key.index, key.kind, data})
+	}
+	slices.SortFunc(s.Latencies, compareLatencies)
+	return s
+}
+
+func compareLatencies(a, b Latencies) int {
+	if a.Index != b.Index {
+		return int(a.Index - b.Index)
+	}
+	return strings.Compare(string(a.Kind), string(b.Kind))
+}
