--- /dev/null
+++ b/route/answer.go
@@ -0,0 +1,47 @@
+package route
+
+import (
+	"io"
+	"net/http"
+	"slices"
+
+	"persimmonpick/fault"
+)
+
+// checkHead rejects an answer that cannot be that of the request or whose end could not be seen.
+func checkHead(res *http.Response, id string) error {
+	echoed := res.Header.Values(requestID)
+	if len(echoed) > 0 && !slices.Equal(echoed, []string{id}) {
+		return fault.New(fault.BadAnswer, "answer is for request %q, not %q", echoed, id)
+	}
+	if res.StatusCode < http.StatusOK {
+		return fault.New(fault.BadAnswer, "answer has status %d", res.StatusCode)
+	}
+	if res.StatusCode == http.StatusNoContent || res.StatusCode == http.StatusNotModified {
+		return nil
+	}
+	chunked := len(res.TransferEncoding) > 0 && res.TransferEncoding[len(res.TransferEncoding)-1] == "chunked"
+	if res.ContentLength < 0 && !chunked {
+		return fault.New(fault.BadAnswer, "answer has neither a length nor chunks")
+	}
+	return nil
+}
+
+// readWhole reads the body to its end; the transport checks the length or the last chunk.
+func readWhole(res *http.Response, limit int64) ([]byte, error) {
+	if res.ContentLength > limit {
+		return nil, fault.New(fault.BadAnswer, "answer of %d bytes is over the limit of %d", res.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadAnswer, "answer was cut off after %d bytes", len(body))
+	}
+	if int64(len(body)) > limit {
+		return nil, fault.New(fault.BadAnswer, "answer is over the limit of %d bytes", limit)
+	}
+	return body, nil
+}
+
+func refused(res *http.Response) bool {
+	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(RefusedHeader) == "1"
+}
--- a/share/borrow.go
+++ b/share/borrow.go
@@ -15,13 +15,16 @@
 }
 
 func (m *Manager) mayBorrow(s *state, now time.Time) bool {
-	if s.owner == m.cfg.Seat || s.calling || now.Before(s.quiet) {
+	if s.owner == m.cfg.Seat {
+		return m.mayRecall(s, now)
+	}
+	if s.calling || now.Before(s.quiet) {
 		return false
 	}
 	return s.used+s.idleSlots(now) < m.Connections(s.inst)
 }
 
-// Borrow asks the owner of an instance for up to want slots and returns how many came; it makes no call where Borrowable is false.
+// Borrow asks the owner of an instance for up to want slots and returns how many came; at the owner it asks for idle lent slots and does not wait. It makes no call where Borrowable is false.
 func (m *Manager) Borrow(ctx context.Context, inst table.Instance, want int) (int, error) {
 	l, s, req := m.beginBorrow(inst, want)
 	if l == nil {
@@ -45,6 +48,10 @@
 	if !m.mayBorrow(s, now) {
 		return nil, nil, BorrowRequest{}
 	}
+	if s.owner == m.cfg.Seat {
+		m.startRecall(s, now)
+		return nil, nil, BorrowRequest{}
+	}
 	s.calling = true
 	m.number++
 	id := LoanID{Borrower: m.cfg.Seat, Process: m.process, Number: m.number}
--- a/share/lend.go
+++ b/share/lend.go
@@ -61,7 +61,7 @@
 
 // startRecall asks the borrowers of an instance for idle slots, at most once in recallPause.
 func (m *Manager) startRecall(s *state, now time.Time) {
-	if m.cfg.Recall == nil || s.recalling || now.Sub(s.recalled) < recallPause {
+	if !m.mayRecall(s, now) {
 		return
 	}
 	seats := map[table.SeatID]bool{}
@@ -78,6 +78,10 @@
 	go m.recall(s, s.inst, seats)
 }
 
+func (m *Manager) mayRecall(s *state, now time.Time) bool {
+	return m.cfg.Recall != nil && len(s.lent) > 0 && !s.recalling && now.Sub(s.recalled) >= recallPause
+}
+
 func (m *Manager) recall(s *state, inst table.Instance, seats map[table.SeatID]bool) {
 	done := make(chan struct{})
 	for seat := range seats {
