--- /dev/null
+++ b/operator/effects.go
@@ -0,0 +1,184 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"persimmonpick/journal"
+	"persimmonpick/table"
+)
+
+// maxListed bounds the names in one line of effects.
+const maxListed = 20
+
+// effects lists what a plan does to running and waiting work.
+func effects(t *table.Tables, in journal.Intent) []string {
+	switch in.Type {
+	case journal.SetKind:
+		return kindEffects(t, *in.Kind)
+	case journal.RemoveKind:
+		return removedKindEffects(t, *t.Kinds[in.Kind.ID])
+	case journal.SetTeam:
+		return teamEffects(t, *in.Team)
+	case journal.RemoveTeam:
+		return removedTeamEffects(t, in.Team.ID)
+	case journal.SetDrain:
+		return drainEffects(t, *in.Drain)
+	case journal.RemoveDrain:
+		return undrainEffects(t, *in.Drain)
+	case journal.ResolveTask:
+		return resolveEffects(*t.Tasks[in.Task], in.Outcome)
+	}
+	return []string{"every entry host uses the new value as soon as it has read it"}
+}
+
+func kindEffects(t *table.Tables, k table.Kind) []string {
+	former := t.Kinds[k.ID]
+	if former == nil {
+		return []string{fmt.Sprintf("requests or jobs of kind %s are admitted", k.ID)}
+	}
+	var list []string
+	if former.Service != k.Service {
+		list = append(list, fmt.Sprintf("new requests go to the %d instances of service %q", countInstances(t, k.Service), k.Service))
+	}
+	if jobs := jobsOfKind(t, k.ID); former.Class != k.Class && len(jobs) > 0 {
+		list = append(list, "unfinished jobs of the kind: "+names(jobs))
+	}
+	return list
+}
+
+func removedKindEffects(t *table.Tables, k table.Kind) []string {
+	list := []string{fmt.Sprintf("new requests and jobs of kind %s are rejected as not run", k.ID)}
+	if k.Service != "" {
+		list = append(list, fmt.Sprintf("requests to the %d instances of service %q are affected", countInstances(t, k.Service), k.Service))
+	}
+	if jobs := jobsOfKind(t, k.ID); len(jobs) > 0 {
+		list = append(list, "unfinished jobs of the kind: "+names(jobs))
+	}
+	return list
+}
+
+func teamEffects(t *table.Tables, team table.Team) []string {
+	jobs := jobsOfTeam(t, team.ID)
+	list := []string{"unfinished jobs of the team: " + names(jobs)}
+	if used := t.TeamUsed[team.ID]; !used.Fits(team.Quota) {
+		list = append(list, "the running tasks hold "+resources(used)+", above the new quota: no further task starts until they end")
+	}
+	if team.MaxJobs > 0 && len(jobs) >= team.MaxJobs {
+		list = append(list, fmt.Sprintf("the team has %d unfinished jobs: further jobs are rejected", len(jobs)))
+	}
+	return list
+}
+
+func removedTeamEffects(t *table.Tables, id table.TeamID) []string {
+	return []string{
+		fmt.Sprintf("new jobs and requests of team %s are rejected as not run", id),
+		"unfinished jobs of the team: " + names(jobsOfTeam(t, id)),
+	}
+}
+
+func drainEffects(t *table.Tables, d table.Drain) []string {
+	workers := drainedBy(t, d)
+	list := []string{"workers that receive no new work: " + names(workers)}
+	var tasks, fixed []string
+	for _, id := range table.SortedTasks(t) {
+		task := t.Tasks[id]
+		if !task.State.Held() || !slices.Contains(workers, string(task.Lease.Worker)) {
+			continue
+		}
+		tasks = append(tasks, string(id))
+		if job := t.Jobs[task.Job]; job != nil && job.NonIdempotent {
+			fixed = append(fixed, string(id))
+		}
+	}
+	var instances []string
+	for _, id := range table.SortedInstances(t) {
+		if slices.Contains(workers, string(t.Instances[id].Worker)) {
+			instances = append(instances, string(id))
+		}
+	}
+	list = append(list, "running tasks that are checkpointed and move: "+names(tasks))
+	if len(fixed) > 0 {
+		list = append(list, "of these, non-idempotent ones, which move only once their worker confirms the stop: "+names(fixed))
+	}
+	return append(list, "instances that receive no new requests: "+names(instances))
+}
+
+func undrainEffects(t *table.Tables, d table.Drain) []string {
+	var open []string
+	for _, id := range drainedBy(t, d) {
+		w := t.Workers[table.WorkerID(id)]
+		if !w.Gone && !w.Leaving && !w.Quarantined {
+			open = append(open, id)
+		}
+	}
+	return []string{"workers that may receive new work again, unless another drain covers them: " + names(open)}
+}
+
+func resolveEffects(task table.Task, outcome string) []string {
+	if outcome == OutcomeRerun {
+		return []string{
+			fmt.Sprintf("task %s of job %s runs again", task.ID, task.Job),
+			"if it did run on the lost worker, it runs twice: confirm only if you know that it did not or was undone",
+		}
+	}
+	return []string{fmt.Sprintf("task %s of job %s ends as %s and does not run again", task.ID, task.Job, outcome)}
+}
+
+// drainedBy returns the workers that d covers.
+func drainedBy(t *table.Tables, d table.Drain) []string {
+	var list []string
+	for _, id := range table.SortedWorkers(t) {
+		w := t.Workers[id]
+		if id == d.Worker || (d.Rack != "" && w.Rack == d.Rack) {
+			list = append(list, string(id))
+		}
+	}
+	return list
+}
+
+func jobsOfKind(t *table.Tables, kind table.KindID) []string {
+	return unfinished(t, func(j *table.Job) bool { return j.Kind == kind })
+}
+
+func jobsOfTeam(t *table.Tables, team table.TeamID) []string {
+	return unfinished(t, func(j *table.Job) bool { return j.Team == team })
+}
+
+func unfinished(t *table.Tables, match func(*table.Job) bool) []string {
+	var list []string
+	for id, j := range t.Jobs {
+		if !j.State.Final() && match(j) {
+			list = append(list, string(id))
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func countInstances(t *table.Tables, service table.ServiceID) int {
+	n := 0
+	for _, in := range t.Instances {
+		if in.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// names counts the ids and lists the first of them.
+func names(ids []string) string {
+	if len(ids) == 0 {
+		return "none"
+	}
+	list := strings.Join(ids[:min(len(ids), maxListed)], ", ")
+	if len(ids) > maxListed {
+		list += ", ..."
+	}
+	return fmt.Sprintf("%d (%s)", len(ids), list)
+}
+
+func resources(r table.Resources) string {
+	return fmt.Sprintf("%d millicores, %d bytes and %d accelerators", r.CPU, r.Memory, r.Accelerators)
+}
--- /dev/null
+++ b/operator/fields.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"fmt"
+	"reflect"
+)
+
+// Change is one field of an entity before and after a plan.
+type Change struct {
+	Field  string
+	Before string
+	After  string
+}
+
+// versionField is set by the fold and is no part of what an operator changes.
+const versionField = "Changed"
+
+// changes compares two entities of one type; a nil pointer stands for an entity that does not exist.
+func changes(before, after any) []Change {
+	b, a := reflect.ValueOf(before), reflect.ValueOf(after)
+	var list []Change
+	if b.IsNil() != a.IsNil() {
+		list = append(list, Change{"Exists", fmt.Sprint(!b.IsNil()), fmt.Sprint(!a.IsNil())})
+	}
+	return compare(list, "", b.Type().Elem(), deref(b), deref(a))
+}
+
+func deref(v reflect.Value) reflect.Value {
+	if v.IsNil() {
+		return reflect.Value{}
+	}
+	return v.Elem()
+}
+
+func compare(list []Change, path string, typ reflect.Type, before, after reflect.Value) []Change {
+	for i := range typ.NumField() {
+		field := typ.Field(i)
+		if field.Name == versionField {
+			continue
+		}
+		b, a := member(before, i), member(after, i)
+		if field.Type.Kind() == reflect.Struct {
+			list = compare(list, path+field.Name+".", field.Type, b, a)
+			continue
+		}
+		change := Change{path + field.Name, text(b), text(a)}
+		if change.Before != change.After {
+			list = append(list, change)
+		}
+	}
+	return list
+}
+
+func member(v reflect.Value, i int) reflect.Value {
+	if !v.IsValid() {
+		return v
+	}
+	return v.Field(i)
+}
+
+func text(v reflect.Value) string {
+	if !v.IsValid() {
+		return ""
+	}
+	return fmt.Sprint(v.Interface())
+}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,98 @@
+package operator
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+
+	"persimmonpick/answer"
+	"persimmonpick/table"
+)
+
+const maxUnknown = 100
+
+func (h *handler) status(w http.ResponseWriter, r *http.Request) error {
+	var s Status
+	if err := h.look(r.Context(), func(t *table.Tables) { s = summarise(t) }); err != nil {
+		return err
+	}
+	s.Hosts = h.cfg.Hosts()
+	answer.JSON(w, http.StatusOK, s)
+	return nil
+}
+
+func summarise(t *table.Tables) Status {
+	s := Status{
+		Applied:    t.Applied,
+		ConfigSeen: t.ConfigSeen,
+		Jobs:       map[table.JobState]int{},
+		Tasks:      map[table.TaskState]int{},
+		Instances:  len(t.Instances),
+		Drains:     slices.Sorted(maps.Keys(t.Drains)),
+	}
+	for _, j := range t.Jobs {
+		s.Jobs[j.State]++
+	}
+	for _, task := range t.Tasks {
+		s.Tasks[task.State]++
+	}
+	for _, w := range t.Workers {
+		s.Workers.add(t, w)
+	}
+	s.configuration(t)
+	s.unknown(t)
+	return s
+}
+
+func (c *WorkerCounts) add(t *table.Tables, w *table.Worker) {
+	if w.Gone {
+		return
+	}
+	c.Listed++
+	if w.Leaving {
+		c.Leaving++
+	}
+	if w.Quarantined {
+		c.Quarantined++
+	}
+	if t.Drained(w) {
+		c.Drained++
+	}
+	if t.Open(w) {
+		c.Open++
+		c.Capacity = c.Capacity.Plus(w.Capacity)
+		c.Used = c.Used.Plus(w.Used)
+	}
+}
+
+func (s *Status) configuration(t *table.Tables) {
+	for _, k := range t.Kinds {
+		s.Kinds = append(s.Kinds, *k)
+	}
+	slices.SortFunc(s.Kinds, func(a, b table.Kind) int { return cmp.Compare(a.ID, b.ID) })
+	for _, team := range t.Teams {
+		s.Teams = append(s.Teams, *team)
+	}
+	slices.SortFunc(s.Teams, func(a, b table.Team) int { return cmp.Compare(a.ID, b.ID) })
+	for _, l := range t.Limits {
+		s.Limits = append(s.Limits, *l)
+	}
+	slices.SortFunc(s.Limits, func(a, b table.Limit) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (s *Status) unknown(t *table.Tables) {
+	for _, task := range t.Tasks {
+		if task.State != table.TaskUnknown {
+			continue
+		}
+		u := UnknownTask{Task: task.ID, Job: task.Job, Reason: task.Reason}
+		if j := t.Jobs[task.Job]; j != nil {
+			u.Team = j.Team
+		}
+		s.Unknown = append(s.Unknown, u)
+	}
+	slices.SortFunc(s.Unknown, func(a, b UnknownTask) int { return cmp.Compare(a.Task, b.Task) })
+	s.MoreUnknown = len(s.Unknown) > maxUnknown
+	s.Unknown = s.Unknown[:min(len(s.Unknown), maxUnknown)]
+}
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -16,7 +16,10 @@
 // Names are compared exactly; encoding/json would also accept another case.
 func decode(raw json.RawMessage, v reflect.Value, path string, f *faults) {
 	if bytes.Equal(bytes.TrimSpace(raw), []byte("null")) {
-		f.add(path, "must not be null")
+		// encoding/json writes empty lists and maps as null.
+		if v.Kind() != reflect.Slice && v.Kind() != reflect.Map {
+			f.add(path, "must not be null")
+		}
 		return
 	}
 	if v.Addr().Type().Implements(unmarshalerType) {
