--- /dev/null
+++ b/entry/burn.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"persimmonpick/burn"
+	"persimmonpick/fault"
+	"persimmonpick/peer"
+	"persimmonpick/route"
+	"persimmonpick/table"
+)
+
+// burnPeriod is the time between exchanges of counts with peers; the death of a host loses at most the counts of one period.
+const burnPeriod = 2 * time.Second
+
+func (h *Host) windows() burn.Windows {
+	return burn.Windows{Short: h.cfg.Policy.BurnShortWindow.D(), Long: h.cfg.Policy.BurnLongWindow.D()}
+}
+
+func (h *Host) newRecorder() *burn.Recorder {
+	return burn.NewRecorder(burn.Config{
+		Seat: h.cfg.Seat, Incarnation: h.incarnation, Windows: h.windows(),
+		Objective: func(id table.KindID) table.Objective { return h.control.view.Load().Kinds[id].Objective },
+	})
+}
+
+// observe counts a request for the metrics and the service-level report.
+func (h *Host) observe(o route.Observation) {
+	h.metrics.observe(o)
+	h.recorder.Observe(o.Kind, o.Instance, o.Worker, o.Latency, o.Fault == fault.None, o.At)
+}
+
+// exchangeBurn fetches from each live peer the counts that this host lacks.
+func (h *Host) exchangeBurn(ctx context.Context) {
+	tick := time.NewTicker(burnPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		h.board.Put(h.recorder.Snapshot(now), now)
+		for _, st := range h.group.Status() {
+			if client := h.group.Client(st.Seat); client != nil && st.Live {
+				h.fetchBurn(ctx, client)
+			}
+		}
+	}
+}
+
+func (h *Host) fetchBurn(ctx context.Context, client *peer.Client) {
+	ctx, cancel := context.WithTimeout(ctx, burnPeriod)
+	defer cancel()
+	reply, err := client.Burn(ctx, peer.BurnArgs{Digest: h.board.Digest()})
+	if err != nil {
+		h.log.Debug("counts not fetched", "Error", err)
+		return
+	}
+	for _, s := range reply.Snapshots {
+		h.board.Put(s, time.Now())
+	}
+}
+
+func (h *Host) handleBurn(args peer.BurnArgs) peer.BurnReply {
+	return peer.BurnReply{Snapshots: h.board.Newer(args.Digest, time.Now())}
+}
+
+// report adds up the counts of all entry hosts.
+func (h *Host) report() burn.Report {
+	now := time.Now()
+	h.board.Put(h.recorder.Snapshot(now), now)
+	v := h.control.view.Load()
+	objectives := map[table.KindID]table.Objective{}
+	for id, k := range v.Kinds {
+		objectives[id] = k.Objective
+	}
+	var seats []table.SeatID
+	for _, s := range h.cfg.Seats {
+		seats = append(seats, s.ID)
+	}
+	return burn.Build(burn.Input{
+		Now: now, Windows: h.windows(), Seats: seats, Snapshots: h.board.All(now), Objectives: objectives,
+	})
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"persimmonpick/answer"
+	"persimmonpick/claim"
+	"persimmonpick/fault"
+	"persimmonpick/route"
+	"persimmonpick/table"
+)
+
+const (
+	keyHeader     = "Idempotency-Key"
+	timeoutHeader = "Request-Timeout-Ms" // longest time, in milliseconds, that the caller waits
+	maxKeyLength  = 128                  // bytes
+)
+
+// callers serves the callers' listener.
+type callers struct {
+	host *Host
+}
+
+func (c *callers) handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", c.healthz).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", c.readyz).Methods(http.MethodGet)
+	v1 := r.PathPrefix("/v1").Subrouter()
+	v1.HandleFunc("/requests/{Kind}", c.withTeam(c.request)).Methods(http.MethodPost)
+	v1.HandleFunc("/jobs", c.withTeam(c.submit)).Methods(http.MethodPost)
+	v1.HandleFunc("/jobs/{ID}", c.withTeam(c.job)).Methods(http.MethodGet)
+	v1.HandleFunc("/jobs/{ID}", c.withTeam(c.cancel)).Methods(http.MethodDelete)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer.Error(w, fault.New(fault.NotFound, "no such path: %s", r.URL.Path))
+	})
+	return c.bounded(r)
+}
+
+// bounded refuses requests beyond Limits.MaxInFlight; health checks always pass.
+func (c *callers) bounded(next http.Handler) http.Handler {
+	slots := make(chan struct{}, c.host.cfg.Limits.MaxInFlight)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/v1/") {
+			next.ServeHTTP(w, r)
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			c.host.metrics.inFlight.Inc()
+			defer c.host.metrics.inFlight.Dec()
+			next.ServeHTTP(w, r)
+		default:
+			answer.Error(w, fault.New(fault.Overloaded, "more than %d requests in flight", cap(slots)))
+		}
+	})
+}
+
+func (c *callers) healthz(w http.ResponseWriter, _ *http.Request) {
+	answer.JSON(w, http.StatusOK, map[string]string{"Status": "Alive"})
+}
+
+func (c *callers) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case c.host.stopping.Load():
+		answer.Error(w, fault.New(fault.Stopping, "this entry host is stopping"))
+	case !c.host.control.ready():
+		answer.Error(w, fault.New(fault.NotReady, "this entry host has not read the log to its end"))
+	default:
+		answer.JSON(w, http.StatusOK, map[string]string{"Status": "Ready"})
+	}
+}
+
+type teamHandler func(w http.ResponseWriter, r *http.Request, team table.TeamID) error
+
+// withTeam finds the caller's team by its bearer token and answers errors.
+func (c *callers) withTeam(next teamHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := c.serve(w, r, next); err != nil {
+			c.host.metrics.refused.WithLabelValues(fault.Of(err).String()).Inc()
+			answer.Error(w, err)
+		}
+	}
+}
+
+func (c *callers) serve(w http.ResponseWriter, r *http.Request, next teamHandler) error {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return fault.New(fault.Unauthorized, "no bearer token")
+	}
+	team, ok := c.host.cfg.TeamTokens[token]
+	if !ok {
+		return fault.New(fault.Unauthorized, "unknown bearer token")
+	}
+	if !c.host.control.ready() {
+		return fault.New(fault.NotReady, "this entry host has not read the log to its end")
+	}
+	if c.host.control.view.Load().Teams[team].ID == "" {
+		return fault.New(fault.Forbidden, "team %s is not admitted", team)
+	}
+	return next(w, r, team)
+}
+
+// request serves one request whose caller waits.
+func (c *callers) request(w http.ResponseWriter, r *http.Request, team table.TeamID) error {
+	kind, ok := c.host.control.view.Load().Kinds[table.KindID(mux.Vars(r)["Kind"])]
+	if !ok || kind.Class != table.LatencyCritical {
+		return fault.New(fault.NotFound, "no latency-critical kind %q is admitted", mux.Vars(r)["Kind"])
+	}
+	body, err := readBody(w, r, c.host.cfg.Limits.MaxBody)
+	if err != nil {
+		return err
+	}
+	deadline, err := c.deadline(r, kind)
+	if err != nil {
+		return err
+	}
+	req := route.Request{ID: rand.Text(), Kind: kind, Team: team, Body: body, Header: r.Header, Deadline: deadline}
+	ans, err := c.run(r, req)
+	if err != nil {
+		return err
+	}
+	return writeAnswer(w, ans)
+}
+
+// run sends the request, under its idempotency key if it has one.
+func (c *callers) run(r *http.Request, req route.Request) (route.Answer, error) {
+	req.Key = r.Header.Get(keyHeader)
+	if req.Key == "" {
+		return c.host.router.Serve(r.Context(), req)
+	}
+	if len(req.Key) > maxKeyLength {
+		return route.Answer{}, fault.New(fault.Invalid, "%s is longer than %d bytes", keyHeader, maxKeyLength)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	digest := claim.Digest(req.Kind.ID, r.Header.Get("Content-Type"), req.Body)
+	key := claim.Claim{Team: req.Team, Key: req.Key, Kind: req.Kind.ID, Digest: digest}
+	return c.host.guard.Do(ctx, key, c.host.sender(req))
+}
+
+// deadline returns when the caller stops waiting: by its own header, bounded by the kind's timeout.
+func (c *callers) deadline(r *http.Request, kind table.Kind) (time.Time, error) {
+	limit := c.host.cfg.Timing.RequestTimeout.D()
+	if kind.Timeout > 0 {
+		limit = min(time.Duration(kind.Timeout)*time.Millisecond, c.host.cfg.Timing.MaxRequestTime.D())
+	}
+	if s := r.Header.Get(timeoutHeader); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 32)
+		if err != nil || ms <= 0 {
+			return time.Time{}, fault.New(fault.Invalid, "%s must be a positive number of milliseconds", timeoutHeader)
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	return time.Now().Add(limit), nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit table.Bytes) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, "the body is larger than %d bytes", limit)
+	}
+	return nil, fault.Wrap(err, fault.Invalid, "read the body")
+}
+
+// writeAnswer passes on a whole answer; its length is set, so that a caller notices one cut short on the way.
+func writeAnswer(w http.ResponseWriter, ans route.Answer) error {
+	for name, values := range ans.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(ans.Body)))
+	w.WriteHeader(ans.Status)
+	_, _ = w.Write(ans.Body) // the caller may be gone
+	return nil
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/journal"
+	"persimmonpick/peer"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+)
+
+// control owns the tables; all its fields but view and the channels belong to its goroutine.
+type control struct {
+	cfg         settings.Settings
+	incarnation table.Incarnation
+	group       *peer.Group
+	writer      *journal.Writer
+	log         *slog.Logger
+
+	tables *table.Tables
+	view   atomic.Pointer[table.View]
+
+	deliveries chan journal.Delivery
+	looks      chan look
+	calls      deferred
+	visits     chan visit
+
+	systems systems
+	agents  *agents
+
+	atEnd      atomic.Bool // a read has reached the end of the log
+	joined     atomic.Bool // the own HostJoined is folded
+	ownSeat    seatUse
+	superseded func() // called when a newer process holds the own seat
+}
+
+// seatUse tells when the slots of the own seat may be used.
+type seatUse struct {
+	joined   atomic.Uint64 // offset of the own HostJoined
+	fresh    atomic.Bool   // nobody held the seat before, or its holder had left
+	passed   atomic.Int64  // unix nanoseconds since which the join has passed; 0 if it has not
+	requests time.Duration // longest time that a request of the previous process may still run
+}
+
+type look struct {
+	f    func(*table.Tables)
+	done chan struct{}
+}
+
+func newControl(cfg settings.Settings, inc table.Incarnation, group *peer.Group, w *journal.Writer, log *slog.Logger) *control {
+	c := &control{
+		cfg: cfg, incarnation: inc, group: group, writer: w, log: log,
+		tables:     table.New(),
+		deliveries: make(chan journal.Delivery),
+		looks:      make(chan look),
+		visits:     make(chan visit, 64),
+	}
+	c.ownSeat.requests = cfg.Timing.MaxRequestTime.D()
+	c.view.Store(table.NewView(c.tables))
+	return c
+}
+
+// run folds deliveries and runs the systems each tick until ctx ends.
+func (c *control) run(ctx context.Context) {
+	tick := time.NewTicker(c.cfg.Timing.Tick.D())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-c.deliveries:
+			c.fold(d)
+		case l := <-c.looks:
+			l.f(c.tables)
+			close(l.done)
+		case v := <-c.visits:
+			c.agents.visited(v, time.Now())
+		case <-tick.C:
+			c.tick(time.Now())
+		}
+	}
+}
+
+// deliver hands a delivery of the reader to the control goroutine.
+func (c *control) deliver(ctx context.Context, d journal.Delivery) {
+	select {
+	case <-ctx.Done():
+	case c.deliveries <- d:
+	}
+}
+
+// look runs f on the control goroutine; f must not change the tables.
+func (c *control) look(ctx context.Context, f func(*table.Tables)) error {
+	l := look{f, make(chan struct{})}
+	select {
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.Overloaded, "the control loop did not answer in time")
+	case c.looks <- l:
+	}
+	<-l.done
+	return nil
+}
+
+func (c *control) fold(d journal.Delivery) {
+	now := time.Now()
+	if d.Tables != nil {
+		c.tables = d.Tables
+		c.group.Fence.Hosts(c.tables.Hosts, now, true)
+		c.agents.reload(c.tables)
+		c.systems.reload(c.tables, now)
+		c.log.Info("loaded tables", "Applied", c.tables.Applied)
+	}
+	for _, e := range d.Entries {
+		c.apply(e, now)
+	}
+	var tail time.Time
+	if d.AtEnd {
+		tail = d.Began
+		c.atEnd.Store(true)
+	}
+	c.group.Fence.Folded(c.tables.Applied, tail, now)
+	if d.Tables != nil || len(d.Entries) > 0 {
+		c.view.Store(table.NewView(c.tables))
+	}
+}
+
+func (c *control) apply(e journal.Entry, now time.Time) {
+	c.noteOwnJoin(e)
+	kinds := journal.Apply(c.tables, e.Offset, e.Batch)
+	if e.Batch.Writer == c.incarnation {
+		c.writer.Folded(e.Offset, e.Batch, kinds)
+	}
+	hosts := false
+	for i, r := range e.Batch.Records {
+		if kinds[i] != fault.None {
+			c.log.Debug("record without effect", "Offset", e.Offset, "Index", i, "Kind", kinds[i])
+			continue
+		}
+		hosts = hosts || r.HostJoined != nil || r.HostLeft != nil
+		c.agents.folded(c.tables, r)
+		c.systems.folded(c.tables, r, now)
+	}
+	if hosts {
+		c.group.Fence.Hosts(c.tables.Hosts, now, false)
+		c.checkSeat()
+	}
+}
+
+// noteOwnJoin looks at the holder of the own seat before the own join replaces it.
+func (c *control) noteOwnJoin(e journal.Entry) {
+	for _, r := range e.Batch.Records {
+		j := r.HostJoined
+		if j == nil || j.Incarnation != c.incarnation || c.ownSeat.joined.Load() != 0 {
+			continue
+		}
+		prev := c.tables.Hosts[j.Seat]
+		c.ownSeat.fresh.Store(prev == nil || prev.Left)
+		c.ownSeat.joined.Store(uint64(e.Offset))
+	}
+}
+
+// checkSeat stops this process when a newer one holds its seat.
+func (c *control) checkSeat() {
+	h := c.tables.Hosts[c.cfg.Seat]
+	if h == nil {
+		return
+	}
+	if h.Incarnation == c.incarnation {
+		c.joined.Store(!h.Left)
+		return
+	}
+	if c.joined.Swap(false) {
+		c.log.Error("a newer process holds the seat", "Seat", c.cfg.Seat, "Incarnation", h.Incarnation)
+		c.superseded()
+	}
+}
+
+// usable says whether the slots of the own seat may be used now.
+func (c *control) usable() bool {
+	now := time.Now()
+	if !c.joined.Load() || !c.group.Fence.Current(now) {
+		return false
+	}
+	passed := c.ownSeat.passed.Load()
+	if passed == 0 {
+		if !c.group.Fence.Passed(table.Offset(c.ownSeat.joined.Load()), now) {
+			return false
+		}
+		c.ownSeat.passed.CompareAndSwap(0, now.UnixNano())
+		passed = c.ownSeat.passed.Load()
+	}
+	if c.ownSeat.fresh.Load() {
+		return true
+	}
+	return now.Sub(time.Unix(0, passed)) > c.ownSeat.requests
+}
+
+// ready says whether callers may be served.
+func (c *control) ready() bool {
+	if c.atEnd.Load() {
+		return c.joined.Load()
+	}
+	return c.newestOfMajority()
+}
+
+// newestOfMajority says whether the tables, taken from a peer in an outage of the log, are as new as any that a majority of seats reports.
+func (c *control) newestOfMajority() bool {
+	v := c.view.Load()
+	if v.Applied == 0 {
+		return false
+	}
+	n := 0
+	for _, st := range c.group.Status() {
+		if !st.Live || st.Seat == c.cfg.Seat {
+			continue
+		}
+		if st.Applied > v.Applied {
+			return false
+		}
+		n++
+	}
+	return n > len(c.cfg.Seats)/2
+}
+
+// later runs f on the control goroutine at its next tick.
+func (c *control) later(f func()) {
+	c.calls.add(f)
+}
+
+func (c *control) tick(now time.Time) {
+	c.calls.run()
+	c.agents.run(c.tables, now)
+	if c.atEnd.Load() && c.group.Proposer() {
+		c.systems.run(c.tables, now)
+	}
+}
+
+// submit proposes records from the control goroutine and logs those without effect.
+func (c *control) submit(what string, rs []journal.Record, done func(journal.Result, error)) {
+	if len(rs) == 0 {
+		return
+	}
+	c.writer.Submit(rs, func(res journal.Result, err error) {
+		if err != nil {
+			c.log.Warn("records not appended", "What", what, "Records", len(rs), "Error", err)
+		} else if k := res.First(); k != fault.None {
+			c.log.Debug("records without effect", "What", what, "First", k, "Offset", res.Offset)
+		}
+		if done != nil {
+			done(res, err)
+		}
+	})
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry assembles an entry host: the control loop, the agents that talk to workers, and the callers' HTTP.
+package entry
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"persimmonpick/burn"
+	"persimmonpick/claim"
+	"persimmonpick/fault"
+	"persimmonpick/journal"
+	"persimmonpick/peer"
+	"persimmonpick/platform"
+	"persimmonpick/queue"
+	"persimmonpick/route"
+	"persimmonpick/settings"
+	"persimmonpick/share"
+	"persimmonpick/table"
+	"persimmonpick/tlsfiles"
+)
+
+// Config sets up an entry host.
+type Config struct {
+	Settings settings.Settings
+	Platform platform.Platform
+	Logger   *slog.Logger
+}
+
+// Host is one entry host.
+type Host struct {
+	cfg         settings.Settings
+	platform    platform.Platform
+	incarnation table.Incarnation
+	log         *slog.Logger
+
+	ctx    context.Context // ends when the process stops
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	control  *control
+	writer   *journal.Writer
+	reader   *journal.Reader
+	group    *peer.Group
+	shares   *share.Manager
+	router   *route.Router
+	guard    *claim.Guard
+	board    *burn.Board
+	recorder *burn.Recorder
+	metrics  *metrics
+
+	listeners  listeners
+	stopping   atomic.Bool
+	superseded chan struct{} // closed when a newer process holds the seat
+	once       sync.Once
+}
+
+// New assembles a host; Run starts it.
+func New(cfg Config) (*Host, error) {
+	s := cfg.Settings
+	h := &Host{
+		cfg: s, platform: cfg.Platform, log: cfg.Logger, metrics: newMetrics(),
+		incarnation: table.Incarnation(string(s.Seat) + "-" + rand.Text()[:16]),
+		superseded:  make(chan struct{}),
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.writer = journal.NewWriter(journal.WriterConfig{
+		Log: cfg.Platform.Log, Incarnation: h.incarnation, Delay: s.Timing.BatchDelay.D(), Logger: cfg.Logger,
+	})
+	if err := h.connectPeers(); err != nil {
+		return nil, err
+	}
+	h.control = newControl(s, h.incarnation, h.group, h.writer, cfg.Logger)
+	h.control.superseded = func() { h.once.Do(func() { close(h.superseded) }) }
+	h.connectControl()
+	h.reader = journal.NewReader(journal.ReaderConfig{
+		Log: cfg.Platform.Log, Deliver: func(d journal.Delivery) { h.control.deliver(h.ctx, d) },
+		FromPeer: h.tablesFromPeer, Wait: time.Second, Logger: cfg.Logger,
+	})
+	h.board = burn.NewBoard(h.windows())
+	h.recorder = h.newRecorder()
+	h.metrics.registry.MustRegister(burn.NewCollector(h.report))
+	h.connectTraffic()
+	return h, nil
+}
+
+func (h *Host) connectPeers() error {
+	conf, err := clientTLS(h.cfg.Peers)
+	if err != nil {
+		return err
+	}
+	var seats []peer.Seat
+	for _, s := range h.cfg.Seats {
+		seats = append(seats, peer.Seat{ID: s.ID, Address: s.PeerAddress})
+	}
+	t := h.cfg.Timing
+	h.group = peer.NewGroup(peer.Config{
+		Seat: h.cfg.Seat, Seats: seats, Period: t.Heartbeat.D(), Timeout: t.PeerTimeout.D(), LogGrace: t.LogGrace.D(),
+		TLS: conf, Self: h.heartbeat, Log: h.log,
+	})
+	return nil
+}
+
+// connectControl gives the agents and systems what they need of the host.
+func (h *Host) connectControl() {
+	c := h.control
+	c.agents = &agents{
+		cfg: h.cfg, incarnation: h.incarnation, group: h.group, workers: h.platform.Workers,
+		submit: c.submit, later: c.later, visits: c.visits, log: h.log, ctx: h.ctx,
+		slots: make(chan struct{}, maxVisits), tried: map[table.Token]bool{},
+	}
+	c.agents.reload(c.tables)
+	learn := newLearning(h.cfg, h.log)
+	c.agents.reported = learn.reported
+	c.systems = systems{
+		cfg: h.cfg, submit: c.submit, later: c.later, avoid: h.avoid, learn: learn, never: h.reportNever,
+		hosts: &hostList{cfg: h.cfg, hosts: h.platform.Hosts, submit: c.submit, later: c.later, avoid: h.avoid, log: h.log},
+		snapshots: snapshots{
+			ctx: h.ctx, log: h.platform.Log, period: h.cfg.Timing.SnapshotPeriod.D(), later: c.later, logger: h.log, wg: &h.wg,
+		},
+	}
+}
+
+func (h *Host) connectTraffic() {
+	var ids []table.SeatID
+	for _, s := range h.cfg.Seats {
+		ids = append(ids, s.ID)
+	}
+	h.shares = share.New(share.Config{
+		Seat: h.cfg.Seat, Seats: ids, LoanTerm: h.cfg.Timing.LoanTerm.D(), MaxRequestTime: h.cfg.Timing.MaxRequestTime.D(),
+		Usable: h.control.usable, Lookup: h.instance,
+		Borrow: func(ctx context.Context, id table.SeatID, req share.BorrowRequest) (share.BorrowReply, error) {
+			return h.group.Client(id).Borrow(ctx, req)
+		},
+		Return: func(ctx context.Context, id table.SeatID, req share.ReturnRequest) error {
+			return h.group.Client(id).Return(ctx, req)
+		},
+		Recall: func(ctx context.Context, id table.SeatID, req share.RecallRequest) (share.RecallReply, error) {
+			return h.group.Client(id).Recall(ctx, req)
+		},
+	})
+	p := h.cfg.Policy
+	h.router = route.New(route.Config{
+		Zone: h.cfg.Zone, View: h.control.view.Load, Slots: h.shares, Observe: h.observe,
+		MaxAnswer: h.cfg.Limits.MaxAnswer, MaxQueue: h.cfg.Limits.MaxQueue,
+		RequestTimeout: h.cfg.Timing.RequestTimeout.D(), MaxRequestTime: h.cfg.Timing.MaxRequestTime.D(),
+		RetryBudget: p.RetryBudget, Hedge: p.Hedge, EjectAfter: p.EjectAfter, EjectFloor: p.EjectFloor,
+		ZonePreference: p.ZonePreference.D(),
+	})
+	h.guard = &claim.Guard{
+		Propose: h.writer.Propose, Look: h.control.look, Seat: h.cfg.Seat, Incarnation: h.incarnation,
+	}
+}
+
+// clientTLS returns the configuration for dialing peers, read anew for each dial, or nil where they are plain.
+func clientTLS(l settings.Listener) (func() *tls.Config, error) {
+	if l.Plain {
+		return nil, nil
+	}
+	files, err := tlsfiles.New(l)
+	if err != nil {
+		return nil, err
+	}
+	return files.Client, nil
+}
+
+// instance returns an instance of the newest view, whether or not it is closed.
+func (h *Host) instance(id table.InstanceID) (table.Instance, bool) {
+	in, ok := h.control.view.Load().ByID[id]
+	return in, ok
+}
+
+// sender returns the function that sends a request whose key was claimed.
+func (h *Host) sender(req route.Request) func(context.Context) (route.Answer, error) {
+	return func(ctx context.Context) (route.Answer, error) { return h.router.Serve(ctx, req) }
+}
+
+// propose appends records and fails with the first kind that did not take effect.
+func (h *Host) propose(ctx context.Context, rs ...journal.Record) error {
+	res, err := h.writer.Propose(ctx, rs)
+	if err != nil {
+		return err
+	}
+	if k := res.First(); k != fault.None {
+		return fault.New(k, "the log refused the change")
+	}
+	return nil
+}
+
+func (h *Host) heartbeat() peer.Heartbeat {
+	hb := peer.Heartbeat{
+		Seat: h.cfg.Seat, Incarnation: h.incarnation, Stopping: h.stopping.Load(),
+	}
+	if h.control == nil {
+		return hb
+	}
+	hb.Applied = h.control.view.Load().Applied
+	hb.Ready = h.control.atEnd.Load() && h.control.joined.Load()
+	hb.Unreachable = h.control.agents.unreachable()
+	hb.InFlight = h.router.InFlight()
+	return hb
+}
+
+// avoid returns the workers that some live host watches and cannot reach.
+func (h *Host) avoid() map[table.WorkerID]bool {
+	ids := map[table.WorkerID]bool{}
+	for _, st := range h.group.Status() {
+		if !st.Live {
+			continue
+		}
+		for _, id := range st.Unreachable {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
+func (h *Host) reportNever(list []queue.NeverFits) {
+	h.metrics.never.Set(float64(len(list)))
+	for _, n := range list {
+		h.log.Warn("job fits no worker", "Job", n.Job, "Reason", n.Reason)
+	}
+}
--- /dev/null
+++ b/entry/hostlist.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"reflect"
+	"sync"
+	"time"
+
+	"persimmonpick/journal"
+	"persimmonpick/platform"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+)
+
+// hostList follows the platform's list of hosts and proposes what changed.
+type hostList struct {
+	cfg    settings.Settings
+	hosts  platform.Hosts
+	submit func(what string, rs []journal.Record, done func(journal.Result, error))
+	later  func(func())
+	avoid  func() map[table.WorkerID]bool
+	log    *slog.Logger
+
+	mu     sync.Mutex
+	newest platform.HostList
+
+	seen      time.Time // AsOf of the list that was compared last
+	proposing bool
+	short     bool // the last list was not believed
+}
+
+// poll asks for the list until ctx ends.
+func (h *hostList) poll(ctx context.Context) {
+	tick := time.NewTicker(h.cfg.Timing.HostListPeriod.D())
+	defer tick.Stop()
+	for {
+		h.ask(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (h *hostList) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timing.HostListPeriod.D())
+	defer cancel()
+	list, err := h.hosts.List(ctx)
+	if err != nil {
+		h.log.Debug("host list not read", "Error", err)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if list.AsOf.After(h.newest.AsOf) {
+		h.newest = list
+	}
+}
+
+// run compares the newest list with the tables.
+func (h *hostList) run(t *table.Tables, now time.Time) {
+	h.mu.Lock()
+	list := h.newest
+	h.mu.Unlock()
+	if h.proposing || !list.AsOf.After(h.seen) {
+		return
+	}
+	h.seen = list.AsOf
+	rs := append(h.seenWorkers(t, list), h.seenInstances(t, list)...)
+	rs = append(rs, h.gone(t, list, now)...)
+	if len(rs) == 0 {
+		return
+	}
+	h.proposing = true
+	h.submit("host list", rs, func(journal.Result, error) {
+		h.later(func() { h.proposing = false })
+	})
+}
+
+func (h *hostList) seenWorkers(t *table.Tables, list platform.HostList) []journal.Record {
+	var rs []journal.Record
+	for _, w := range list.Workers {
+		old := t.Workers[w.ID]
+		same := old != nil && !old.Gone && old.Rack == w.Rack && old.Zone == w.Zone &&
+			old.Capacity == w.Capacity && old.Leaving == w.Leaving
+		if !same {
+			rs = append(rs, journal.Record{WorkerSeen: &journal.WorkerSeen{
+				ID: w.ID, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Leaving: w.Leaving,
+			}})
+		}
+	}
+	return rs
+}
+
+func (h *hostList) seenInstances(t *table.Tables, list platform.HostList) []journal.Record {
+	var rs []journal.Record
+	for _, in := range list.Instances {
+		old := t.Instances[in.ID]
+		if old != nil {
+			in.Changed = old.Changed
+		}
+		if old == nil || !reflect.DeepEqual(*old, in) {
+			rs = append(rs, journal.Record{InstanceSeen: &journal.InstanceSeen{Instance: in}})
+		}
+	}
+	return rs
+}
+
+// gone proposes the removal of what the list no longer names.
+//
+// A list that is suddenly much shorter may be wrong, so beyond ListDropShare only workers that no host reaches are removed.
+func (h *hostList) gone(t *table.Tables, list platform.HostList, _ time.Time) []journal.Record {
+	workers := missingWorkers(t, list)
+	instances := missingInstances(t, list)
+	short := tooMany(len(workers), liveWorkers(t), h.cfg.Policy.ListDropShare) ||
+		tooMany(len(instances), len(t.Instances), h.cfg.Policy.ListDropShare)
+	if short != h.short {
+		h.short = short
+		h.log.Warn("host list shrank suddenly", "Believed", !short, "MissingWorkers", len(workers), "MissingInstances", len(instances))
+	}
+	avoid := h.avoid()
+	gone := map[table.WorkerID]bool{}
+	var rs []journal.Record
+	for _, id := range workers {
+		if !short || avoid[id] {
+			gone[id] = true
+			rs = append(rs, journal.Record{WorkerGone: &journal.WorkerGone{ID: id}})
+		}
+	}
+	for _, id := range instances {
+		if !short || gone[t.Instances[id].Worker] {
+			rs = append(rs, journal.Record{InstanceGone: &journal.InstanceGone{ID: id}})
+		}
+	}
+	return rs
+}
+
+func tooMany(missing, known int, share float64) bool {
+	return float64(missing) > share*float64(known)
+}
+
+func liveWorkers(t *table.Tables) int {
+	n := 0
+	for _, w := range t.Workers {
+		if !w.Gone {
+			n++
+		}
+	}
+	return n
+}
+
+func missingWorkers(t *table.Tables, list platform.HostList) []table.WorkerID {
+	listed := make(map[table.WorkerID]bool, len(list.Workers))
+	for _, w := range list.Workers {
+		listed[w.ID] = true
+	}
+	var ids []table.WorkerID
+	for _, id := range table.SortedWorkers(t) {
+		if !listed[id] && !t.Workers[id].Gone {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func missingInstances(t *table.Tables, list platform.HostList) []table.InstanceID {
+	listed := make(map[table.InstanceID]bool, len(list.Instances))
+	for _, in := range list.Instances {
+		listed[in.ID] = true
+	}
+	var ids []table.InstanceID
+	for _, id := range table.SortedInstances(t) {
+		if !listed[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"persimmonpick/route"
+)
+
+// metrics are what /metrics of the operators' listener shows.
+type metrics struct {
+	registry *prometheus.Registry
+	inFlight prometheus.Gauge
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	refused  *prometheus.CounterVec
+	applied  prometheus.Gauge
+	never    prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonpick_requests_in_flight", Help: "Requests of callers being served.",
+		}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonpick_requests_total", Help: "Requests of waiting callers by kind and outcome.",
+		}, []string{"kind", "code"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "persimmonpick_request_seconds", Help: "Time from a request's arrival to its whole answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"kind"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonpick_errors_total", Help: "Requests answered with an error, by its code.",
+		}, []string{"code"}),
+		applied: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonpick_applied_offset", Help: "Last offset of the log that was folded.",
+		}),
+		never: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonpick_jobs_that_fit_nowhere", Help: "Jobs that fit no worker as the site is now.",
+		}),
+	}
+	m.registry.MustRegister(
+		m.inFlight, m.requests, m.latency, m.refused, m.applied, m.never,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+func (m *metrics) observe(o route.Observation) {
+	m.requests.WithLabelValues(string(o.Kind), o.Fault.String()).Inc()
+	m.latency.WithLabelValues(string(o.Kind)).Observe(o.Latency.Seconds())
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/journal"
+	"persimmonpick/operator"
+	"persimmonpick/peer"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+	"persimmonpick/tlsfiles"
+)
+
+const (
+	joinRetry  = time.Second // pause between attempts to take the seat
+	headerTime = 5 * time.Second
+	idleTime   = 2 * time.Minute
+)
+
+// listeners are the open sockets of a host.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+	callersS  *http.Server
+	operatorS *http.Server
+	peersS    *peer.Server
+}
+
+// Listen opens the three listeners, so that a wrong address fails before anything starts.
+func (h *Host) Listen() error {
+	for _, l := range []struct {
+		name string
+		from settings.Listener
+		to   *net.Listener
+	}{
+		{"callers", h.cfg.Callers, &h.listeners.callers},
+		{"operators", h.cfg.Operators, &h.listeners.operators},
+		{"peers", h.cfg.Peers, &h.listeners.peers},
+	} {
+		ln, err := net.Listen("tcp", l.from.Address)
+		if err != nil {
+			return fault.Wrap(err, fault.Invalid, "listen for %s on %s", l.name, l.from.Address)
+		}
+		*l.to = ln
+		h.log.Info("listening", "For", l.name, "Address", ln.Addr(), "Plain", l.from.Plain)
+	}
+	return nil
+}
+
+// Run serves until ctx ends or another process takes the seat, and then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	defer h.wg.Wait()
+	defer h.cancel()
+	if err := h.serve(); err != nil {
+		return err
+	}
+	h.wg.Go(func() { h.writer.Run(h.ctx) })
+	h.wg.Go(func() { h.control.run(h.ctx) })
+	h.wg.Go(func() { h.group.Run(h.ctx) })
+	h.wg.Go(func() { h.reader.Run(h.ctx) })
+	h.wg.Go(func() { h.shares.Run(h.ctx) })
+	h.wg.Go(func() { h.control.systems.hosts.poll(h.ctx) })
+	h.wg.Go(func() { h.exchangeBurn(h.ctx) })
+	h.wg.Go(func() { h.join(h.ctx) })
+	select {
+	case <-ctx.Done():
+		return h.stop(true)
+	case <-h.superseded:
+		_ = h.stop(false)
+		return fault.New(fault.Conflict, "a newer process holds seat %s", h.cfg.Seat)
+	}
+}
+
+func (h *Host) serve() error {
+	peersTLS, err := tlsfiles.ServerConfig(h.cfg.Peers)
+	if err != nil {
+		return err
+	}
+	h.listeners.peersS, err = peer.Serve(h.listeners.peers, peersTLS, peer.Handlers{
+		Heartbeat: h.group.HandleHeartbeat, Snapshot: h.handleSnapshot, Burn: h.handleBurn,
+		Borrow: h.shares.HandleBorrow, Return: h.shares.HandleReturn, Recall: h.shares.HandleRecall,
+	})
+	if err != nil {
+		return err
+	}
+	h.listeners.callersS = h.callersServer()
+	if err := serveHTTP(h, h.listeners.callersS, h.listeners.callers, h.cfg.Callers); err != nil {
+		return err
+	}
+	h.listeners.operatorS = operator.NewServer(h.operatorConfig())
+	h.listeners.operatorS.Handler = h.withMetrics(h.listeners.operatorS.Handler)
+	return serveHTTP(h, h.listeners.operatorS, h.listeners.operators, h.cfg.Operators)
+}
+
+func (h *Host) callersServer() *http.Server {
+	longest := h.cfg.Timing.MaxRequestTime.D() + headerTime
+	return &http.Server{
+		Handler:           (&callers{h}).handler(),
+		ReadHeaderTimeout: headerTime,
+		ReadTimeout:       longest,
+		WriteTimeout:      longest + headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    int(h.cfg.Limits.MaxHeader),
+	}
+}
+
+func serveHTTP(h *Host, s *http.Server, ln net.Listener, from settings.Listener) error {
+	conf, err := tlsfiles.ServerConfig(from)
+	if err != nil {
+		return err
+	}
+	s.TLSConfig = conf
+	ln = limited(ln, h.cfg.Limits.MaxConnections)
+	h.wg.Go(func() {
+		var err error
+		if conf != nil {
+			err = s.ServeTLS(ln, "", "")
+		} else {
+			err = s.Serve(ln)
+		}
+		if err != http.ErrServerClosed {
+			h.log.Error("listener failed", "Address", ln.Addr(), "Error", err)
+		}
+	})
+	return nil
+}
+
+// join takes the seat; with the log down it keeps trying.
+func (h *Host) join(ctx context.Context) {
+	rec := journal.Record{HostJoined: &journal.HostJoined{
+		Seat: h.cfg.Seat, Incarnation: h.incarnation, Address: h.listeners.peers.Addr().String(), Zone: h.cfg.Zone,
+	}}
+	for {
+		err := h.propose(ctx, rec)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		h.log.Warn("seat not taken", "Seat", h.cfg.Seat, "Error", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinRetry):
+		}
+	}
+}
+
+// stop is a graceful shutdown: readiness fails first, requests in flight end, then slots and the seat are handed back.
+func (h *Host) stop(leave bool) error {
+	h.stopping.Store(true)
+	h.log.Info("stopping", "Leave", leave, "DrainDelay", h.cfg.Timing.DrainDelay.D())
+	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Timing.StopTimeout.D())
+	defer cancel()
+	if leave {
+		// The balancer needs this long to notice that readiness fails; requests it still sends are served.
+		time.Sleep(h.cfg.Timing.DrainDelay.D())
+	}
+	err := h.listeners.callersS.Shutdown(ctx)
+	if err != nil {
+		h.log.Error("requests interrupted", "Error", err)
+		h.listeners.callersS.Close()
+	}
+	if drainErr := h.router.Drain(ctx); drainErr != nil {
+		err = drainErr
+	}
+	if flushErr := h.guard.Flush(ctx); flushErr != nil {
+		h.log.Warn("answers of keyed requests not recorded", "Error", flushErr)
+	}
+	if leave {
+		h.leave(ctx)
+	}
+	_ = h.listeners.operatorS.Shutdown(ctx)
+	h.listeners.peersS.Close()
+	h.log.Info("stopped", "Clean", err == nil)
+	return err
+}
+
+// leave gives the seat back, so that its slots are used at once by the next process.
+func (h *Host) leave(ctx context.Context) {
+	h.control.joined.Store(false) // no slot is used from here on
+	_ = h.control.look(ctx, func(*table.Tables) { h.control.agents.stopped = true })
+	h.control.agents.wg.Wait()
+	rec := journal.Record{HostLeft: &journal.HostLeft{Seat: h.cfg.Seat, Incarnation: h.incarnation}}
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timing.RequestTimeout.D())
+	defer cancel()
+	if err := h.propose(ctx, rec); err != nil {
+		h.log.Warn("seat not given back", "Seat", h.cfg.Seat, "Error", err)
+	}
+}
--- /dev/null
+++ b/entry/snapshots.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/journal"
+	"persimmonpick/peer"
+	"persimmonpick/platform"
+	"persimmonpick/table"
+)
+
+// snapshotTimeout bounds the appends of one snapshot; a later one replaces it anyway.
+const snapshotTimeout = 30 * time.Second
+
+// snapshots writes the tables to the log from time to time.
+type snapshots struct {
+	ctx    context.Context
+	log    platform.Log
+	period time.Duration
+	later  func(func())
+	logger *slog.Logger
+	wg     *sync.WaitGroup
+
+	writing bool
+	last    time.Time
+	applied table.Offset // of the last whole snapshot
+}
+
+func (s *snapshots) run(t *table.Tables, now time.Time) {
+	if s.last.IsZero() {
+		s.last = now
+	}
+	if s.writing || t.Applied <= s.applied || now.Sub(s.last) < s.period {
+		return
+	}
+	s.writing = true
+	s.last = now
+	copied := journal.CloneTables(t)
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, snapshotTimeout)
+		defer cancel()
+		began := time.Now()
+		err := journal.WriteSnapshot(ctx, s.log, copied)
+		if err != nil {
+			s.logger.Warn("snapshot not written", "Applied", copied.Applied, "Error", err)
+		} else {
+			s.logger.Info("snapshot written", "Applied", copied.Applied, "Took", time.Since(began))
+		}
+		s.later(func() {
+			s.writing = false
+			if err == nil {
+				s.applied = copied.Applied
+			}
+		})
+	})
+}
+
+// tablesFromPeer returns the newest tables that a live peer has.
+func (h *Host) tablesFromPeer(ctx context.Context) (*table.Tables, error) {
+	var best peer.Status
+	for _, st := range h.group.Status() {
+		if st.Live && st.Seat != h.cfg.Seat && st.Applied > best.Applied {
+			best = st
+		}
+	}
+	client := h.group.Client(best.Seat)
+	if client == nil {
+		return nil, fault.New(fault.NotReady, "no live peer has tables")
+	}
+	reply, err := client.Snapshot(ctx, peer.SnapshotArgs{Seat: h.cfg.Seat})
+	if err != nil {
+		return nil, err
+	}
+	a := journal.NewAssembler()
+	for _, chunk := range reply.Chunks {
+		if err := a.Add(chunk); err != nil {
+			return nil, err
+		}
+	}
+	t := a.Newest()
+	if t == nil {
+		return nil, fault.New(fault.Invalid, "seat %s sent an incomplete snapshot", best.Seat)
+	}
+	return t, nil
+}
+
+// handleSnapshot gives a peer the tables of this host.
+func (h *Host) handleSnapshot(peer.SnapshotArgs) (peer.SnapshotReply, error) {
+	var copied *table.Tables
+	err := h.control.look(h.ctx, func(t *table.Tables) { copied = journal.CloneTables(t) })
+	if err != nil {
+		return peer.SnapshotReply{}, err
+	}
+	if copied.Applied == 0 {
+		return peer.SnapshotReply{}, fault.New(fault.NotReady, "this host has no tables")
+	}
+	chunks, err := journal.EncodeSnapshot(copied)
+	return peer.SnapshotReply{Applied: copied.Applied, Chunks: chunks}, err
+}
--- /dev/null
+++ b/entry/systems.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"time"
+
+	"persimmonpick/journal"
+	"persimmonpick/placement"
+	"persimmonpick/queue"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+)
+
+const (
+	neverPeriod  = 10 * time.Second // between searches for jobs that can run nowhere
+	markPeriod   = time.Minute      // resolution of retention
+	expirePeriod = time.Minute
+)
+
+// systems are run each tick on the host that proposes.
+type systems struct {
+	cfg    settings.Settings
+	submit func(what string, rs []journal.Record, done func(journal.Result, error))
+	later  func(func())
+	avoid  func() map[table.WorkerID]bool // workers that some host cannot reach
+	learn  *learning
+	hosts  *hostList
+	never  func([]queue.NeverFits) // reports jobs that can run nowhere
+
+	reserved  placement.Reservations
+	placing   bool // grants were proposed and are not folded yet
+	dirty     bool // the tables changed since the last placement
+	placed    time.Time
+	nevered   time.Time
+	marks     []mark // when offsets were folded, oldest first
+	expired   time.Time
+	expiring  bool
+	snapshots snapshots
+}
+
+// mark says that off was folded at a time of this host's clock.
+type mark struct {
+	off table.Offset
+	at  time.Time
+}
+
+// placeAnyway is the longest time without a placement pass while nothing changes, as deadlines near by themselves.
+const placeAnyway = time.Second
+
+func (s *systems) reload(t *table.Tables, now time.Time) {
+	s.dirty = true
+	s.marks = append(s.marks, mark{t.Applied, now})
+	s.learn.reload(t, now)
+}
+
+// folded notes a record that took effect.
+func (s *systems) folded(t *table.Tables, r journal.Record, now time.Time) {
+	s.dirty = true
+	if n := len(s.marks); n == 0 || now.Sub(s.marks[n-1].at) >= markPeriod {
+		s.marks = append(s.marks, mark{t.Applied, now})
+	}
+	s.learn.folded(t, r, now)
+}
+
+func (s *systems) run(t *table.Tables, now time.Time) {
+	s.hosts.run(t, now)
+	s.place(t, now)
+	s.learn.run(t, now)
+	s.expire(now)
+	s.snapshots.run(t, now)
+	if now.Sub(s.nevered) >= neverPeriod {
+		s.nevered = now
+		s.never(queue.Never(t, s.learn.queueConfig()))
+	}
+}
+
+// place proposes grants; the next pass waits until these are folded, as it would choose the same tasks again.
+func (s *systems) place(t *table.Tables, now time.Time) {
+	if s.placing || (!s.dirty && now.Sub(s.placed) < placeAnyway) {
+		return
+	}
+	s.dirty = false
+	s.placed = now
+	in := placement.Input{
+		Policy: s.cfg.Policy, Holder: s.cfg.Seat, Queue: s.learn.queueConfig(), Reserved: &s.reserved, Avoid: s.avoid(),
+	}
+	s.learn.inform(&in)
+	rs := placement.Place(t, now, in)
+	if len(rs) == 0 {
+		return
+	}
+	s.placing = true
+	s.submit("placement", rs, func(journal.Result, error) {
+		s.later(func() { s.placing = false })
+	})
+}
+
+// expire forgets idempotency keys, final jobs and writers whose retention is over.
+//
+// Retention is counted on this host's monotonic clock from when it folded an offset, so that a clock that is stepped forgets nothing early.
+func (s *systems) expire(now time.Time) {
+	if s.expiring || now.Sub(s.expired) < expirePeriod {
+		return
+	}
+	s.expired = now
+	e := journal.Expired{
+		Claims: s.foldedBefore(now.Add(-s.cfg.Timing.KeyRetention.D())),
+		Jobs:   s.foldedBefore(now.Add(-s.cfg.Timing.JobRetention.D())),
+	}
+	e.Writers = min(e.Claims, e.Jobs)
+	s.dropMarks(now)
+	if e.Claims == 0 && e.Jobs == 0 {
+		return
+	}
+	s.expiring = true
+	s.submit("retention", []journal.Record{{Expired: &e}}, func(journal.Result, error) {
+		s.later(func() { s.expiring = false })
+	})
+}
+
+// foldedBefore returns the highest offset known to have been folded before at, or 0.
+func (s *systems) foldedBefore(at time.Time) table.Offset {
+	var off table.Offset
+	for _, m := range s.marks {
+		if m.at.After(at) {
+			break
+		}
+		off = m.off
+	}
+	return off
+}
+
+// dropMarks keeps the newest mark beyond the longest retention and all later ones.
+func (s *systems) dropMarks(now time.Time) {
+	oldest := now.Add(-max(s.cfg.Timing.KeyRetention.D(), s.cfg.Timing.JobRetention.D()))
+	for len(s.marks) > 1 && s.marks[1].at.Before(oldest) {
+		s.marks = s.marks[1:]
+	}
+}
--- a/journal/apply_leases.go
+++ b/journal/apply_leases.go
@@ -36,9 +36,10 @@
 		return fault.Stale
 	}
 	if task.Lease.Started {
-		return fault.None
+		return fault.Conflict
 	}
 	task.Lease.Started = true
+	task.Lease.Starter = r.Starter
 	if task.State == table.TaskLeased {
 		f.move(task, table.TaskStarted)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,14 +15,14 @@
 // Client calls one peer and dials again after a failure.
 type Client struct {
 	addr string
-	conf *tls.Config
+	conf func() *tls.Config
 
 	mu   sync.Mutex
 	conn *rpc.Client
 }
 
 // NewClient returns a client for the peer at addr; a nil conf means plaintext.
-func NewClient(addr string, conf *tls.Config) *Client {
+func NewClient(addr string, conf func() *tls.Config) *Client {
 	return &Client{addr: addr, conf: conf}
 }
 
@@ -36,7 +36,7 @@
 	var raw net.Conn
 	var err error
 	if c.conf != nil {
-		raw, err = (&tls.Dialer{Config: c.conf}).DialContext(ctx, "tcp", c.addr)
+		raw, err = (&tls.Dialer{Config: c.conf()}).DialContext(ctx, "tcp", c.addr)
 	} else {
 		raw, err = (&net.Dialer{}).DialContext(ctx, "tcp", c.addr)
 	}
@@ -129,6 +129,15 @@
 	return *reply, nil
 }
 
+// Burn fetches the counts that the peer holds and this host lacks.
+func (c *Client) Burn(ctx context.Context, args BurnArgs) (BurnReply, error) {
+	reply := &BurnReply{}
+	if err := c.call(ctx, "Burn", args, reply); err != nil {
+		return BurnReply{}, err
+	}
+	return *reply, nil
+}
+
 // Close ends the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/peer/group.go
+++ b/peer/group.go
@@ -24,9 +24,8 @@
 	Period   time.Duration
 	Timeout  time.Duration // a peer silent for this long counts as dead for proposing
 	LogGrace time.Duration
-	TLS      *tls.Config
-	Self     func() Heartbeat // state of this host
-	Got      func(Heartbeat)  // called for each heartbeat of a peer, sent or answered; may be nil
+	TLS      func() *tls.Config // read for each dial; nil means plaintext
+	Self     func() Heartbeat   // state of this host
 	Log      *slog.Logger
 }
 
@@ -87,7 +86,7 @@
 		}
 		if failing != (err != nil) {
 			failing = err != nil
-			g.cfg.Log.Info("peer reachability changed", "seat", id, "reachable", !failing, "err", err)
+			g.cfg.Log.Info("peer reachability changed", "Seat", id, "Reachable", !failing, "Error", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -124,15 +123,8 @@
 
 func (g *Group) note(hb Heartbeat) {
 	g.mu.Lock()
-	burn := hb.Burn
-	if len(burn) == 0 {
-		hb.Burn = g.heard[hb.Seat].Burn
-	}
 	g.heard[hb.Seat] = Status{Heartbeat: hb, Heard: time.Now()}
 	g.mu.Unlock()
-	if g.cfg.Got != nil {
-		g.cfg.Got(hb)
-	}
 }
 
 // Status returns what is known of every seat, the own one included, in the order of the settings.
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"persimmonpick/burn"
 	"persimmonpick/share"
 	"persimmonpick/table"
 )
@@ -14,7 +15,6 @@
 	Stopping    bool
 	InFlight    int              // requests being served
 	Unreachable []table.WorkerID // workers that the sender watches and cannot reach
-	Burn        []byte           // encoded burn.Snapshot, empty if unchanged
 }
 
 // SnapshotArgs asks a peer for its tables.
@@ -28,10 +28,21 @@
 	Chunks  [][]byte
 }
 
+// BurnArgs asks a peer for service-level counts that are newer than Digest.
+type BurnArgs struct {
+	Digest burn.Digest
+}
+
+// BurnReply carries the counts of several processes.
+type BurnReply struct {
+	Snapshots []burn.Snapshot
+}
+
 // Handlers are the functions that answer calls of peers.
 type Handlers struct {
 	Heartbeat func(Heartbeat) Heartbeat
 	Snapshot  func(SnapshotArgs) (SnapshotReply, error)
+	Burn      func(BurnArgs) BurnReply
 	Borrow    func(share.BorrowRequest) (share.BorrowReply, error)
 	Return    func(share.ReturnRequest)
 	Recall    func(share.RecallRequest) share.RecallReply
--- a/peer/server.go
+++ b/peer/server.go
@@ -41,6 +41,12 @@
 	return encodeError(err)
 }
 
+// Burn returns the service-level counts that the caller lacks.
+func (s *service) Burn(args BurnArgs, reply *BurnReply) error {
+	*reply = s.h.Burn(args)
+	return nil
+}
+
 // Borrow lends slots of instances that this host owns.
 func (s *service) Borrow(args share.BorrowRequest, reply *share.BorrowReply) error {
 	r, err := s.h.Borrow(args)
--- a/placement/place.go
+++ b/placement/place.go
@@ -37,7 +37,7 @@
 		in.Reserved.clear()
 		return nil
 	}
-	p := &tick{t: t, now: now, in: in, sites: sites(t, scan), spread: newSpread(t)}
+	p := &tick{t: t, now: now, in: in, sites: sites(t, scan, in.Avoid), spread: newSpread(t)}
 	in.Reserved.keep(t, p.sites)
 	q := queue.New(t, scan, now, in.Queue)
 	placed, refused := 0, 0
--- a/placement/site.go
+++ b/placement/site.go
@@ -23,13 +23,13 @@
 }
 
 // sites returns the workers of t in order of ids.
-func sites(t *table.Tables, scan *queue.Scan) []*site {
+func sites(t *table.Tables, scan *queue.Scan, avoid map[table.WorkerID]bool) []*site {
 	all := make([]site, len(t.Workers))
 	list := make([]*site, 0, len(t.Workers))
 	byID := make(map[table.WorkerID]*site, len(t.Workers))
 	for id, w := range t.Workers {
 		s := &all[len(list)]
-		*s = site{w: w, open: t.Open(w), free: w.Free(), held: scan.Held[id]}
+		*s = site{w: w, open: t.Open(w) && !avoid[id], free: w.Free(), held: scan.Held[id]}
 		for _, task := range s.held {
 			if task.State == table.TaskRevoking {
 				s.coming = s.coming.Plus(task.Lease.Need)
--- a/route/router.go
+++ b/route/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"persimmonpick/fault"
@@ -40,6 +41,7 @@
 	services map[table.ServiceID]*service
 	stopping bool
 	inflight sync.WaitGroup // requests
+	serving  atomic.Int64   // the same as a number
 	pruned   table.Offset   // Applied of the view that transports were last pruned for
 }
 
@@ -65,7 +67,7 @@
 	if !r.enter() {
 		return Answer{}, fault.New(fault.Stopping, "this host takes no new requests")
 	}
-	defer r.inflight.Done()
+	defer r.leave()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline(&req, start))
 	defer cancel()
 	r.budget.earn()
@@ -108,6 +110,11 @@
 	})
 }
 
+// InFlight returns the number of requests being served.
+func (r *Router) InFlight() int {
+	return int(r.serving.Load())
+}
+
 // Drain stops taking new requests and waits for those in flight until ctx ends.
 func (r *Router) Drain(ctx context.Context) error {
 	r.mu.Lock()
@@ -134,9 +141,15 @@
 		return false
 	}
 	r.inflight.Add(1)
+	r.serving.Add(1)
 	return true
 }
 
+func (r *Router) leave() {
+	r.serving.Add(-1)
+	r.inflight.Done()
+}
+
 func (r *Router) service(id table.ServiceID) *service {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/table/view.go
+++ b/table/view.go
@@ -8,6 +8,7 @@
 	Limits    map[LimitID]int64
 	Instances map[ServiceID][]Instance // instances that may be sent requests, sorted by ID
 	Closed    map[InstanceID]bool      // instances that are leaving, drained or on such a worker
+	ByID      map[InstanceID]Instance  // all instances
 	Hosts     map[SeatID]EntryHost
 }
 
@@ -20,6 +21,7 @@
 		Limits:    make(map[LimitID]int64, len(t.Limits)),
 		Instances: map[ServiceID][]Instance{},
 		Closed:    map[InstanceID]bool{},
+		ByID:      make(map[InstanceID]Instance, len(t.Instances)),
 		Hosts:     make(map[SeatID]EntryHost, len(t.Hosts)),
 	}
 	for id, k := range t.Kinds {
@@ -41,6 +43,7 @@
 }
 
 func (v *View) addInstance(t *Tables, in *Instance) {
+	v.ByID[in.ID] = *in
 	w := t.Workers[in.Worker]
 	if in.Leaving || (w != nil && (w.Gone || w.Leaving || t.Drained(w))) {
 		v.Closed[in.ID] = true
