--- a/route/attempt.go
+++ b/route/attempt.go
@@ -23,6 +23,7 @@
 
 	mu    sync.Mutex
 	conn  *countedConn
+	send  *sending
 	stale bool // takes no further connection
 	left  bool // abandoned before a byte was sent
 }
@@ -102,12 +103,13 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	send := conn.begin(a.deadline)
 	if a.stale || a.conn != nil {
-		conn.seal()
+		conn.seal(send)
 		return
 	}
 	a.conn = conn
-	conn.begin(a.deadline)
+	a.send = send
 }
 
 // fail closes the connection and reports whether a byte may have been sent; none is sent later.
@@ -118,7 +120,7 @@
 	if a.conn == nil {
 		return false
 	}
-	sent := a.conn.seal()
+	sent := a.conn.seal(a.send)
 	_ = a.conn.Close()
 	return sent
 }
@@ -127,7 +129,7 @@
 func (a *attempt) abandon() (sent bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn != nil && !a.conn.sealUnsent() {
+	if a.conn != nil && !a.conn.sealUnsent(a.send) {
 		return true
 	}
 	a.stale = true
--- a/route/conn.go
+++ b/route/conn.go
@@ -10,78 +10,85 @@
 
 var errSealed = errors.New("connection is sealed against writing")
 
-// countedConn knows whether a byte of the current request was written, and can rule out that one is written later.
+// sending says whether a byte of one request was written on one connection; the mutex of the connection guards it.
+type sending struct {
+	began bool      // a byte may have been sent
+	limit time.Time // no byte is written from this time on
+}
+
+// countedConn knows whether a byte of each request was written, and can rule out that one is written later.
 type countedConn struct {
 	net.Conn
 
-	mu     sync.Mutex
-	sealed bool
-	began  bool      // a byte of the current request may have been sent
-	limit  time.Time // no byte is written from this time on
+	mu      sync.Mutex
+	sealed  bool
+	current *sending // nil before the first request
 }
 
-// begin starts a request on the connection; it reports false on a sealed one.
-func (c *countedConn) begin(limit time.Time) bool {
+// begin starts a request on the connection; on a sealed one its writes fail.
+func (c *countedConn) begin(limit time.Time) *sending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.began = false
-	c.limit = limit
-	return !c.sealed
+	c.current = &sending{limit: limit}
+	return c.current
 }
 
-// seal stops all further writes and reports whether a byte of the current request may have been sent.
-func (c *countedConn) seal() bool {
+// seal stops all further writes and reports whether a byte of s may have been sent.
+func (c *countedConn) seal(s *sending) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
-	return c.began
+	return s.began
 }
 
-// sealUnsent seals the connection unless a byte of the current request may have been sent.
-func (c *countedConn) sealUnsent() bool {
+// sealUnsent makes sure that no byte of s is sent, and reports false if one may have been sent already.
+func (c *countedConn) sealUnsent(s *sending) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.began {
+	if s.began {
 		return false
 	}
-	c.sealed = true
+	if c.current == s {
+		c.sealed = true
+	}
 	return true
 }
 
 // Write refuses bytes on a sealed connection and after the limit: a process that was frozen must not send a request late.
 func (c *countedConn) Write(b []byte) (int, error) {
-	first, err := c.admit()
+	s, first, err := c.admit()
 	if err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
 	if n == 0 && err != nil && first {
-		c.unsent()
+		c.takeBack(s)
 	}
 	return n, err
 }
 
 // admit marks the request as begun before the write, so that seal never misses a write in progress.
-func (c *countedConn) admit() (first bool, err error) {
+func (c *countedConn) admit() (s *sending, first bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sealed {
-		return false, errSealed
+	s = c.current
+	if c.sealed || s == nil {
+		return nil, false, errSealed
 	}
-	if !c.limit.IsZero() && !time.Now().Before(c.limit) {
-		return false, os.ErrDeadlineExceeded
+	if !time.Now().Before(s.limit) {
+		return nil, false, os.ErrDeadlineExceeded
 	}
-	first = !c.began
-	c.began = true
-	return first, nil
+	first = !s.began
+	s.began = true
+	return s, first, nil
 }
 
-// unsent takes the mark back: the kernel accepted no byte of the first write.
-func (c *countedConn) unsent() {
+// takeBack clears the mark of a first write of which no byte was accepted, unless somebody relied on the mark already.
+func (c *countedConn) takeBack(s *sending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.sealed {
-		c.began = false
+		s.began = false
 		c.sealed = true
 	}
 }
