--- /dev/null
+++ b/interference/model.go
@@ -0,0 +1,164 @@
+package interference
+
+import (
+	"math"
+	"time"
+
+	"persimmonpick/table"
+)
+
+// Levels of load; coefficients are learned for each.
+const numLevels = 4
+
+// Defaults of Config.
+const (
+	defaultPriorSpread = 0.25 // of the log slowdown per neighbour
+	defaultNoise       = 0.35 // of the log of one reported p99
+	defaultForget      = 12 * time.Hour
+	defaultMaxServices = 64
+	defaultMaxKinds    = 32
+)
+
+// maxOutlier bounds the surprise of one report in standard deviations, so that one wild report moves little.
+const maxOutlier = 3.0
+
+// maxSlowdown bounds a prediction.
+const maxSlowdown = 20.0
+
+// Config adjusts a model; zero fields take defaults.
+type Config struct {
+	PriorMean   float64       // log slowdown per neighbour that is assumed where nothing is known
+	PriorSpread float64       // standard deviation of that
+	Noise       float64       // standard deviation of the log of one reported p99
+	Forget      time.Duration // time after which an estimate without new reports is uncertain again
+	MaxServices int           // most services kept
+	MaxKinds    int           // most batch kinds kept for each service and load level
+}
+
+func (c Config) withDefaults() Config {
+	if c.PriorSpread <= 0 {
+		c.PriorSpread = defaultPriorSpread
+	}
+	if c.Noise <= 0 {
+		c.Noise = defaultNoise
+	}
+	if c.Forget <= 0 {
+		c.Forget = defaultForget
+	}
+	if c.MaxServices <= 0 {
+		c.MaxServices = defaultMaxServices
+	}
+	if c.MaxKinds <= 0 {
+		c.MaxKinds = defaultMaxKinds
+	}
+	return c
+}
+
+// Sample is one report of an instance with the neighbours it had when the report was taken.
+type Sample struct {
+	Taken      time.Time
+	Service    table.ServiceID
+	Load       float64 // share of slots in use, 0 to 1
+	P99        time.Duration
+	Neighbours []Neighbour
+}
+
+// Model holds the estimates; one goroutine owns it.
+//
+// The log of p99 is a base for each service and load level plus a coefficient for each batch kind times its weight. The coefficients are a Kalman filter, so they shrink to the prior where data is thin and return to it without new reports.
+type Model struct {
+	cfg    Config
+	blocks map[blockKey]*block
+}
+
+type blockKey struct {
+	service table.ServiceID
+	level   int
+}
+
+// NewModel returns a model that knows the prior only.
+func NewModel(cfg Config) *Model {
+	return &Model{cfg: cfg.withDefaults(), blocks: map[blockKey]*block{}}
+}
+
+// Observe learns from one report.
+func (m *Model) Observe(s Sample) {
+	if s.P99 <= 0 {
+		return
+	}
+	y := math.Log(s.P99.Seconds())
+	k := blockKey{s.Service, level(s.Load)}
+	b := m.blocks[k]
+	if b == nil {
+		m.makeRoom()
+		b = newBlock(m.cfg, y, s.Taken)
+		m.blocks[k] = b
+	}
+	b.observe(s, y)
+}
+
+// Estimate returns the factor on the p99 of a service that ns cause at a load, and a confidence from 0 (prior) to 1.
+func (m *Model) Estimate(service table.ServiceID, ns []Neighbour, load float64) (slowdown, confidence float64) {
+	b := m.nearest(blockKey{service, level(load)}, ns)
+	if b == nil {
+		return math.Exp(m.cfg.PriorMean * total(ns)), 0
+	}
+	sum, certain := b.predict(ns)
+	return min(math.Exp(sum), maxSlowdown), certain
+}
+
+// Base returns the p99 of a service at a load without neighbours; false where nothing is known.
+func (m *Model) Base(service table.ServiceID, load float64) (time.Duration, bool) {
+	b := m.blocks[blockKey{service, level(load)}]
+	if b == nil {
+		return 0, false
+	}
+	return time.Duration(math.Exp(b.mean[0]) * float64(time.Second)), true
+}
+
+// nearest returns the block of k, or of the nearest load level that knows all of ns if k does not.
+func (m *Model) nearest(k blockKey, ns []Neighbour) *block {
+	own := m.blocks[k]
+	for distance := range numLevels {
+		for _, l := range [2]int{k.level + distance, k.level - distance} {
+			if b := m.blocks[blockKey{k.service, l}]; b != nil && b.knows(ns) {
+				return b
+			}
+		}
+	}
+	return own
+}
+
+// makeRoom drops the block that was used least recently once there are too many.
+func (m *Model) makeRoom() {
+	if len(m.blocks) < m.cfg.MaxServices*numLevels {
+		return
+	}
+	var oldest blockKey
+	var at time.Time
+	for k, b := range m.blocks {
+		if at.IsZero() || b.seen.Before(at) || (b.seen.Equal(at) && k.before(oldest)) {
+			oldest, at = k, b.seen
+		}
+	}
+	delete(m.blocks, oldest)
+}
+
+func (k blockKey) before(o blockKey) bool {
+	if k.service != o.service {
+		return k.service < o.service
+	}
+	return k.level < o.level
+}
+
+func level(load float64) int {
+	return min(max(int(load*numLevels), 0), numLevels-1)
+}
+
+func total(ns []Neighbour) float64 {
+	sum := 0.0
+	for _, n := range ns {
+		sum += max(n.Weight, 0)
+	}
+	return sum
+}
