--- a/interference/model.go
+++ b/interference/model.go
@@ -12,7 +12,8 @@
 
 // Defaults of Config.
 const (
-	defaultPriorSpread = 0.25 // of the log slowdown per neighbour
+	defaultPriorMean   = 0.2  // log slowdown by a kind that fills the worker
+	defaultPriorSpread = 0.8  // standard deviation of that
 	defaultNoise       = 0.35 // of the log of one reported p99
 	defaultForget      = 12 * time.Hour
 	defaultMaxServices = 64
@@ -27,7 +28,7 @@
 
 // Config adjusts a model; zero fields take defaults.
 type Config struct {
-	PriorMean   float64       // log slowdown per neighbour that is assumed where nothing is known
+	PriorMean   float64       // log slowdown by a kind that fills the worker that is assumed where nothing is known; below 0 means none
 	PriorSpread float64       // standard deviation of that
 	Noise       float64       // standard deviation of the log of one reported p99
 	Forget      time.Duration // time after which an estimate without new reports is uncertain again
@@ -36,6 +37,10 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.PriorMean == 0 {
+		c.PriorMean = defaultPriorMean
+	}
+	c.PriorMean = max(c.PriorMean, 0)
 	if c.PriorSpread <= 0 {
 		c.PriorSpread = defaultPriorSpread
 	}
--- a/interference/model_test.go
+++ b/interference/model_test.go
@@ -16,6 +16,9 @@
 
 const lag = 40 * time.Second
 
+// size is the share of its worker that each task has.
+const size = 0.25
+
 // truth is the log slowdown per task of each kind.
 var truth = map[table.KindID]float64{"loud": 0.4, "mild": 0.1, "quiet": 0}
 
@@ -31,7 +34,7 @@
 			var ns []Neighbour
 			for _, k := range kinds {
 				if n := rnd.IntN(3); n > 0 {
-					ns = append(ns, Neighbour{k, float64(n)})
+					ns = append(ns, Neighbour{k, size * float64(n)})
 				}
 			}
 			h.Note(now, "w", ns)
@@ -39,7 +42,7 @@
 		ns, _ := h.At("w", now)
 		y := math.Log(0.1) + 0.3*rnd.NormFloat64()
 		for _, n := range ns {
-			y += n.Weight * truth[n.Kind]
+			y += n.Weight / size * truth[n.Kind]
 		}
 		p99[sec] = time.Duration(math.Exp(y) * float64(time.Second))
 		taken := now.Add(-lag)
@@ -57,11 +60,11 @@
 	taken := learn(func(taken, _ time.Time) time.Time { return taken })
 	arrived := learn(func(_, arrived time.Time) time.Time { return arrived })
 	for k, want := range truth {
-		slow, sure := taken.Estimate("s", []Neighbour{{k, 1}}, 0.6)
+		slow, sure := taken.Estimate("s", []Neighbour{{k, size}}, 0.6)
 		is.True(math.Abs(math.Log(slow)-want) < 0.06)
 		is.True(sure > 0.9)
 	}
-	slow, _ := arrived.Estimate("s", []Neighbour{{"loud", 1}}, 0.6)
+	slow, _ := arrived.Estimate("s", []Neighbour{{"loud", size}}, 0.6)
 	is.True(math.Log(slow) < truth["loud"]/2) // the wrong attribution misses most of it
 }
 
@@ -72,14 +75,14 @@
 	for range 50 {
 		m.Observe(Sample{Taken: start, Service: "s", P99: 100 * time.Millisecond})
 	}
-	loud := []Neighbour{{"loud", 1}}
+	loud := []Neighbour{{"loud", size}}
 	m.Observe(Sample{Taken: start, Service: "s", P99: 100 * time.Second, Neighbours: loud})
 	slow, sure := m.Estimate("s", loud, 0)
 	is.True(slow < 2)
 	is.True(sure < 0.5)
 	for i := range 100 {
 		k := table.KindID(fmt.Sprintf("k%d", i))
-		m.Observe(Sample{Taken: start.Add(time.Hour), Service: "s", P99: time.Second, Neighbours: []Neighbour{{k, 1}}})
+		m.Observe(Sample{Taken: start.Add(time.Hour), Service: "s", P99: time.Second, Neighbours: []Neighbour{{k, size}}})
 	}
 	is.Equal(len(m.blocks[blockKey{"s", 0}].kinds), 10)
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -94,7 +94,7 @@
 	if !p.in.Policy.Interference {
 		return true
 	}
-	return p.within(p.predict(s, []interference.Neighbour{{Kind: e.Job.Kind, Weight: 1}}))
+	return p.within(p.predict(s, []interference.Neighbour{{Kind: e.Job.Kind, Weight: weightOf(e.Need, s.w)}}))
 }
 
 // within says whether a predicted slowdown is within the bound, or too uncertain to count.
@@ -108,10 +108,9 @@
 
 // slowdown predicts the largest slowdown of the instances on s with one more task of e.
 func (p *tick) slowdown(s *site, e queue.Entry) (worst, confidence float64) {
-	s.neighbours(p.t)
-	s.addNeighbour(e.Job.Kind)
+	s.near = addNeighbour(p.neighbours(s), e.Job.Kind, weightOf(e.Need, s.w))
 	worst, confidence = p.predict(s, s.near)
-	s.removeNeighbour(e.Job.Kind)
+	s.near = addNeighbour(s.near, e.Job.Kind, -weightOf(e.Need, s.w))
 	return worst, confidence
 }
 
--- a/placement/input.go
+++ b/placement/input.go
@@ -16,6 +16,8 @@
 
 	// Slowdown predicts the factor on p99 that neighbours cause to a service at a load, and a confidence from 0 to 1.
 	Slowdown func(service table.ServiceID, ns []interference.Neighbour, load float64) (float64, float64)
+	// Share returns the share of its processors that a task may use; nil means all.
+	Share func(task *table.Task) float64
 	// Load returns the newest known load of an instance, as a share of its slots.
 	Load func(id table.InstanceID) float64
 	// Calm says whether more batch work may start beside an instance; nil means always.
--- a/placement/place.go
+++ b/placement/place.go
@@ -88,8 +88,7 @@
 }
 
 func (p *tick) take(s *site, e queue.Entry) {
-	s.neighbours(p.t)
-	s.addNeighbour(e.Job.Kind)
+	s.near = addNeighbour(p.neighbours(s), e.Job.Kind, weightOf(e.Need, s.w))
 	s.free = s.free.Minus(e.Need)
 	s.granted++
 	p.spread.add(e.Job, s.w)
@@ -99,7 +98,7 @@
 	for _, s := range grants {
 		s.free = s.free.Plus(e.Need)
 		s.granted--
-		s.near = nil
+		s.near = addNeighbour(s.near, e.Job.Kind, -weightOf(e.Need, s.w))
 		p.spread.forget(e.Job)
 	}
 }
--- a/placement/site.go
+++ b/placement/site.go
@@ -61,40 +61,14 @@
 	return o
 }
 
-// neighbours returns the batch work on s by kind.
-func (s *site) neighbours(t *table.Tables) []interference.Neighbour {
-	if s.near != nil {
-		return s.near
-	}
-	s.near = []interference.Neighbour{}
-	for _, task := range s.held {
-		if j := t.Jobs[task.Job]; j != nil {
-			s.addNeighbour(j.Kind)
-		}
+// neighbours returns the batch work on s by kind, with what this tick granted.
+func (p *tick) neighbours(s *site) []interference.Neighbour {
+	if s.near == nil {
+		s.near = Neighbours(p.t, s.w, s.held, p.in.Share)
 	}
 	return s.near
 }
 
-func (s *site) addNeighbour(k table.KindID) {
-	for i := range s.near {
-		if s.near[i].Kind == k {
-			s.near[i].Weight++
-			return
-		}
-	}
-	s.near = append(s.near, interference.Neighbour{Kind: k, Weight: 1})
-}
-
-// removeNeighbour takes back one addNeighbour.
-func (s *site) removeNeighbour(k table.KindID) {
-	for i := range s.near {
-		if s.near[i].Kind == k {
-			s.near[i].Weight--
-			return
-		}
-	}
-}
-
 // headroom returns what normal batch work must leave free on s.
 func (s *site) headroom(share float64) table.Resources {
 	return table.Resources{
