Wire what the policy learns into the control loop

Cause: placement, protection and corrections had no reports, and the proposing host watches only its share of the workers. Change: each host keeps the usage of its workers' reports for its peers and fetches theirs once a ReportPeriod, so every host learns from all of them and a new proposer starts warm; a report counts for the neighbours at the time it was taken, and only if these did not change while it was measured.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,7 +44,7 @@
 	watched   map[table.WorkerID]*watch
 	listed    []table.WorkerID
 	relisted  time.Time
-	reported  func(table.WorkerID, platform.Report) // hands usage to the policy
+	reported  func(*table.Tables, platform.Report, time.Time) // hands usage to the policy
 	mu        sync.Mutex
 	outOfView []table.WorkerID // workers that this host watches and cannot reach
 }
@@ -99,6 +101,28 @@
 	}
 }
 
+// workerFor returns the worker of the lease that a record is about, or "".
+func (a *agents) workerFor(r journal.Record) table.WorkerID {
+	switch {
+	case r.LeaseGranted != nil:
+		return r.LeaseGranted.Worker
+	case r.LeaseStarted != nil:
+		return a.workerOf[r.LeaseStarted.Task]
+	case r.LeaseEnded != nil:
+		return a.workerOf[r.LeaseEnded.Task]
+	}
+	return ""
+}
+
+// heldTasks returns the tasks that hold leases on a worker, in order of ids.
+func (a *agents) heldTasks(t *table.Tables, id table.WorkerID) []*table.Task {
+	list := make([]*table.Task, 0, len(a.held[id]))
+	for _, taskID := range slices.Sorted(maps.Keys(a.held[id])) {
+		list = append(list, t.Tasks[taskID])
+	}
+	return list
+}
+
 func (a *agents) release(id table.TaskID, token table.Token) {
 	worker, ok := a.workerOf[id]
 	if !ok {
--- a/entry/control.go
+++ b/entry/control.go
@@ -78,7 +78,7 @@
 			l.f(c.tables)
 			close(l.done)
 		case v := <-c.visits:
-			c.agents.visited(v, time.Now())
+			c.agents.visited(c.tables, v, time.Now())
 		case <-tick.C:
 			c.tick(time.Now())
 		}
@@ -141,8 +141,12 @@
 			continue
 		}
 		hosts = hosts || r.HostJoined != nil || r.HostLeft != nil
+		worker := c.agents.workerFor(r)
 		c.agents.folded(c.tables, r)
-		c.systems.folded(c.tables, r, now)
+		if worker != "" {
+			c.systems.learn.leaseChanged(c.tables, worker, r, now)
+		}
+		c.systems.folded(c.tables, now)
 	}
 	if hosts {
 		c.group.Fence.Hosts(c.tables.Hosts, now, false)
--- a/entry/host.go
+++ b/entry/host.go
@@ -51,6 +51,7 @@
 	board    *burn.Board
 	recorder *burn.Recorder
 	metrics  *metrics
+	reports  reports
 
 	listeners  listeners
 	stopping   atomic.Bool
@@ -114,7 +115,14 @@
 	}
 	c.agents.reload(c.tables)
 	learn := newLearning(h.cfg, h.log)
-	c.agents.reported = learn.reported
+	learn.workers = h.platform.Workers
+	learn.submit = c.submit
+	learn.held = c.agents.heldTasks
+	learn.command = h.inBackground
+	c.agents.reported = func(t *table.Tables, rep platform.Report, now time.Time) {
+		h.reports.add(rep)
+		learn.reported(t, rep.Worker, rep, now)
+	}
 	c.systems = systems{
 		cfg: h.cfg, submit: c.submit, later: c.later, avoid: h.avoid, learn: learn, never: h.reportNever,
 		hosts: &hostList{cfg: h.cfg, hosts: h.platform.Hosts, submit: c.submit, later: c.later, avoid: h.avoid, log: h.log},
@@ -167,6 +175,15 @@
 	return files.Client, nil
 }
 
+// inBackground runs calls to workers beside the control goroutine.
+func (h *Host) inBackground(f func(context.Context)) {
+	h.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, h.cfg.Timing.ReportPeriod.D())
+		defer cancel()
+		f(ctx)
+	})
+}
+
 // instance returns an instance of the newest view, whether or not it is closed.
 func (h *Host) instance(id table.InstanceID) (table.Instance, bool) {
 	in, ok := h.control.view.Load().ByID[id]
--- /dev/null
+++ b/entry/reports.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"persimmonpick/peer"
+	"persimmonpick/platform"
+	"persimmonpick/table"
+)
+
+// maxReports bounds the reports kept for peers; at one report a second from 65 workers it holds a minute.
+const maxReports = 4096
+
+// reports keeps the usage that workers reported to this host, so that every host learns from all of them.
+type reports struct {
+	mu   sync.Mutex
+	next uint64 // number of the next report
+	list []platform.Report
+}
+
+// add keeps the usage of a report; task statuses are for this host alone.
+func (r *reports) add(rep platform.Report) {
+	if rep.Taken.IsZero() {
+		return
+	}
+	rep.Statuses = nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, rep)
+	r.next++
+	if len(r.list) > maxReports {
+		r.list = r.list[len(r.list)-maxReports/2:]
+	}
+}
+
+// since returns the reports from number from on, and the number to ask for next.
+func (r *reports) since(from uint64) ([]platform.Report, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.next - uint64(len(r.list))
+	if from > r.next {
+		from = first // the peer counted the reports of another process
+	}
+	if from < first {
+		from = first
+	}
+	list := make([]platform.Report, r.next-from)
+	copy(list, r.list[from-first:])
+	return list, r.next
+}
+
+func (h *Host) handleReports(args peer.ReportsArgs) peer.ReportsReply {
+	list, next := h.reports.since(args.From)
+	return peer.ReportsReply{Incarnation: h.incarnation, Next: next, Reports: list}
+}
+
+// exchangeReports fetches from each live peer the usage that its workers reported.
+func (h *Host) exchangeReports(ctx context.Context) {
+	tick := time.NewTicker(h.cfg.Timing.ReportPeriod.D())
+	defer tick.Stop()
+	from := map[table.SeatID]peer.ReportsReply{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, st := range h.group.Status() {
+			client := h.group.Client(st.Seat)
+			if client == nil || !st.Live {
+				continue
+			}
+			reply, err := h.fetchReports(ctx, client, from[st.Seat].Next)
+			if err != nil {
+				h.log.Debug("reports not fetched", "Seat", st.Seat, "Error", err)
+				continue
+			}
+			from[st.Seat] = reply
+			h.learnFrom(reply.Reports)
+		}
+	}
+}
+
+func (h *Host) fetchReports(ctx context.Context, client *peer.Client, from uint64) (peer.ReportsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timing.ReportPeriod.D())
+	defer cancel()
+	return client.Reports(ctx, peer.ReportsArgs{From: from})
+}
+
+// learnFrom hands reports to the control goroutine.
+func (h *Host) learnFrom(list []platform.Report) {
+	if len(list) == 0 {
+		return
+	}
+	c := h.control
+	c.later(func() {
+		for _, rep := range list {
+			c.systems.learn.reported(c.tables, rep.Worker, rep, time.Now())
+		}
+	})
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -66,6 +66,7 @@
 	h.wg.Go(func() { h.shares.Run(h.ctx) })
 	h.wg.Go(func() { h.control.systems.hosts.poll(h.ctx) })
 	h.wg.Go(func() { h.exchangeBurn(h.ctx) })
+	h.wg.Go(func() { h.exchangeReports(h.ctx) })
 	h.wg.Go(func() { h.join(h.ctx) })
 	select {
 	case <-ctx.Done():
@@ -82,7 +83,7 @@
 		return err
 	}
 	h.listeners.peersS, err = peer.Serve(h.listeners.peers, peersTLS, peer.Handlers{
-		Heartbeat: h.group.HandleHeartbeat, Snapshot: h.handleSnapshot, Burn: h.handleBurn,
+		Heartbeat: h.group.HandleHeartbeat, Snapshot: h.handleSnapshot, Burn: h.handleBurn, Reports: h.handleReports,
 		Borrow: h.shares.HandleBorrow, Return: h.shares.HandleReturn, Recall: h.shares.HandleRecall,
 	})
 	if err != nil {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -53,12 +53,11 @@
 }
 
 // folded notes a record that took effect.
-func (s *systems) folded(t *table.Tables, r journal.Record, now time.Time) {
+func (s *systems) folded(t *table.Tables, now time.Time) {
 	s.dirty = true
 	if n := len(s.marks); n == 0 || now.Sub(s.marks[n-1].at) >= markPeriod {
 		s.marks = append(s.marks, mark{t.Applied, now})
 	}
-	s.learn.folded(t, r, now)
 }
 
 func (s *systems) run(t *table.Tables, now time.Time) {
--- a/entry/visit.go
+++ b/entry/visit.go
@@ -82,7 +82,7 @@
 }
 
 // visited takes the result of a visit into the control goroutine.
-func (a *agents) visited(v visit, now time.Time) {
+func (a *agents) visited(t *table.Tables, v visit, now time.Time) {
 	for _, token := range v.tried {
 		a.tried[token] = true
 	}
@@ -102,9 +102,7 @@
 		a.log.Info("worker reachable", "Worker", v.worker, "After", now.Sub(w.failing))
 	}
 	w.failing = time.Time{}
-	if a.reported != nil {
-		a.reported(v.worker, v.report)
-	}
+	a.reported(t, v.report, now)
 	a.propose(v.worker, w, v.records)
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -138,6 +138,15 @@
 	return *reply, nil
 }
 
+// Reports fetches the usage that the peer's workers reported.
+func (c *Client) Reports(ctx context.Context, args ReportsArgs) (ReportsReply, error) {
+	reply := &ReportsReply{}
+	if err := c.call(ctx, "Reports", args, reply); err != nil {
+		return ReportsReply{}, err
+	}
+	return *reply, nil
+}
+
 // Close ends the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/peer/message.go
+++ b/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"persimmonpick/burn"
+	"persimmonpick/platform"
 	"persimmonpick/share"
 	"persimmonpick/table"
 )
@@ -38,11 +39,24 @@
 	Snapshots []burn.Snapshot
 }
 
+// ReportsArgs asks a peer for the usage reports from number From on.
+type ReportsArgs struct {
+	From uint64
+}
+
+// ReportsReply carries usage reports of the workers that a host watches.
+type ReportsReply struct {
+	Incarnation table.Incarnation
+	Next        uint64 // number to ask for next
+	Reports     []platform.Report
+}
+
 // Handlers are the functions that answer calls of peers.
 type Handlers struct {
 	Heartbeat func(Heartbeat) Heartbeat
 	Snapshot  func(SnapshotArgs) (SnapshotReply, error)
 	Burn      func(BurnArgs) BurnReply
+	Reports   func(ReportsArgs) ReportsReply
 	Borrow    func(share.BorrowRequest) (share.BorrowReply, error)
 	Return    func(share.ReturnRequest)
 	Recall    func(share.RecallRequest) share.RecallReply
--- a/peer/server.go
+++ b/peer/server.go
@@ -47,6 +47,12 @@
 	return nil
 }
 
+// Reports returns the usage that the workers watched by this host reported.
+func (s *service) Reports(args ReportsArgs, reply *ReportsReply) error {
+	*reply = s.h.Reports(args)
+	return nil
+}
+
 // Borrow lends slots of instances that this host owns.
 func (s *service) Borrow(args share.BorrowRequest, reply *share.BorrowReply) error {
 	r, err := s.h.Borrow(args)
--- a/placement/input.go
+++ b/placement/input.go
@@ -14,7 +14,7 @@
 	Queue    queue.Config
 	Reserved *Reservations // kept between ticks by the control goroutine
 
-	Avoid    map[table.WorkerID]bool // workers that some entry host cannot reach
+	Avoid map[table.WorkerID]bool // workers that some entry host cannot reach
 
 	// Slowdown predicts the factor on p99 that neighbours cause to a service at a load, and a confidence from 0 to 1.
 	Slowdown func(service table.ServiceID, ns []interference.Neighbour, load float64) (float64, float64)
--- a/placement/protect.go
+++ b/placement/protect.go
@@ -50,7 +50,7 @@
 	for _, r := range in.Readings {
 		p.loads[r.Instance] = r.Load
 	}
-	for _, s := range sites(t, scan) {
+	for _, s := range sites(t, scan, nil) {
 		if len(s.instances) > 0 {
 			p.worker(s)
 		}
