Add the persimmonpick command line

Operators had no program. It has one file per command, tables or JSON, and exit codes that follow the fault table. A call that is not safe to repeat goes to the next entry host only while no byte was sent. Tests cover each exit code, a cut connection, and plans that pass through files and pipes.

--- a/cmd/persimmonpick/main.go
+++ b/cmd/persimmonpick/main.go
@@ -1,5 +1,24 @@
 // Command persimmonpick is the operators' command line.
 package main
 
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"persimmonpick/commands"
+)
+
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	env := commands.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Terminal: terminal(os.Stdin)}
+	code := commands.Run(ctx, env, os.Args)
+	stop()
+	os.Exit(code)
+}
+
+func terminal(file *os.File) bool {
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
--- /dev/null
+++ b/commands/client.go
@@ -0,0 +1,216 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"persimmonpick/answer"
+	"persimmonpick/fault"
+)
+
+const (
+	// maxAnswer bounds what is read from a server.
+	maxAnswer = 64 << 20
+	// dialTimeout is short, so that the next entry host is tried soon after one has died.
+	dialTimeout = 3 * time.Second
+)
+
+// client calls the first of several equal servers that answers.
+type client struct {
+	urls    []string
+	http    *http.Client
+	timeout time.Duration
+}
+
+// call is one request; Safe says that repeating it does no harm.
+type call struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	safe   bool
+}
+
+// reply is the whole answer of a server.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func newClient(c *cli.Context, urls []string) (*client, error) {
+	for _, raw := range urls {
+		u, err := url.Parse(raw)
+		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			return nil, usageError("%q is not a URL with http or https", raw)
+		}
+	}
+	config, err := tlsConfig(c.String(flagCert), c.String(flagKey), c.String(flagCA))
+	if err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{TLSClientConfig: config, DialContext: dialer.DialContext}
+	return &client{
+		urls:    urls,
+		timeout: c.Duration(flagTimeout),
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}, nil
+}
+
+func operators(c *cli.Context) (*client, error) {
+	urls := c.StringSlice(flagOperators)
+	if len(urls) == 0 {
+		return nil, usageError("-%s or PERSIMMONPICK_OPERATORS must name a URL", flagOperators)
+	}
+	return newClient(c, urls)
+}
+
+func tlsConfig(certFile, keyFile, caFile string) (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if (certFile == "") != (keyFile == "") {
+		return nil, usageError("-%s and -%s go together", flagCert, flagKey)
+	}
+	if certFile != "" {
+		cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "certificate and key")
+		}
+		config.Certificates = []tls.Certificate{cert}
+	}
+	if caFile != "" {
+		data, err := os.ReadFile(caFile)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "authority")
+		}
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(data) {
+			return nil, fault.New(fault.Invalid, "authority %s: no certificate in the file", caFile)
+		}
+	}
+	return config, nil
+}
+
+// json sends v, unless it is nil, and decodes the answer into into.
+func (c *client) json(ctx context.Context, method, path string, safe bool, v, into any) error {
+	request := call{method: method, path: path, safe: safe, header: http.Header{}}
+	if v != nil {
+		body, err := json.Marshal(v)
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "encode the request")
+		}
+		request.body = body
+		request.header.Set("Content-Type", "application/json")
+	}
+	got, err := c.do(ctx, request)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(got.body, into); err != nil {
+		return request.lost(err, "the answer could not be read")
+	}
+	return nil
+}
+
+func (c *client) get(ctx context.Context, path string, into any) error {
+	return c.json(ctx, http.MethodGet, path, true, nil, into)
+}
+
+// do tries the servers in turn until one gives an answer that ends the call.
+func (c *client) do(ctx context.Context, request call) (reply, error) {
+	var lastErr error
+	for _, base := range c.urls {
+		got, err := c.once(ctx, base, request)
+		if err == nil {
+			return got, nil
+		}
+		lastErr = err
+		if !request.mayRepeat(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return reply{}, lastErr
+}
+
+// mayRepeat says whether another server may be asked after err.
+func (request call) mayRepeat(err error) bool {
+	row := fault.Of(err).Answer()
+	if row.Ran == fault.RanNo {
+		return row.Retry
+	}
+	return request.safe
+}
+
+func (c *client) once(ctx context.Context, base string, request call) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	target := strings.TrimSuffix(base, "/") + request.path
+	r, err := http.NewRequestWithContext(ctx, request.method, target, bytes.NewReader(request.body))
+	if err != nil {
+		return reply{}, usageError("%v", err)
+	}
+	for name, values := range request.header {
+		r.Header[name] = values
+	}
+	// Without GetBody the transport never sends a request twice by itself.
+	r.GetBody = nil
+	w, err := c.http.Do(r)
+	if err != nil {
+		return reply{}, request.transportError(err)
+	}
+	defer w.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(w.Body, maxAnswer+1))
+	if err != nil || len(body) > maxAnswer {
+		return reply{}, request.lost(err, "the answer was not received whole")
+	}
+	if w.StatusCode >= http.StatusMultipleChoices {
+		return reply{}, request.faultOf(w.StatusCode, body)
+	}
+	return reply{w.StatusCode, w.Header, body}, nil
+}
+
+// transportError tells errors before the first byte was sent from those after it.
+func (request call) transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fault.Wrap(err, fault.NotReady, "no connection")
+	}
+	return request.lost(err, "no answer")
+}
+
+// lost returns the error of a call whose answer is missing.
+func (request call) lost(err error, message string) error {
+	if request.safe {
+		return fault.Wrap(err, fault.NotReady, "%s", message)
+	}
+	return fault.Wrap(err, fault.OutcomeUnknown, "%s; it may or may not have been done", message)
+}
+
+// faultOf turns the error body of a server back into an error of its kind.
+func (request call) faultOf(status int, body []byte) error {
+	var f answer.Fault
+	if err := json.Unmarshal(body, &f); err != nil || f.Code == "" {
+		return request.lost(fault.New(fault.Internal, "status %d", status), "unexpected answer")
+	}
+	kind := fault.ParseKind(f.Code)
+	if kind == fault.Internal && !request.safe {
+		kind = fault.OutcomeUnknown
+	}
+	return fault.New(kind, "%s (%s)", f.Message, f.Code)
+}
--- /dev/null
+++ b/commands/commands_test.go
@@ -0,0 +1,177 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/answer"
+	"persimmonpick/fault"
+	"persimmonpick/journal"
+	"persimmonpick/operator"
+	"persimmonpick/table"
+)
+
+// deadURL refuses connections: port 1 is reserved and has no listener.
+const deadURL = "http://127.0.0.1:1"
+
+type outcome struct {
+	code           int
+	stdout, stderr string
+}
+
+func run(stdin string, terminal bool, args ...string) outcome {
+	var stdout, stderr bytes.Buffer
+	env := Env{Stdin: strings.NewReader(stdin), Stdout: &stdout, Stderr: &stderr, Terminal: terminal}
+	code := Run(context.Background(), env, append([]string{"persimmonpick"}, args...))
+	return outcome{code, stdout.String(), stderr.String()}
+}
+
+func serve(t *testing.T, handle http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handle)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// Guards against exit codes that change or that call an unknown outcome "not run".
+func TestExitCodes(t *testing.T) {
+	want := map[fault.Kind]int{
+		fault.Conflict: 3, fault.Stale: 3, fault.KeyReused: 3, fault.NotFound: 4,
+		fault.Overloaded: 5, fault.NoInstance: 5, fault.QuotaExceeded: 5, fault.LogUnavailable: 5,
+		fault.NotReady: 5, fault.Stopping: 5, fault.NotCurrent: 5, fault.Capacity: 5,
+		fault.StillRunning: 6, fault.OutcomeUnknown: 6, fault.DeadlineExceeded: 6,
+		fault.BackendFailed: 6, fault.BadAnswer: 6, fault.PlatformFailed: 6, fault.Internal: 6,
+		fault.Invalid: 7, fault.TooLarge: 7, fault.NeverFits: 7,
+		fault.Unauthorized: 1, fault.Forbidden: 1,
+	}
+	for _, kind := range fault.Kinds() {
+		is := is.New(t)
+		url := serve(t, func(w http.ResponseWriter, _ *http.Request) { answer.Error(w, fault.New(kind, "because")) })
+		got := run("", false, "-operators", url, "jobs", "cancel", "-yes", "j1")
+		is.Equal(got.code, want[kind]) // kind
+		is.True(kind == fault.Internal || strings.Contains(got.stderr, "because ("+kind.String()+")"))
+	}
+	is := is.New(t)
+	for _, args := range [][]string{{"typo"}, {"jobs", "typo"}, {"status"}, {"status", "-typo"}, {"plan", "limit", "x"}, {"-operators", "127.0.0.1", "status"}} {
+		is.Equal(run("", false, args...).code, ExitUsage) // args
+	}
+	is.Equal(run("", false, "check-settings", "missing.json").code, ExitInvalid)
+	is.Equal(run("", false).code, ExitOK)
+}
+
+// Guards against a confirmation that is sent twice, and against a safe call that gives up at the first dead host.
+func TestNextServer(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	cut := serve(t, func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	})
+	live := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		answer.JSON(w, http.StatusOK, operator.Status{Applied: 7})
+	})
+	got := run("", false, "-operators", deadURL+","+cut+","+live, "status")
+	is.Equal(got.code, ExitOK)
+	is.Equal(calls.Load(), int32(2))
+	is.True(strings.Contains(got.stdout, "log applied to 7"))
+
+	calls.Store(0)
+	got = run("", false, "-operators", deadURL+","+cut+","+live, "jobs", "cancel", "-yes", "j1")
+	is.Equal(got.code, ExitUnknown)
+	is.Equal(calls.Load(), int32(1)) // the dead host was passed over, the cut one was not repeated
+	is.Equal(run("", false, "-operators", deadURL, "jobs", "cancel", "-yes", "j1").code, ExitNotRun)
+}
+
+// Guards against a plan that is confirmed without an agreement, and against one that changes on its way through a file.
+func TestPlanAndConfirm(t *testing.T) {
+	is := is.New(t)
+	var confirmed []operator.Plan
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/confirm") {
+			var p operator.Plan
+			is.NoErr(answer.Decode(r, 1<<20, &p))
+			confirmed = append(confirmed, p)
+			answer.JSON(w, http.StatusOK, operator.Confirmed{ID: p.ID, Offset: 12, InForce: 6, Hosts: 7})
+			return
+		}
+		var in journal.Intent
+		is.NoErr(answer.Decode(r, 1<<20, &in))
+		answer.JSON(w, http.StatusOK, operator.Plan{ID: "p1", Intent: in, Base: 4, Effects: []string{"effect \x1b[2J"}})
+	})
+	file := filepath.Join(t.TempDir(), "plan.json")
+	got := run("", false, "-operators", url, "plan", "limit", "-out", file, "MaxInFlight", "800")
+	is.Equal(got.code, ExitOK)
+	is.True(strings.Contains(got.stdout, "effect ?[2J")) // no control bytes reach the terminal
+	is.Equal(run("", false, "-operators", url, "confirm", file).code, ExitUsage)
+	is.Equal(run("n\n", true, "-operators", url, "confirm", file).code, ExitOther)
+	is.Equal(run("", true, "-operators", url, "confirm", file).code, ExitOther)
+	is.Equal(len(confirmed), 0)
+
+	got = run("y\n", true, "-operators", url, "confirm", file)
+	is.Equal(got.code, ExitOK)
+	is.True(strings.Contains(got.stdout, "in force on 6 of 7 entry hosts"))
+	is.Equal(confirmed[0].Intent, journal.Intent{Type: journal.SetLimit, Limit: &table.Limit{ID: "MaxInFlight", Value: 800}})
+	is.Equal(confirmed[0].Base, table.Offset(4))
+
+	piped := run("", false, "-operators", url, "plan", "drain", "-worker", "w1")
+	is.Equal(run(piped.stdout, false, "-operators", url, "confirm", "-").code, ExitUsage)
+	is.Equal(run(piped.stdout, false, "-operators", url, "confirm", "-yes", "-").code, ExitOK)
+	is.Equal(*confirmed[1].Intent.Drain, table.Drain{Worker: "w1"})
+	is.Equal(run("", false, "-operators", url, "drain", "-yes", "r1").code, ExitOK)
+	is.Equal(run("", false, "-operators", url, "jobs", "resolve", "-yes", "j1/0", "Rerun").code, ExitOK)
+	is.Equal(confirmed[3].Intent.Outcome, operator.OutcomeRerun)
+}
+
+// Guards against a change of one field that resets the others.
+func TestPlanKindKeepsOtherFields(t *testing.T) {
+	is := is.New(t)
+	kind := table.Kind{ID: "quote", Class: table.LatencyCritical, Service: "quote", Path: "/q", NonIdempotent: true}
+	var sent journal.Intent
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			answer.JSON(w, http.StatusOK, operator.Status{Kinds: []table.Kind{kind}})
+			return
+		}
+		is.NoErr(answer.Decode(r, 1<<20, &sent))
+		answer.JSON(w, http.StatusOK, operator.Plan{ID: "p1", Intent: sent})
+	})
+	is.Equal(run("", false, "-operators", url, "plan", "kind", "-target", "0.999", "quote").code, ExitOK)
+	kind.Objective.Target = 0.999
+	is.Equal(*sent.Kind, kind)
+	is.Equal(run("", false, "-operators", url, "plan", "team", "-cpu", "1.5", "depot").code, ExitOK)
+	is.Equal(*sent.Team, table.Team{ID: "depot", Weight: 1, Quota: table.Resources{CPU: 1500}})
+}
+
+// Guards against an answer that is altered on its way to the caller, and against JSON output that is not JSON.
+func TestCallerAndOutput(t *testing.T) {
+	is := is.New(t)
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") == "Bearer secret" && r.Header.Get("Idempotency-Key") == "k1" && r.URL.Path == "/v1/requests/quote" {
+			_, _ = w.Write([]byte("\x00\x1b raw"))
+			return
+		}
+		answer.JSON(w, http.StatusOK, operator.JobPage{Jobs: []operator.JobRow{{ID: "j1"}}, Next: "j1"})
+	})
+	token := filepath.Join(t.TempDir(), "token")
+	is.NoErr(os.WriteFile(token, []byte("secret\n"), 0o600))
+	got := run("{}", false, "request", "-callers", url, "-token-file", token, "-idempotency-key", "k1", "quote", "-")
+	is.Equal(got.stdout, "\x00\x1b raw")
+	is.Equal(run("{", false, "submit", "-callers", url, "-").code, ExitInvalid)
+	is.Equal(run("{}", false, "submit", "-callers", url, "-").code, ExitOK)
+
+	var page operator.JobPage
+	is.NoErr(json.Unmarshal([]byte(run("", false, "-operators", url, "-json", "jobs", "list").stdout), &page))
+	is.Equal(page.Jobs[0].ID, table.JobID("j1"))
+	is.True(strings.Contains(run("", false, "-operators", url, "jobs", "list").stdout, "-after j1"))
+}
--- /dev/null
+++ b/commands/exit.go
@@ -0,0 +1,66 @@
+package commands
+
+import (
+	"errors"
+	"fmt"
+
+	"persimmonpick/fault"
+)
+
+// The exit codes; scripts rely on them, so they never change.
+const (
+	ExitOK       = 0
+	ExitOther    = 1
+	ExitUsage    = 2
+	ExitConflict = 3 // something else changed first
+	ExitNotFound = 4
+	ExitNotRun   = 5 // nothing was done, and the same command may be tried again
+	ExitUnknown  = 6 // it may or may not have been done
+	ExitInvalid  = 7
+)
+
+const exitHelp = "Exit codes: 0 done, 1 other error, 2 wrong usage, 3 conflict, 4 not found, " +
+	"5 not run and may be retried, 6 outcome unknown, 7 invalid."
+
+// usage marks an error in the use of the command line.
+type usage struct {
+	message string
+}
+
+// Error implements error.
+func (u usage) Error() string {
+	return u.message
+}
+
+func usageError(format string, args ...any) error {
+	return usage{fmt.Sprintf(format, args...)}
+}
+
+// ExitCode returns the exit code for the error that ended a command.
+func ExitCode(err error) int {
+	var wrong usage
+	if errors.As(err, &wrong) {
+		return ExitUsage
+	}
+	return exitCodeOf(fault.Of(err))
+}
+
+func exitCodeOf(kind fault.Kind) int {
+	switch kind {
+	case fault.None:
+		return ExitOK
+	case fault.Internal, fault.Unauthorized, fault.Forbidden:
+		return ExitOther
+	case fault.Conflict, fault.Stale, fault.KeyReused:
+		return ExitConflict
+	case fault.NotFound:
+		return ExitNotFound
+	case fault.Invalid, fault.TooLarge, fault.NeverFits:
+		return ExitInvalid
+	}
+	row := kind.Answer()
+	if row.Ran == fault.RanNo && row.Retry {
+		return ExitNotRun
+	}
+	return ExitUnknown
+}
--- /dev/null
+++ b/commands/plan.go
@@ -0,0 +1,130 @@
+package commands
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/urfave/cli/v2"
+
+	"persimmonpick/fault"
+	"persimmonpick/journal"
+	"persimmonpick/operator"
+	"persimmonpick/table"
+)
+
+func (p *program) plan() *cli.Command {
+	return &cli.Command{
+		Name:        "plan",
+		Usage:       "show what a change does; nothing changes before it is confirmed",
+		Description: "Example: persimmonpick plan limit -out limit.json MaxInFlight 800 && persimmonpick confirm limit.json",
+		Subcommands: []*cli.Command{
+			p.planCommand("kind", "admit, change or remove a kind of request or job", "KIND", "plan kind -class LatencyCritical -service quote -path /quote -target 0.999 -latency 200ms quote", kindFlags(), kindIntent),
+			p.planCommand("team", "set or remove a team and its quota", "TEAM", "plan team -cpu 400 -memory 1500 -weight 2 depot", teamFlags(), teamIntent),
+			p.planCommand("limit", "set a limit", "LIMIT VALUE", "plan limit MaxInFlight 800", nil, limitIntent),
+			p.planCommand("drain", "take a rack, or with -worker a worker, out of use", "ID", "plan drain r3", drainFlags(), drainIntent(journal.SetDrain)),
+			p.planCommand("undrain", "end a drain", "ID", "plan undrain r3", drainFlags(), drainIntent(journal.RemoveDrain)),
+			p.planCommand("resolve", "decide about a task in state Unknown", "TASK Rerun|Finished|Failed", "plan resolve cut-1207/0 Finished", nil, resolveIntent),
+		},
+	}
+}
+
+// intent reads an intent from flags and arguments.
+type intent func(c *cli.Context) (journal.Intent, error)
+
+func (p *program) planCommand(name, use, args, example string, flags []cli.Flag, read intent) *cli.Command {
+	return &cli.Command{
+		Name:        name,
+		Usage:       use,
+		ArgsUsage:   args,
+		Description: "Example: persimmonpick " + example,
+		Flags:       append(flags, &cli.StringFlag{Name: "out", Usage: "write the plan to this file and show it; without it, the plan goes to standard output"}),
+		Action: func(c *cli.Context) error {
+			in, err := read(c)
+			if err != nil {
+				return err
+			}
+			made, err := makePlan(c, in)
+			if err != nil {
+				return err
+			}
+			return p.writePlan(c, made)
+		},
+	}
+}
+
+func makePlan(c *cli.Context, in journal.Intent) (operator.Plan, error) {
+	var made operator.Plan
+	client, err := operators(c)
+	if err != nil {
+		return made, err
+	}
+	return made, client.json(c.Context, http.MethodPost, "/v1/plans", true, in, &made)
+}
+
+func (p *program) writePlan(c *cli.Context, made operator.Plan) error {
+	name := c.String("out")
+	if name == "" {
+		return writeJSON(p.env.Stdout, made)
+	}
+	file, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "write the plan")
+	}
+	err = writeJSON(file, made)
+	if closeErr := file.Close(); err == nil && closeErr != nil {
+		err = fault.Wrap(closeErr, fault.Internal, "write the plan")
+	}
+	if err != nil {
+		return err
+	}
+	return p.show(c, made, func(w io.Writer) error { return writePlanTable(w, made) })
+}
+
+func writePlanTable(w io.Writer, made operator.Plan) error {
+	fmt.Fprintf(w, "plan %s: %s, based on offset %d\n", made.ID, made.Intent.Type, made.Base)
+	if len(made.Changes) > 0 {
+		g := newGrid(w, "FIELD", "BEFORE", "AFTER")
+		for _, change := range made.Changes {
+			g.row(change.Field, change.Before, change.After)
+		}
+		if err := g.w.Flush(); err != nil {
+			return err
+		}
+	}
+	for _, effect := range made.Effects {
+		fmt.Fprintf(w, "* %s\n", effect)
+	}
+	return nil
+}
+
+func limitIntent(c *cli.Context) (journal.Intent, error) {
+	if err := takes(c, 2); err != nil {
+		return journal.Intent{}, err
+	}
+	value, err := strconv.ParseInt(c.Args().Get(1), 10, 64)
+	if err != nil {
+		return journal.Intent{}, usageError("the value must be a number, not %q", c.Args().Get(1))
+	}
+	l := &table.Limit{ID: table.LimitID(c.Args().First()), Value: value}
+	return journal.Intent{Type: journal.SetLimit, Limit: l}, nil
+}
+
+func drainFlags() []cli.Flag {
+	return []cli.Flag{&cli.BoolFlag{Name: "worker", Usage: "ID names a worker and not a rack"}}
+}
+
+func drainIntent(change journal.IntentType) intent {
+	return func(c *cli.Context) (journal.Intent, error) {
+		if err := takes(c, 1); err != nil {
+			return journal.Intent{}, err
+		}
+		d := &table.Drain{Rack: table.RackID(c.Args().First())}
+		if c.Bool("worker") {
+			d = &table.Drain{Worker: table.WorkerID(c.Args().First())}
+		}
+		return journal.Intent{Type: change, Drain: d}, nil
+	}
+}
--- /dev/null
+++ b/commands/report.go
@@ -0,0 +1,50 @@
+package commands
+
+import (
+	"os"
+
+	"github.com/urfave/cli/v2"
+
+	"persimmonpick/burn"
+	"persimmonpick/fault"
+)
+
+func (p *program) report() *cli.Command {
+	return &cli.Command{
+		Name:        "report",
+		Usage:       "show burn rates of the error budgets and who spent them",
+		Description: "Example: persimmonpick report -html report.html",
+		Flags:       []cli.Flag{&cli.StringFlag{Name: "html", Usage: "also write a page with plots to this file"}},
+		Action: func(c *cli.Context) error {
+			if err := takes(c, 0); err != nil {
+				return err
+			}
+			client, err := operators(c)
+			if err != nil {
+				return err
+			}
+			var r burn.Report
+			if err := client.get(c.Context, "/v1/report", &r); err != nil {
+				return err
+			}
+			if name := c.String("html"); name != "" {
+				if err := writePage(name, r); err != nil {
+					return err
+				}
+			}
+			return p.show(c, r, r.WriteText)
+		},
+	}
+}
+
+func writePage(name string, r burn.Report) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "write the page")
+	}
+	err = r.WriteHTML(file)
+	if closeErr := file.Close(); err == nil && closeErr != nil {
+		err = fault.Wrap(closeErr, fault.Internal, "write the page")
+	}
+	return err
+}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -93,11 +93,33 @@
 	return w
 }
 
-func decode[T any](is *is.I, w *httptest.ResponseRecorder) T {
-	is.Helper()
-	var v T
-	is.NoErr(json.Unmarshal(w.Body.Bytes(), &v))
-	return v
+// answered decodes the answer of a call into v.
+func answered(t *testing.T, w *httptest.ResponseRecorder, v any) {
+	t.Helper()
+	if err := json.Unmarshal(w.Body.Bytes(), v); err != nil {
+		t.Fatalf("%v: %s", err, w.Body)
+	}
+}
+
+func makePlan(t *testing.T, h http.Handler, in journal.Intent) Plan {
+	t.Helper()
+	var p Plan
+	answered(t, call(h, http.MethodPost, "/v1/plans", in), &p)
+	return p
+}
+
+func confirmFault(t *testing.T, h http.Handler, p Plan) answer.Fault {
+	t.Helper()
+	var f answer.Fault
+	answered(t, call(h, http.MethodPost, "/v1/plans/confirm", p), &f)
+	return f
+}
+
+func jobPage(t *testing.T, h http.Handler, query string) JobPage {
+	t.Helper()
+	var page JobPage
+	answered(t, call(h, http.MethodGet, "/v1/jobs?"+query, nil), &page)
+	return page
 }
 
 func limitIntent(value int64) journal.Intent {
@@ -109,8 +131,8 @@
 	is := is.New(t)
 	c := newFakeControl()
 	h := NewHandler(c.config())
-	first := decode[Plan](is, call(h, http.MethodPost, "/v1/plans", limitIntent(6)))
-	second := decode[Plan](is, call(h, http.MethodPost, "/v1/plans", limitIntent(7)))
+	first := makePlan(t, h, limitIntent(6))
+	second := makePlan(t, h, limitIntent(7))
 	is.Equal(c.proposed, 0)
 	is.Equal(first.Base, table.Offset(4))
 	is.Equal(first.Changes, []Change{{"Value", "5", "6"}})
@@ -118,10 +140,10 @@
 
 	w := call(h, http.MethodPost, "/v1/plans/confirm", second)
 	is.Equal(w.Code, http.StatusOK)
-	is.Equal(decode[Confirmed](is, w), Confirmed{ID: second.ID, Offset: 11, InForce: 7, Hosts: 7})
-	w = call(h, http.MethodPost, "/v1/plans/confirm", first)
-	is.Equal(w.Code, http.StatusConflict)
-	got := decode[answer.Fault](is, w)
+	var done Confirmed
+	answered(t, w, &done)
+	is.Equal(done, Confirmed{ID: second.ID, Offset: 11, InForce: 7, Hosts: 7})
+	got := confirmFault(t, h, first)
 	is.Equal(got.Code, "Conflict")
 	is.Equal(got.Ran, fault.RanNo)
 	is.Equal(c.proposed, 1) // a plan known to be stale costs no append
@@ -141,7 +163,7 @@
 		return c.propose(ctx, records[1:])
 	}
 	h := NewHandler(cfg)
-	p := decode[Plan](is, call(h, http.MethodPost, "/v1/plans", limitIntent(6)))
+	p := makePlan(t, h, limitIntent(6))
 	w := call(h, http.MethodPost, "/v1/plans/confirm", p)
 	is.Equal(w.Code, http.StatusConflict)
 	is.Equal(c.t.Limits["MaxInFlight"].Value, int64(9))
@@ -152,13 +174,13 @@
 	is := is.New(t)
 	c := newFakeControl()
 	h := NewHandler(c.config())
-	p := decode[Plan](is, call(h, http.MethodPost, "/v1/plans", limitIntent(6)))
+	p := makePlan(t, h, limitIntent(6))
 	c.fail = context.DeadlineExceeded
-	got := decode[answer.Fault](is, call(h, http.MethodPost, "/v1/plans/confirm", p))
+	got := confirmFault(t, h, p)
 	is.Equal(got.Code, "OutcomeUnknown")
 	is.Equal(got.Ran, fault.RanUnknown)
 	c.fail = fault.New(fault.LogUnavailable, "outage")
-	got = decode[answer.Fault](is, call(h, http.MethodPost, "/v1/plans/confirm", p))
+	got = confirmFault(t, h, p)
 	is.Equal(got.Ran, fault.RanNo)
 	is.True(got.Retry)
 }
@@ -209,21 +231,28 @@
 	is := is.New(t)
 	c := newFakeControl()
 	h := NewHandler(c.config())
-	page := decode[JobPage](is, call(h, http.MethodGet, "/v1/jobs?Limit=1", nil))
+	page := jobPage(t, h, "Limit=1")
 	is.Equal(len(page.Jobs), 1)
 	is.Equal(page.Next, table.JobID("j1"))
-	page = decode[JobPage](is, call(h, http.MethodGet, "/v1/jobs?After=j1", nil))
+	page = jobPage(t, h, "After=j1")
 	is.Equal(page.Jobs[0].ID, table.JobID("j2"))
 	is.Equal(page.Next, table.JobID(""))
-	page = decode[JobPage](is, call(h, http.MethodGet, "/v1/jobs?Team=a&State=Running", nil))
+	page = jobPage(t, h, "Team=a&State=Running")
 	is.Equal(len(page.Jobs), 1)
 	is.Equal(call(h, http.MethodGet, "/v1/jobs?team=a", nil).Code, http.StatusBadRequest)
 	is.Equal(call(h, http.MethodGet, "/v1/jobs?Limit=100000", nil).Code, http.StatusBadRequest)
-	is.Equal(decode[JobDetail](is, call(h, http.MethodGet, "/v1/jobs/j1", nil)).TaskRows[0].Worker, table.WorkerID("w1"))
+	var detail JobDetail
+	answered(t, call(h, http.MethodGet, "/v1/jobs/j1", nil), &detail)
+	is.Equal(detail.TaskRows[0].Worker, table.WorkerID("w1"))
 	is.Equal(call(h, http.MethodGet, "/v1/jobs/none", nil).Code, http.StatusNotFound)
 	is.Equal(call(h, http.MethodDelete, "/v1/jobs/j1", nil).Code, http.StatusOK)
-	is.Equal(decode[WorkerPage](is, call(h, http.MethodGet, "/v1/workers?Rack=r1", nil)).Workers[0].Tasks, 1)
-	is.Equal(decode[Status](is, call(h, http.MethodGet, "/v1/status", nil)).Jobs[table.JobRunning], 1)
+	var workers WorkerPage
+	answered(t, call(h, http.MethodGet, "/v1/workers?Rack=r1", nil), &workers)
+	is.Equal(len(workers.Workers), 1)
+	is.Equal(workers.Workers[0].Tasks, 1)
+	var status Status
+	answered(t, call(h, http.MethodGet, "/v1/status", nil), &status)
+	is.Equal(status.Jobs[string(table.JobRunning)], 1)
 	is.Equal(call(h, http.MethodGet, "/v1/report", nil).Code, http.StatusOK)
 	is.Equal(call(h, http.MethodGet, "/v1/report.html", nil).Code, http.StatusOK)
 	is.Equal(call(h, http.MethodPost, "/v1/plans", map[string]string{"Typ": "SetLimit"}).Code, http.StatusBadRequest)
--- a/operator/rows.go
+++ b/operator/rows.go
@@ -7,8 +7,8 @@
 	Applied     table.Offset // last offset of the log that the answering host applied
 	ConfigSeen  table.Offset // offset of the last configuration change
 	Hosts       []HostStatus
-	Jobs        map[table.JobState]int
-	Tasks       map[table.TaskState]int
+	Jobs        map[string]int // by state
+	Tasks       map[string]int // by state
 	Workers     WorkerCounts
 	Instances   int
 	Kinds       []table.Kind
--- a/operator/status.go
+++ b/operator/status.go
@@ -26,16 +26,16 @@
 	s := Status{
 		Applied:    t.Applied,
 		ConfigSeen: t.ConfigSeen,
-		Jobs:       map[table.JobState]int{},
-		Tasks:      map[table.TaskState]int{},
+		Jobs:       map[string]int{},
+		Tasks:      map[string]int{},
 		Instances:  len(t.Instances),
 		Drains:     slices.Sorted(maps.Keys(t.Drains)),
 	}
 	for _, j := range t.Jobs {
-		s.Jobs[j.State]++
+		s.Jobs[string(j.State)]++
 	}
 	for _, task := range t.Tasks {
-		s.Tasks[task.State]++
+		s.Tasks[string(task.State)]++
 	}
 	for _, w := range t.Workers {
 		s.Workers.add(t, w)
