--- a/journal/property_test.go
+++ b/journal/property_test.go
@@ -205,6 +205,11 @@
 	in := Intent{Type: SetTeam, Team: &table.Team{ID: "t1", Quota: cpu(n * 2)}}
 	switch n {
 	case 0, 1:
+		for _, id := range table.SortedTasks(m.t) {
+			if m.t.Tasks[id].State == table.TaskUnknown {
+				task = id
+			}
+		}
 		in = Intent{Type: ResolveTask, Task: task, Outcome: rapid.SampledFrom([]string{ResolveRerun, ResolveFailed}).Draw(rt, "r")}
 	case 2:
 		in = Intent{Type: RemoveTeam, Team: &table.Team{ID: "t1"}}
--- /dev/null
+++ b/journal/reader_test.go
@@ -0,0 +1,159 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/table"
+)
+
+// fill appends n batches of one record each to l and returns the tables that they fold to.
+func fill(l *fakeLog, n int) *table.Tables {
+	t := table.New()
+	for i := range n {
+		b := &Batch{Writer: "filler", Seq: uint64(i + 1), Records: []Record{seen(fmt.Sprintf("w%d", i))}}
+		data, err := Encode(b)
+		if err != nil {
+			panic(err)
+		}
+		l.mu.Lock()
+		off := l.add(RecordStream, data)
+		l.mu.Unlock()
+		Apply(t, off, b)
+	}
+	return t
+}
+
+func noPeer(context.Context) (*table.Tables, error) {
+	return nil, errors.New("no peer has tables")
+}
+
+// Guards against entries that are missed, delivered twice or out of order, and against a wrong claim to be at the end.
+func TestReaderFollows(t *testing.T) {
+	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
+		fill(l, 20)
+		h := startHost(ctx, l, "me", noPeer)
+		synctest.Wait()
+		is.Equal(h.tables().Applied, table.Offset(20))
+		is.Equal(h.ends(), 1) // of three pages only the last reached the end
+		before := time.Now()
+		time.Sleep(5 * time.Second)
+		is.True(h.newest().AtEnd)
+		is.True(!h.newest().Began.Before(before)) // the fence counts from when the read began
+		l.mu.Lock()
+		l.add(RecordStream, []byte("garbage"))
+		l.mu.Unlock()
+		synctest.Wait()
+		is.Equal(h.tables().Applied, table.Offset(21))
+		is.True(slices.IsSorted(h.history()))
+		is.Equal(len(slices.Compact(h.history())), 22)
+		l.setDown(true)
+		ends := h.ends()
+		time.Sleep(time.Minute)
+		is.True(h.ends() <= ends+1) // nothing is at the end while the log is down
+	})
+}
+
+// Guards against a start that ignores the snapshot or takes one that the log cannot continue.
+func TestReaderStarts(t *testing.T) {
+	cases := []struct {
+		name      string
+		snapshot  table.Offset // 0 for none
+		oldest    table.Offset
+		peer      table.Offset // 0 for none
+		wantLoads table.Offset // offset of the first tables
+		wantNone  bool
+	}{
+		{name: "Empty", oldest: 1, wantLoads: 0},
+		{name: "Snapshot", snapshot: 20, oldest: 15, wantLoads: 20},
+		{name: "SnapshotJustReaches", snapshot: 20, oldest: 21, wantLoads: 20},
+		{name: "SnapshotTooOld", snapshot: 20, oldest: 22, peer: 25, wantLoads: 25},
+		{name: "NoSnapshot", oldest: 5, peer: 10, wantLoads: 10},
+		{name: "Nothing", oldest: 5, wantNone: true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
+				at := func(off table.Offset) *table.Tables { return fill(newFakeLog(), int(off)) }
+				want := fill(l, 30)
+				if tc.snapshot > 0 {
+					is.NoErr(WriteSnapshot(ctx, l.log(), at(tc.snapshot-5)))
+					is.NoErr(WriteSnapshot(ctx, l.log(), at(tc.snapshot)))
+				}
+				l.truncate(RecordStream, tc.oldest)
+				peer := func(context.Context) (*table.Tables, error) {
+					if tc.peer == 0 {
+						return nil, errors.New("no tables")
+					}
+					return at(tc.peer), nil
+				}
+				h := startHost(ctx, l, "me", peer)
+				time.Sleep(time.Minute)
+				is.Equal(len(h.history()) == 0, tc.wantNone)
+				if tc.wantNone {
+					return
+				}
+				is.Equal(h.history()[0], tc.wantLoads)
+				is.Equal(snapshotOf(t, h.tables()), snapshotOf(t, want))
+			})
+		})
+	}
+}
+
+// Guards against a reader that stops, or goes back in time, when the log is truncated ahead of it or is down.
+func TestReaderSurvivesTruncationAndOutage(t *testing.T) {
+	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
+		l.setDown(true)
+		peerTables := fill(newFakeLog(), 10)
+		h := startHost(ctx, l, "me", func(context.Context) (*table.Tables, error) { return CloneTables(peerTables), nil })
+		time.Sleep(time.Minute)
+		is.Equal(h.history(), []table.Offset{10}) // from the peer, once
+		want := fill(l, 40)
+		is.NoErr(l.snapshotWhileDown(peerTables))
+		l.truncate(RecordStream, 30)
+		l.setDown(false)
+		time.Sleep(time.Minute)
+		is.Equal(h.history(), []table.Offset{10}) // neither snapshot nor peer is newer
+		l.setDown(true)
+		is.NoErr(l.snapshotWhileDown(fill(newFakeLog(), 35)))
+		l.setDown(false)
+		time.Sleep(time.Minute)
+		is.Equal(h.history(), []table.Offset{10, 35, 36, 37, 38, 39, 40})
+		is.Equal(snapshotOf(t, h.tables()), snapshotOf(t, want))
+	})
+}
+
+// snapshotWhileDown adds a snapshot as if another host had written it before the outage.
+func (l *fakeLog) snapshotWhileDown(t *table.Tables) error {
+	chunks, err := EncodeSnapshot(t)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range chunks {
+		l.add(SnapshotStream, c)
+	}
+	return err
+}
+
+// Guards against a long history of snapshots that hides the newest whole one, or that is read whole.
+func TestReaderSearchesSnapshotsBackwards(t *testing.T) {
+	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
+		fill(l, 10)
+		is.NoErr(l.snapshotWhileDown(fill(newFakeLog(), 9)))
+		l.mu.Lock()
+		for range 300 {
+			l.add(SnapshotStream, []byte("garbage"))
+		}
+		l.mu.Unlock()
+		l.truncate(SnapshotStream, 1)
+		h := startHost(ctx, l, "me", noPeer)
+		synctest.Wait()
+		is.Equal(h.history()[0], table.Offset(9))
+	})
+}
--- /dev/null
+++ b/journal/snapshot_test.go
@@ -0,0 +1,116 @@
+package journal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/fault"
+	"persimmonpick/table"
+)
+
+// largeTables returns tables whose snapshot takes several chunks.
+func largeTables(t *testing.T, jobs int) *table.Tables {
+	t.Helper()
+	f := newFolder()
+	f.fold(plan(1, Intent{Type: SetTeam, Team: &table.Team{ID: "t1", Quota: cpu(15)}}))
+	for i := range jobs {
+		f.fold(submit(table.JobID(fmt.Sprint(i)), 1, func(j *table.Job) { j.Payload = make([]byte, 1000) }))
+	}
+	f.fold(grant("0/0", "w1", 5), Record{ClaimMade: &ClaimMade{Key: table.ClaimKey{Key: "k"}, Seat: "s1", Incarnation: "me"}})
+	return f.t
+}
+
+// Guards against damaged, missing, repeated or mixed chunks that yield a wrong snapshot or hide a whole one.
+func TestAssembler(t *testing.T) {
+	is := is.New(t)
+	old := largeTables(t, 600)
+	chunks, err := EncodeSnapshot(old)
+	is.NoErr(err)
+	is.True(len(chunks) > 2)
+	newer := CloneTables(old)
+	Apply(newer, newer.Applied+1, &Batch{})
+	newerChunks, err := EncodeSnapshot(newer)
+	is.NoErr(err)
+
+	a := NewAssembler()
+	for i := range chunks {
+		for bit := range 8 * 40 { // the head of a chunk and some of its data
+			damaged := slices.Clone(chunks[i])
+			damaged[bit/8] ^= 1 << (bit % 8)
+			is.True(a.Add(damaged) != nil)
+		}
+		is.Equal(fault.Of(a.Add(chunks[i][:len(chunks[i])/2])), fault.Invalid)
+	}
+	is.True(a.Newest() == nil)
+
+	rng := rand.New(rand.NewPCG(1, 2))
+	mixed := slices.Concat(chunks, chunks[1:], newerChunks[:len(newerChunks)-1])
+	rng.Shuffle(len(mixed), func(i, j int) { mixed[i], mixed[j] = mixed[j], mixed[i] })
+	for _, c := range mixed {
+		is.NoErr(a.Add(c))
+	}
+	is.Equal(snapshotOf(t, a.Newest()), snapshotOf(t, old)) // the newer one lacks a chunk
+	is.NoErr(a.Add(newerChunks[len(newerChunks)-1]))
+	is.Equal(a.Newest().Applied, newer.Applied)
+	for _, c := range chunks {
+		is.NoErr(a.Add(c))
+	}
+	is.Equal(a.Newest().Applied, newer.Applied) // an older one does not replace it
+}
+
+// Guards against memory that grows with snapshots that were never finished.
+func TestAssemblerIsBounded(t *testing.T) {
+	is := is.New(t)
+	a := NewAssembler()
+	tables := largeTables(t, 600)
+	for range 20 {
+		Apply(tables, tables.Applied+1, &Batch{})
+		chunks, err := EncodeSnapshot(tables)
+		is.NoErr(err)
+		is.NoErr(a.Add(chunks[0]))
+	}
+	is.Equal(len(a.parts), maxUnfinished)
+}
+
+// Guards against a snapshot with sound checksums and entities that the fold would crash on.
+func TestSnapshotOfBrokenTables(t *testing.T) {
+	breakages := map[string]func(*table.Tables){
+		"MissingTask": func(t *table.Tables) { delete(t.Tasks, "0/0") },
+		"MissingJob":  func(t *table.Tables) { delete(t.Jobs, "0") },
+		"NilWorker":   func(t *table.Tables) { t.Workers["w1"] = nil; t.Workers = map[table.WorkerID]*table.Worker{"w1": nil} },
+	}
+	for name, damage := range breakages {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tables := largeTables(t, 2)
+			damage(tables)
+			chunks, err := EncodeSnapshot(tables)
+			is.NoErr(err)
+			a := NewAssembler()
+			is.Equal(fault.Of(a.Add(chunks[0])), fault.Invalid)
+			is.True(a.Newest() == nil)
+		})
+	}
+}
+
+// Guards against a copy that later folds change.
+func TestCloneIsIndependent(t *testing.T) {
+	is := is.New(t)
+	tables := largeTables(t, 3)
+	before := snapshotOf(t, tables)
+	c := CloneTables(tables)
+	is.Equal(c, tables)
+	Apply(tables, tables.Applied+1, &Batch{Writer: "x", Seq: 1, Records: []Record{
+		{JobCancelled: &JobCancelled{Job: "0"}},
+		{JobCancelled: &JobCancelled{Job: "1"}},
+		{HostLeft: &HostLeft{Seat: "s1", Incarnation: "me"}},
+		{WorkerGone: &WorkerGone{ID: "w1"}},
+		{WorkerGone: &WorkerGone{ID: "w2"}},
+		{Expired: &Expired{Jobs: tables.Applied}},
+	}})
+	is.Equal(snapshotOf(t, c), before)
+}
