--- /dev/null
+++ b/burn/bench_test.go
@@ -0,0 +1,62 @@
+package burn
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"persimmonpick/table"
+)
+
+// fill counts one hour of requests at the size of the larger company.
+func fill(r *Recorder) time.Time {
+	const kinds, instances = 5, 65
+	at := testStart
+	for i := range 3600 * 20 {
+		at = testStart.Add(time.Duration(i) * 50 * time.Millisecond)
+		name := fmt.Sprintf("%02d", i%instances)
+		kind := table.KindID(fmt.Sprint(i % kinds))
+		latency := time.Duration(1+i%97) * time.Millisecond
+		r.Observe(kind, table.InstanceID("instance-"+name), table.WorkerID("worker-"+name), latency, i%100 != 0, at)
+	}
+	return at
+}
+
+func BenchmarkObserve(b *testing.B) {
+	r := newTestRecorder("a")
+	now := fill(r)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Observe("0", "instance-01", "worker-01", time.Millisecond, true, now)
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	r := newTestRecorder("a")
+	now := fill(r)
+	var size int
+	for b.Loop() {
+		var buffer bytes.Buffer
+		if err := gob.NewEncoder(&buffer).Encode(r.Snapshot(now)); err != nil {
+			b.Fatal(err)
+		}
+		size = buffer.Len()
+	}
+	b.ReportMetric(float64(size), "gob-bytes")
+}
+
+func BenchmarkReport(b *testing.B) {
+	r := newTestRecorder("a")
+	now := fill(r)
+	var held []Snapshot
+	for i := range 9 {
+		s := r.Snapshot(now)
+		s.Incarnation = table.Incarnation(fmt.Sprint(i))
+		held = append(held, s)
+	}
+	for b.Loop() {
+		report(now, held)
+	}
+}
