Let the log alone decide about stale plans, so that a repeated confirmation succeeds

The confirmation refused any plan whose base had changed before it asked the log. A repeat after a lost reply would then have been told that it lost against itself. The fold knows confirmed plans by id, so the early check is gone and the command line sends a confirmation to the next entry host. A call that was cut and then refused elsewhere now counts as unknown; before, a repeat could report not run.

--- a/commands/callers.go
+++ b/commands/callers.go
@@ -39,10 +39,11 @@
 	if err != nil {
 		return err
 	}
-	got, err := client.do(c.Context, call{
-		method: http.MethodPost, path: path, header: header, body: body,
-		safe: c.String(flagIdempotencyKey) != "",
-	})
+	does := changing
+	if c.String(flagIdempotencyKey) != "" {
+		does = repeatable
+	}
+	got, err := client.do(c.Context, call{http.MethodPost, path, header, body, does})
 	if err != nil {
 		return err
 	}
--- a/commands/client.go
+++ b/commands/client.go
@@ -35,13 +35,22 @@
 	timeout time.Duration
 }
 
-// call is one request; Safe says that repeating it does no harm.
+// effect says what a call does to the servers.
+type effect int
+
+const (
+	readOnly   effect = iota
+	repeatable        // changes something, but a repeat has no further effect
+	changing          // a repeat could take effect twice or mislead
+)
+
+// call is one request.
 type call struct {
 	method string
 	path   string
 	header http.Header
 	body   []byte
-	safe   bool
+	effect effect
 }
 
 // reply is the whole answer of a server.
@@ -108,8 +117,8 @@
 }
 
 // json sends v, unless it is nil, and decodes the answer into into.
-func (c *client) json(ctx context.Context, method, path string, safe bool, v, into any) error {
-	request := call{method: method, path: path, safe: safe, header: http.Header{}}
+func (c *client) json(ctx context.Context, method, path string, does effect, v, into any) error {
+	request := call{method: method, path: path, effect: does, header: http.Header{}}
 	if v != nil {
 		body, err := json.Marshal(v)
 		if err != nil {
@@ -129,22 +138,29 @@
 }
 
 func (c *client) get(ctx context.Context, path string, into any) error {
-	return c.json(ctx, http.MethodGet, path, true, nil, into)
+	return c.json(ctx, http.MethodGet, path, readOnly, nil, into)
 }
 
 // do tries the servers in turn until one gives an answer that ends the call.
 func (c *client) do(ctx context.Context, request call) (reply, error) {
-	var lastErr error
+	var lastErr, unknown error
 	for _, base := range c.urls {
 		got, err := c.once(ctx, base, request)
 		if err == nil {
 			return got, nil
 		}
 		lastErr = err
+		if fault.Of(err) == fault.OutcomeUnknown {
+			unknown = err
+		}
 		if !request.mayRepeat(err) || ctx.Err() != nil {
 			break
 		}
 	}
+	if unknown != nil && request.mayRepeat(lastErr) {
+		// That the last server did not run it says nothing about an earlier one.
+		return reply{}, unknown
+	}
 	return reply{}, lastErr
 }
 
@@ -154,7 +170,7 @@
 	if row.Ran == fault.RanNo {
 		return row.Retry
 	}
-	return request.safe
+	return request.effect != changing
 }
 
 func (c *client) once(ctx context.Context, base string, request call) (reply, error) {
@@ -196,7 +212,7 @@
 
 // lost returns the error of a call whose answer is missing.
 func (request call) lost(err error, message string) error {
-	if request.safe {
+	if request.effect == readOnly {
 		return fault.Wrap(err, fault.NotReady, "%s", message)
 	}
 	return fault.Wrap(err, fault.OutcomeUnknown, "%s; it may or may not have been done", message)
@@ -209,7 +225,7 @@
 		return request.lost(fault.New(fault.Internal, "status %d", status), "unexpected answer")
 	}
 	kind := fault.ParseKind(f.Code)
-	if kind == fault.Internal && !request.safe {
+	if kind == fault.Internal && request.effect != readOnly {
 		kind = fault.OutcomeUnknown
 	}
 	return fault.New(kind, "%s (%s)", f.Message, f.Code)
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -69,7 +69,7 @@
 	is.Equal(run("", false).code, ExitOK)
 }
 
-// Guards against a confirmation that is sent twice, and against a safe call that gives up at the first dead host.
+// Guards against a change that is sent twice, against a lost reply that is reported as "not run", and against a safe call that gives up at the first dead host.
 func TestNextServer(t *testing.T) {
 	is := is.New(t)
 	var calls atomic.Int32
@@ -91,6 +91,15 @@
 	is.Equal(got.code, ExitUnknown)
 	is.Equal(calls.Load(), int32(1)) // the dead host was passed over, the cut one was not repeated
 	is.Equal(run("", false, "-operators", deadURL, "jobs", "cancel", "-yes", "j1").code, ExitNotRun)
+
+	// A plan has an id, so its confirmation goes on to the next host; a later "not run" does not settle the first.
+	file := filepath.Join(t.TempDir(), "plan.json")
+	is.NoErr(os.WriteFile(file, []byte(`{"ID":"p1","Base":4}`), 0o600))
+	calls.Store(0)
+	is.Equal(run("", false, "-operators", cut+","+live, "confirm", "-yes", file).code, ExitOK)
+	is.Equal(calls.Load(), int32(2))
+	is.Equal(run("", false, "-operators", cut+","+deadURL, "confirm", "-yes", file).code, ExitUnknown)
+	is.Equal(run("{}", false, "submit", "-callers", cut+","+deadURL, "-idempotency-key", "k", "-").code, ExitUnknown)
 }
 
 // Guards against a plan that is confirmed without an agreement, and against one that changes on its way through a file.
--- a/commands/confirm.go
+++ b/commands/confirm.go
@@ -90,7 +90,8 @@
 		return err
 	}
 	var done operator.Confirmed
-	if err := client.json(c.Context, http.MethodPost, "/v1/plans/confirm", false, made, &done); err != nil {
+	// The log knows the plan by its id, so a repeat at another entry host has no further effect.
+	if err := client.json(c.Context, http.MethodPost, "/v1/plans/confirm", repeatable, made, &done); err != nil {
 		return err
 	}
 	return p.show(c, done, func(w io.Writer) error {
--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -149,7 +149,7 @@
 				return err
 			}
 			var done operator.Cancelled
-			if err := client.json(c.Context, http.MethodDelete, jobPath(id), false, nil, &done); err != nil {
+			if err := client.json(c.Context, http.MethodDelete, jobPath(id), changing, nil, &done); err != nil {
 				return err
 			}
 			return p.show(c, done, func(w io.Writer) error {
@@ -164,7 +164,7 @@
 	return &cli.Command{
 		Name:        "resolve",
 		Usage:       "decide about a task in state Unknown: plan, show, confirm",
-		ArgsUsage:   "TASK Rerun|Finished|Failed",
+		ArgsUsage:   "TASK Rerun|Finished|Failed|Cancelled",
 		Description: "Example: persimmonpick jobs resolve cut-1207/0 Finished",
 		Flags:       []cli.Flag{yesFlag()},
 		Action: func(c *cli.Context) error {
--- a/commands/plan.go
+++ b/commands/plan.go
@@ -26,7 +26,7 @@
 			p.planCommand("limit", "set a limit", "LIMIT VALUE", "plan limit MaxInFlight 800", nil, limitIntent),
 			p.planCommand("drain", "take a rack, or with -worker a worker, out of use", "ID", "plan drain r3", drainFlags(), drainIntent(journal.SetDrain)),
 			p.planCommand("undrain", "end a drain", "ID", "plan undrain r3", drainFlags(), drainIntent(journal.RemoveDrain)),
-			p.planCommand("resolve", "decide about a task in state Unknown", "TASK Rerun|Finished|Failed", "plan resolve cut-1207/0 Finished", nil, resolveIntent),
+			p.planCommand("resolve", "decide about a task in state Unknown", "TASK Rerun|Finished|Failed|Cancelled", "plan resolve cut-1207/0 Finished", nil, resolveIntent),
 		},
 	}
 }
@@ -61,7 +61,7 @@
 	if err != nil {
 		return made, err
 	}
-	return made, client.json(c.Context, http.MethodPost, "/v1/plans", true, in, &made)
+	return made, client.json(c.Context, http.MethodPost, "/v1/plans", readOnly, in, &made)
 }
 
 func (p *program) writePlan(c *cli.Context, made operator.Plan) error {
--- a/operator/check.go
+++ b/operator/check.go
@@ -14,9 +14,10 @@
 
 // The outcomes that an operator may give to a task in state Unknown.
 const (
-	OutcomeRerun    = "Rerun"
-	OutcomeFinished = "Finished"
-	OutcomeFailed   = "Failed"
+	OutcomeRerun     = "Rerun"     // it did not run to its end and may run again
+	OutcomeFinished  = "Finished"  // it ran to its end
+	OutcomeFailed    = "Failed"    // it must not run again
+	OutcomeCancelled = "Cancelled" // nobody wants it any more
 )
 
 // Check returns an error of kind fault.Invalid if in makes no sense by itself.
@@ -105,7 +106,7 @@
 		if err := checkName("Kind.Service", string(k.Service)); err != nil {
 			return err
 		}
-		if !strings.HasPrefix(k.Path, "/") || strings.ContainsAny(k.Path, "?# \r\n") {
+		if k.Path != "" && (!strings.HasPrefix(k.Path, "/") || strings.ContainsAny(k.Path, "?# \r\n")) {
 			return invalid("Kind.Path: must be an absolute path without a query")
 		}
 	default:
@@ -152,8 +153,8 @@
 
 func checkResolve(in journal.Intent) error {
 	switch in.Outcome {
-	case OutcomeRerun, OutcomeFinished, OutcomeFailed:
+	case OutcomeRerun, OutcomeFinished, OutcomeFailed, OutcomeCancelled:
 		return nil
 	}
-	return invalid("Outcome: must be %s, %s or %s", OutcomeRerun, OutcomeFinished, OutcomeFailed)
+	return invalid("Outcome: must be %s, %s, %s or %s", OutcomeRerun, OutcomeFinished, OutcomeFailed, OutcomeCancelled)
 }
--- a/operator/effects.go
+++ b/operator/effects.go
@@ -22,7 +22,7 @@
 	case journal.SetTeam:
 		return teamEffects(t, *in.Team)
 	case journal.RemoveTeam:
-		return removedTeamEffects(t, in.Team.ID)
+		return []string{fmt.Sprintf("new jobs and requests of team %s are rejected as not run", in.Team.ID)}
 	case journal.SetDrain:
 		return drainEffects(t, *in.Drain)
 	case journal.RemoveDrain:
@@ -71,13 +71,6 @@
 	return list
 }
 
-func removedTeamEffects(t *table.Tables, id table.TeamID) []string {
-	return []string{
-		fmt.Sprintf("new jobs and requests of team %s are rejected as not run", id),
-		"unfinished jobs of the team: " + names(jobsOfTeam(t, id)),
-	}
-}
-
 func drainEffects(t *table.Tables, d table.Drain) []string {
 	workers := drainedBy(t, d)
 	list := []string{"workers that receive no new work: " + names(workers)}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -100,10 +100,14 @@
 	if err != nil {
 		return 0, err
 	}
-	if kind := result.First(); kind != fault.None {
+	switch kind := result.First(); kind {
+	case fault.None:
+		return result.Offset, nil
+	case fault.Stale, fault.Conflict:
+		return 0, fault.New(kind, "something else changed first: rejected at offset %d of the log; look again and make a new plan", result.Offset)
+	default:
 		return 0, fault.New(kind, "rejected at offset %d of the log", result.Offset)
 	}
-	return result.Offset, nil
 }
 
 func (h *handler) report(w http.ResponseWriter, _ *http.Request) error {
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -86,6 +86,9 @@
 		if t.Teams[in.Team.ID] == nil {
 			return fault.New(fault.NotFound, "no team %s", in.Team.ID)
 		}
+		if jobs := jobsOfTeam(t, in.Team.ID); len(jobs) > 0 {
+			return fault.New(fault.Conflict, "team %s has unfinished jobs: %s", in.Team.ID, names(jobs))
+		}
 	case journal.SetDrain:
 		if len(drainedBy(t, *in.Drain)) == 0 {
 			return fault.New(fault.NotFound, "no worker is known for %s", in.Drain.Name())
--- a/operator/plans.go
+++ b/operator/plans.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"persimmonpick/answer"
-	"persimmonpick/fault"
 	"persimmonpick/journal"
 	"persimmonpick/table"
 )
@@ -43,7 +42,7 @@
 	if err := answer.Decode(r, maxBody, &p); err != nil {
 		return err
 	}
-	if err := h.recheck(r.Context(), &p); err != nil {
+	if err := recheck(&p); err != nil {
 		return err
 	}
 	name := h.cfg.Identity(r)
@@ -59,8 +58,10 @@
 	return nil
 }
 
-// recheck refuses early what the fold would reject, so that it costs no append; the fold decides about races.
-func (h *handler) recheck(ctx context.Context, p *Plan) error {
+// recheck makes sure that a plan still has the shape that MakePlan gave it.
+//
+// Whether it is stale is for the fold alone: it also knows a plan that was already confirmed, and such a repeat succeeds.
+func recheck(p *Plan) error {
 	if err := checkName("ID", string(p.ID)); err != nil {
 		return err
 	}
@@ -68,18 +69,7 @@
 		return err
 	}
 	p.Intent = withoutVersion(p.Intent)
-	var stale error
-	err := h.look(ctx, func(t *table.Tables) {
-		if version := Version(t, p.Intent); version != p.Base {
-			stale = fault.New(fault.Conflict, "changed at offset %d of the log, after this plan was made for offset %d; make a new plan", version, p.Base)
-			return
-		}
-		stale = checkAgainst(t, p.Intent)
-	})
-	if err != nil {
-		return err
-	}
-	return stale
+	return nil
 }
 
 // waitInForce waits a bounded time for every entry host to apply off.
--- a/operator/version.go
+++ b/operator/version.go
@@ -7,7 +7,8 @@
 
 // Version returns the offset of the last change of the entity that in names, or 0 if it does not exist.
 //
-// This is the one place that must agree with the fold on the version of a removed entity.
+// It must agree with the fold, which rejects a plan with another base. Once the fold keeps the versions of removed
+// entities, this is the one place to change.
 func Version(t *table.Tables, in journal.Intent) table.Offset {
 	switch in.Type {
 	case journal.SetKind, journal.RemoveKind:
