--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -184,3 +185,16 @@
 	is.Equal(page.Jobs[0].ID, table.JobID("j1"))
 	is.True(strings.Contains(run("", false, "-operators", url, "jobs", "list").stdout, "-after j1"))
 }
+
+// Guards against a page that forgets an error kind or tells another exit code than the program.
+func TestOperationsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	is.NoErr(err)
+	for _, kind := range fault.Kinds() {
+		row := kind.Answer()
+		retry := map[bool]string{true: "yes", false: "no"}[row.Retry]
+		start := fmt.Sprintf("| %s | %d | %s | %s | %d ", kind, row.Status, row.Ran, retry, exitCodeOf(kind))
+		is.True(strings.Contains(string(page), start)) // kind
+	}
+}
--- a/operator/config.go
+++ b/operator/config.go
@@ -18,6 +18,7 @@
 	Hosts    func() []HostStatus
 	Report   func() burn.Report
 	Identity func(r *http.Request) string // operator who sent r; "" refuses the request
+	Metrics  http.Handler                 // serves /metrics; nil serves none
 }
 
 // The states of a seat as an entry host sees it.
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -34,6 +34,9 @@
 	router.HandleFunc("/v1/plans/confirm", h.wrap(h.confirm)).Methods(http.MethodPost)
 	router.HandleFunc("/v1/report", h.wrap(h.report)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/report.html", h.wrap(h.reportPage)).Methods(http.MethodGet)
+	if cfg.Metrics != nil {
+		router.HandleFunc("/metrics", h.wrap(h.metrics)).Methods(http.MethodGet)
+	}
 	router.NotFoundHandler = h.wrap(func(http.ResponseWriter, *http.Request) error {
 		return fault.New(fault.NotFound, "no such path")
 	})
@@ -110,6 +113,11 @@
 	}
 }
 
+func (h *handler) metrics(w http.ResponseWriter, r *http.Request) error {
+	h.cfg.Metrics.ServeHTTP(w, r)
+	return nil
+}
+
 func (h *handler) report(w http.ResponseWriter, _ *http.Request) error {
 	answer.JSON(w, http.StatusOK, h.cfg.Report())
 	return nil
