--- a/burn/board.go
+++ b/burn/board.go
@@ -34,7 +34,7 @@
 
 // Put keeps s in place of an older snapshot of its incarnation and says whether it did.
 func (b *Board) Put(s Snapshot, now time.Time) bool {
-	if s.Incarnation == "" || size(s) > maxBytes || now.Sub(s.Taken) > b.keep {
+	if s.Incarnation == "" || size(s) > maxBytes || now.Sub(s.Taken).Abs() > b.keep {
 		return false
 	}
 	b.mu.Lock()
--- a/burn/plot.go
+++ b/burn/plot.go
@@ -68,7 +68,7 @@
 		Width:  plotWidth,
 		Height: plotHeight,
 		XAxis: chart.XAxis{
-			ValueFormatter: chart.TimeValueFormatterWithFormat("15:04"),
+			ValueFormatter: clockUTC,
 			Range:          &chart.ContinuousRange{Min: chart.TimeToFloat64(from), Max: chart.TimeToFloat64(to)},
 		},
 		YAxis:  chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: top * headroom}},
@@ -78,3 +78,12 @@
 	err := c.Render(chart.SVG, &svg)
 	return svg.Bytes(), err
 }
+
+// clockUTC labels an axis in the time zone of the page, where the library would use the local one.
+func clockUTC(v any) string {
+	value, ok := v.(float64)
+	if !ok {
+		return ""
+	}
+	return chart.TimeFromFloat64(value).UTC().Format("15:04")
+}
