--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -185,6 +187,22 @@
 	is.True(got.Retry)
 }
 
+// Guards against a confirmation that waits without a bound for a dead entry host, or that claims to be in force there.
+func TestInForceWaitIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cfg := newFakeControl().config()
+		cfg.InForce = func(context.Context, table.Offset) (int, int) { return 6, 7 }
+		h := NewHandler(cfg)
+		start := time.Now()
+		var done Confirmed
+		answered(t, call(h, http.MethodPost, "/v1/plans/confirm", makePlan(t, h, limitIntent(6))), &done)
+		is.Equal(done.InForce, 6)
+		is.Equal(done.Hosts, 7)
+		is.Equal(time.Since(start), forceWait)
+	})
+}
+
 // Guards against a drain plan that hides the work it moves.
 func TestDrainEffects(t *testing.T) {
 	is := is.New(t)
