Log the message of an error without its stack

slog formats an error value with its stack trace, so one event took many lines' worth of text with paths of the build. The message alone is logged now.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -30,7 +30,7 @@
 	message := err.Error()
 	if k == fault.Internal {
 		// The details of an unexpected error are for the log alone.
-		slog.Error("request failed", "Error", err)
+		slog.Error("request failed", "Error", err.Error())
 		message = "internal error"
 	}
 	if row.Retry {
@@ -45,7 +45,7 @@
 	encoder := json.NewEncoder(&body)
 	encoder.SetEscapeHTML(false)
 	if err := encoder.Encode(v); err != nil {
-		slog.Error("answer not encoded", "Error", err)
+		slog.Error("answer not encoded", "Error", err.Error())
 		http.Error(w, `{"Code":"Internal","Message":"internal error","Ran":"Unknown","Retry":false}`, http.StatusInternalServerError)
 		return
 	}
@@ -54,7 +54,7 @@
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(status)
 	if _, err := w.Write(body.Bytes()); err != nil {
-		slog.Debug("answer not sent", "Error", err)
+		slog.Debug("answer not sent", "Error", err.Error())
 	}
 }
 
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -92,7 +92,7 @@
 	}
 	value := min(max(latency.Microseconds(), 1), maxLatency)
 	if err := h.RecordValue(value); err != nil {
-		slog.Error("latency not recorded", "Kind", kind, "Error", err)
+		slog.Error("latency not recorded", "Kind", kind, "Error", err.Error())
 	}
 }
 
@@ -163,7 +163,7 @@
 	for key, h := range r.latencies {
 		data, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
 		if err != nil {
-			slog.Error("latencies not encoded", "Kind", key.kind, "Error", err)
+			slog.Error("latencies not encoded", "Kind", key.kind, "Error", err.Error())
 			continue
 		}
 		s.Latencies = append(s.Latencies, Latencies{key.index, key.kind, data})
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -128,7 +128,7 @@
 	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'")
 	w.Header().Set("X-Content-Type-Options", "nosniff")
 	if err := h.cfg.Report().WriteHTML(w); err != nil {
-		slog.Error("report page not written", "Error", err)
+		slog.Error("report page not written", "Error", err.Error())
 	}
 	return nil
 }
--- a/operator/plans.go
+++ b/operator/plans.go
@@ -49,7 +49,7 @@
 	record := journal.PlanConfirmed{ID: p.ID, Operator: name, Intent: p.Intent, Base: p.Base}
 	off, err := h.propose(r.Context(), journal.Record{PlanConfirmed: &record})
 	if err != nil {
-		slog.Warn("plan not confirmed", "Plan", p.ID, "Operator", name, "Type", p.Intent.Type, "Error", err)
+		slog.Warn("plan not confirmed", "Plan", p.ID, "Operator", name, "Type", p.Intent.Type, "Error", err.Error())
 		return err
 	}
 	slog.Info("plan confirmed", "Plan", p.ID, "Operator", name, "Type", p.Intent.Type, "Offset", off)
--- a/tlsfiles/files.go
+++ b/tlsfiles/files.go
@@ -107,7 +107,7 @@
 		err = f.load(stamps)
 	}
 	if err != nil {
-		slog.Error("TLS files not reloaded", "Address", f.listener.Address, "Error", err)
+		slog.Error("TLS files not reloaded", "Address", f.listener.Address, "Error", err.Error())
 	}
 	return f.cert, f.pool
 }
