--- a/operator/handler.go
+++ b/operator/handler.go
@@ -34,6 +34,9 @@
 	router.HandleFunc("/v1/plans/confirm", h.wrap(h.confirm)).Methods(http.MethodPost)
 	router.HandleFunc("/v1/report", h.wrap(h.report)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/report.html", h.wrap(h.reportPage)).Methods(http.MethodGet)
+	if cfg.Metrics != nil {
+		router.HandleFunc("/metrics", h.wrap(h.metrics)).Methods(http.MethodGet)
+	}
 	router.NotFoundHandler = h.wrap(func(http.ResponseWriter, *http.Request) error {
 		return fault.New(fault.NotFound, "no such path")
 	})
@@ -100,10 +103,19 @@
 	if err != nil {
 		return 0, err
 	}
-	if kind := result.First(); kind != fault.None {
+	switch kind := result.First(); kind {
+	case fault.None:
+		return result.Offset, nil
+	case fault.Stale, fault.Conflict:
+		return 0, fault.New(kind, "something else changed first: rejected at offset %d of the log; look again and make a new plan", result.Offset)
+	default:
 		return 0, fault.New(kind, "rejected at offset %d of the log", result.Offset)
 	}
-	return result.Offset, nil
+}
+
+func (h *handler) metrics(w http.ResponseWriter, r *http.Request) error {
+	h.cfg.Metrics.ServeHTTP(w, r)
+	return nil
 }
 
 func (h *handler) report(w http.ResponseWriter, _ *http.Request) error {
@@ -116,7 +128,7 @@
 	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'")
 	w.Header().Set("X-Content-Type-Options", "nosniff")
 	if err := h.cfg.Report().WriteHTML(w); err != nil {
-		slog.Error("report page not written", "Error", err)
+		slog.Error("report page not written", "Error", err.Error())
 	}
 	return nil
 }
