Key what an agent remembers by task and token, refuse early while the log is down

Cause: tasks that are granted in one batch share their token, the offset of the batch. Agents kept sent starts and proposals by token alone, so of two cut plans granted together one was taken as already started and ended as Unknown (scenario lease-reply-lost). In an outage of the log a submission was sent and answered OutcomeUnknown although the host knew for seconds that the log was down (scenario log-outage). Change: leaseKey{task, token} as the key; proposals of callers and operators are refused as LogUnavailable, which is not run, once no read has reached the end of the log for 3 s. LogGrace defaults to 5 s and MaxRequestTime to 5 s: after all hosts are killed, slots come back after LogGrace + LoanTerm + MaxRequestTime, 12 s in place of 42 s. Ruled out: a longer LogGrace for leases. It only helps a host that neither reads the log nor hears a majority of seats, and it delays every handover. Conclusion: ids of leases need both parts everywhere.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -40,7 +40,7 @@
 
 	held      map[table.WorkerID]map[table.TaskID]bool
 	workerOf  map[table.TaskID]table.WorkerID
-	tried     map[table.Token]bool // non-idempotent starts that this process sent
+	tried     map[leaseKey]bool // non-idempotent starts that this process sent
 	watched   map[table.WorkerID]*watch
 	listed    []table.WorkerID
 	relisted  time.Time
@@ -49,13 +49,19 @@
 	outOfView []table.WorkerID // workers that this host watches and cannot reach
 }
 
+// leaseKey names one lease; tasks that are granted in one batch share their token.
+type leaseKey struct {
+	task  table.TaskID
+	token table.Token
+}
+
 // watch is what this host knows of a worker that it watches.
 type watch struct {
 	visiting bool
 	due      time.Time
 	failing  time.Time // since when it is not reached; zero while it is
-	passed   map[table.Token]time.Time
-	sent     map[table.Token]bool // records proposed and not yet folded
+	passed   map[leaseKey]time.Time
+	sent     map[leaseKey]bool // records proposed and not yet folded
 }
 
 func (a *agents) reload(t *table.Tables) {
@@ -129,10 +135,10 @@
 		return
 	}
 	delete(a.workerOf, id)
-	delete(a.tried, token)
+	delete(a.tried, leaseKey{id, token})
 	delete(a.held[worker], id)
 	if w := a.watched[worker]; w != nil {
-		delete(w.passed, token)
+		delete(w.passed, leaseKey{id, token})
 	}
 }
 
@@ -177,8 +183,8 @@
 func (a *agents) propose(id table.WorkerID, w *watch, rs []journal.Record) {
 	fresh := rs[:0]
 	for _, r := range rs {
-		if token := tokenOf(r); !w.sent[token] {
-			w.sent[token] = true
+		if k := keyOf(r); !w.sent[k] {
+			w.sent[k] = true
 			fresh = append(fresh, r)
 		}
 	}
@@ -194,7 +200,7 @@
 		return
 	}
 	for _, r := range rs {
-		delete(w.sent, tokenOf(r))
+		delete(w.sent, keyOf(r))
 	}
 }
 
@@ -214,7 +220,7 @@
 		}
 		w := a.watched[id]
 		if w == nil {
-			w = &watch{passed: map[table.Token]time.Time{}, sent: map[table.Token]bool{}}
+			w = &watch{passed: map[leaseKey]time.Time{}, sent: map[leaseKey]bool{}}
 		}
 		next[id] = w
 		a.listed = append(a.listed, id)
@@ -272,7 +278,7 @@
 			rs = append(rs, record(&journal.LeaseRevoked{Task: taskID, Token: l.Token, Reason: "worker unreachable"}))
 			continue
 		}
-		if a.over(l, w, now) {
+		if a.over(taskID, l, w, now) {
 			rs = append(rs, journal.Record{LeaseEnded: &journal.LeaseEnded{
 				Task: taskID, Token: l.Token, Outcome: journal.LeaseExpired, Reason: "worker unreachable",
 			}})
@@ -284,11 +290,12 @@
 // over says whether a revoked lease has certainly ended on its worker.
 //
 // No host renews the lease any more once its revocation has passed. Its last renewal may have been sent just before, with an end of LeaseTerm later on a clock that is off by at most ClockBound, as may be the worker's.
-func (a *agents) over(l table.Lease, w *watch, now time.Time) bool {
-	at, ok := w.passed[l.Token]
+func (a *agents) over(id table.TaskID, l table.Lease, w *watch, now time.Time) bool {
+	k := leaseKey{id, l.Token}
+	at, ok := w.passed[k]
 	if !ok {
 		if a.group.Fence.Passed(l.Revoked, now) {
-			w.passed[l.Token] = now
+			w.passed[k] = now
 		}
 		return false
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -43,7 +43,7 @@
 	joined   atomic.Uint64 // offset of the own HostJoined
 	fresh    atomic.Bool   // nobody held the seat before, or its holder had left
 	passed   atomic.Int64  // unix nanoseconds since which the join has passed; 0 if it has not
-	requests time.Duration // longest time that a request of the previous process may still run
+	requests time.Duration // longest time that a request or a loan of the previous process may still run
 }
 
 type look struct {
@@ -59,7 +59,6 @@
 		looks:      make(chan look),
 		visits:     make(chan visit, 64),
 	}
-	c.ownSeat.requests = cfg.Timing.MaxRequestTime.D()
 	c.view.Store(table.NewView(c.tables))
 	return c
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -111,7 +111,7 @@
 	c.agents = &agents{
 		cfg: h.cfg, incarnation: h.incarnation, group: h.group, workers: h.platform.Workers,
 		submit: c.submit, later: c.later, visits: c.visits, log: h.log, ctx: h.ctx,
-		slots: make(chan struct{}, maxVisits), tried: map[table.Token]bool{},
+		slots: make(chan struct{}, maxVisits), tried: map[leaseKey]bool{},
 	}
 	c.agents.reload(c.tables)
 	learn := newLearning(h.cfg, h.log)
@@ -151,6 +151,7 @@
 		},
 	})
 	p := h.cfg.Policy
+	h.control.ownSeat.requests = h.shares.Settle()
 	h.router = route.New(route.Config{
 		Zone: h.cfg.Zone, View: h.control.view.Load, Slots: h.shares, Observe: h.observe,
 		MaxAnswer: h.cfg.Limits.MaxAnswer, MaxQueue: h.cfg.Limits.MaxQueue,
@@ -159,7 +160,7 @@
 		ZonePreference: p.ZonePreference.D(),
 	})
 	h.guard = &claim.Guard{
-		Propose: h.writer.Propose, Look: h.control.look, Seat: h.cfg.Seat, Incarnation: h.incarnation,
+		Propose: h.proposeEarly, Look: h.control.look, Seat: h.cfg.Seat, Incarnation: h.incarnation,
 	}
 }
 
@@ -195,9 +196,20 @@
 	return func(ctx context.Context) (route.Answer, error) { return h.router.Serve(ctx, req) }
 }
 
+// logSilence is how long no read has reached the end of the log before proposals of callers are refused; a waiting read takes up to a second.
+const logSilence = 3 * time.Second
+
+// proposeEarly refuses in an outage of the log, when it is still known that nothing was sent.
+func (h *Host) proposeEarly(ctx context.Context, rs []journal.Record) (journal.Result, error) {
+	if tail := h.group.Fence.Tail(); time.Since(tail) > logSilence {
+		return journal.Result{}, fault.New(fault.LogUnavailable, "the log was last read to its end at %s", tail.UTC().Format(time.RFC3339))
+	}
+	return h.writer.Propose(ctx, rs)
+}
+
 // propose appends records and fails with the first kind that did not take effect.
 func (h *Host) propose(ctx context.Context, rs ...journal.Record) error {
-	res, err := h.writer.Propose(ctx, rs)
+	res, err := h.proposeEarly(ctx, rs)
 	if err != nil {
 		return err
 	}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -18,20 +18,16 @@
 		identity = operator.PlainName
 	}
 	return operator.Config{
-		Propose: h.writer.Propose, Look: h.control.look, InForce: h.inForce,
-		Hosts: h.hostStatus, Report: h.report, Identity: identity,
+		Propose: h.proposeEarly, Look: h.control.look, InForce: h.inForce,
+		Hosts: h.hostStatus, Report: h.report, Identity: identity, Metrics: h.metricsHandler(),
 	}
 }
 
-func (h *Host) withMetrics(next http.Handler) http.Handler {
+func (h *Host) metricsHandler() http.Handler {
 	prom := promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/metrics" && r.Method == http.MethodGet {
-			h.metrics.applied.Set(float64(h.control.view.Load().Applied))
-			prom.ServeHTTP(w, r)
-			return
-		}
-		next.ServeHTTP(w, r)
+		h.metrics.applied.Set(float64(h.control.view.Load().Applied))
+		prom.ServeHTTP(w, r)
 	})
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -94,7 +94,6 @@
 		return err
 	}
 	h.listeners.operatorS = operator.NewServer(h.operatorConfig())
-	h.listeners.operatorS.Handler = h.withMetrics(h.listeners.operatorS.Handler)
 	return serveHTTP(h, h.listeners.operatorS, h.listeners.operators, h.cfg.Operators)
 }
 
@@ -137,7 +136,7 @@
 		Seat: h.cfg.Seat, Incarnation: h.incarnation, Address: h.listeners.peers.Addr().String(), Zone: h.cfg.Zone,
 	}}
 	for {
-		err := h.propose(ctx, rec)
+		err := h.takeSeat(ctx, rec)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -150,6 +149,17 @@
 	}
 }
 
+func (h *Host) takeSeat(ctx context.Context, rec journal.Record) error {
+	res, err := h.writer.Propose(ctx, []journal.Record{rec})
+	if err != nil {
+		return err
+	}
+	if k := res.First(); k != fault.None {
+		return fault.New(k, "seat %s", h.cfg.Seat)
+	}
+	return nil
+}
+
 // stop is a graceful shutdown: readiness fails first, requests in flight end, then slots and the seat are handed back.
 func (h *Host) stop(leave bool) error {
 	h.stopping.Store(true)
--- a/entry/visit.go
+++ b/entry/visit.go
@@ -33,7 +33,7 @@
 	err     error
 	report  platform.Report
 	records []journal.Record
-	tried   []table.Token // non-idempotent starts that were sent
+	tried   []leaseKey // non-idempotent starts that were sent
 }
 
 // visit starts a visit in its own goroutine; it returns false when too many are under way.
@@ -64,7 +64,7 @@
 		task := t.Tasks[taskID]
 		job := t.Jobs[task.Job]
 		mine := task.Lease.Starter == a.incarnation
-		first := mine && !a.tried[task.Lease.Token]
+		first := mine && !a.tried[leaseKey{taskID, task.Lease.Token}]
 		o.leases[taskID] = leaseOrder{
 			token:         task.Lease.Token,
 			stop:          task.State == table.TaskRevoking,
@@ -83,8 +83,8 @@
 
 // visited takes the result of a visit into the control goroutine.
 func (a *agents) visited(t *table.Tables, v visit, now time.Time) {
-	for _, token := range v.tried {
-		a.tried[token] = true
+	for _, k := range v.tried {
+		a.tried[k] = true
 	}
 	w := a.watched[v.worker]
 	if w == nil {
@@ -106,16 +106,16 @@
 	a.propose(v.worker, w, v.records)
 }
 
-func tokenOf(r journal.Record) table.Token {
+func keyOf(r journal.Record) leaseKey {
 	switch {
 	case r.LeaseStarted != nil:
-		return r.LeaseStarted.Token
+		return leaseKey{r.LeaseStarted.Task, r.LeaseStarted.Token}
 	case r.LeaseRevoked != nil:
-		return r.LeaseRevoked.Token
+		return leaseKey{r.LeaseRevoked.Task, r.LeaseRevoked.Token}
 	case r.LeaseEnded != nil:
-		return r.LeaseEnded.Token
+		return leaseKey{r.LeaseEnded.Task, r.LeaseEnded.Token}
 	}
-	return 0
+	return leaseKey{}
 }
 
 // carryOut asks the worker for its report, compares it with the leases and acts on the difference.
@@ -146,7 +146,7 @@
 	o       order
 	known   map[table.TaskID]platform.TaskStatus
 	records []journal.Record
-	tried   []table.Token
+	tried   []leaseKey
 	running []platform.Renewal
 }
 
@@ -219,7 +219,7 @@
 		return
 	}
 	if l.nonIdempotent {
-		r.tried = append(r.tried, l.token)
+		r.tried = append(r.tried, leaseKey{id, l.token})
 	}
 	req := l.start
 	req.Until = now.Add(r.a.cfg.Timing.LeaseTerm.D())
--- a/peer/fence.go
+++ b/peer/fence.go
@@ -164,6 +164,13 @@
 	return n >= f.majority()
 }
 
+// Tail returns when the last read that reached the end of the log began, or zero.
+func (f *Fence) Tail() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tail
+}
+
 // Passed says whether no other host acts any more, at time now, on tables that lack offset off.
 func (f *Fence) Passed(off table.Offset, now time.Time) bool {
 	f.mu.Lock()
--- a/settings/default.go
+++ b/settings/default.go
@@ -12,11 +12,11 @@
 		},
 		Timing: Timing{
 			Tick: Duration(50 * time.Millisecond), Heartbeat: Duration(250 * time.Millisecond),
-			PeerTimeout: Duration(2 * time.Second), LogGrace: Duration(30 * time.Second),
+			PeerTimeout: Duration(2 * time.Second), LogGrace: Duration(5 * time.Second),
 			LeaseTerm: Duration(15 * time.Second), ClockBound: Duration(500 * time.Millisecond),
 			BatchDelay: Duration(5 * time.Millisecond), HostListPeriod: Duration(time.Second),
 			ReportPeriod: Duration(time.Second), RequestTimeout: Duration(2 * time.Second),
-			MaxRequestTime: Duration(10 * time.Second), LoanTerm: Duration(2 * time.Second),
+			MaxRequestTime: Duration(5 * time.Second), LoanTerm: Duration(2 * time.Second),
 			DrainDelay: Duration(2 * time.Second), StopTimeout: Duration(30 * time.Second),
 			KeyRetention: Duration(24 * time.Hour), JobRetention: Duration(24 * time.Hour),
 			SnapshotPeriod: Duration(time.Minute),
