Let the settings test state the bound that it checks against

Cause: the test relied on the default of MaxRequestTime, which changed from 10 s to 5 s, so KeyRetention in its input was no longer too short. Change: the input sets MaxRequestTime to 10 s; the expected faults are the same. Before and after: failed, passes. Conclusion: equally strict.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -63,7 +63,7 @@
 		`"Callers": {"Address": "127.0.0.1:0", "Plain": true, "CertFile": "c"}, "TeamTokens": {"secret-token": ""}`, 1)
 	wrongValues = strings.Replace(wrongValues, `"Operators": {"Address": "127.0.0.1:0", "Plain": true}`,
 		`"Operators": {"Address": "127.0.0.1:0", "CertFile": "c", "KeyFile": "k"}, "Policy": {"LatencyWeight": 1.5},
-		"Timing": {"LeaseTerm": "500ms", "Heartbeat": "3s", "KeyRetention": "1m30s", "RequestTimeout": "11s"}, "Limits": {"MaxBody": 0}`, 1)
+		"Timing": {"LeaseTerm": "500ms", "Heartbeat": "3s", "MaxRequestTime": "10s", "KeyRetention": "1m30s", "RequestTimeout": "11s"}, "Limits": {"MaxBody": 0}`, 1)
 	is.Equal(parts(t, wrongValues), []string{
 		`Seats[1].ID: "s1" is listed twice`,
 		"Seats[1].PeerAddress: 127.0.0.1:7001 is listed twice",
