--- /dev/null
+++ b/standins/harness/http.go
@@ -0,0 +1,69 @@
+package harness
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+
+	"persimmonpick/fault"
+	"persimmonpick/platform"
+)
+
+// MaxBody is the largest body of a call, in bytes.
+const MaxBody = 16 << 20
+
+// Mount serves the list under path: GET lists, POST adds, DELETE removes all or one.
+func (l *Faults) Mount(r *mux.Router, path string) {
+	r.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
+		Answer(w, l.List(), nil)
+	}).Methods(http.MethodGet)
+	r.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		var f Fault
+		if !Decode(w, r, &f) {
+			return
+		}
+		id, err := l.Add(f)
+		Answer(w, map[string]int{"ID": id}, err)
+	}).Methods(http.MethodPost)
+	r.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
+		l.Clear()
+		Answer(w, struct{}{}, nil)
+	}).Methods(http.MethodDelete)
+	r.HandleFunc(path+"/{id:[0-9]+}", func(w http.ResponseWriter, r *http.Request) {
+		id, _ := strconv.Atoi(mux.Vars(r)["id"])
+		l.Remove(id)
+		Answer(w, struct{}{}, nil)
+	}).Methods(http.MethodDelete)
+}
+
+// Decode reads the JSON body of a call into v and answers the call itself if it cannot.
+func Decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		Answer(w, nil, fault.Wrap(err, fault.Invalid, "body is not usable: %v", err))
+		return false
+	}
+	return true
+}
+
+// Answer writes v as JSON, or the stable code of err.
+func Answer(w http.ResponseWriter, v any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		k := fault.Of(err)
+		status = k.Answer().Status
+		v = platform.Refusal{Code: k.String(), Message: err.Error()}
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/standins/platform/commands.go
@@ -0,0 +1,233 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"persimmonpick/fault"
+	api "persimmonpick/platform"
+	"persimmonpick/standins/harness"
+	"persimmonpick/table"
+)
+
+// at runs op on a worker whose tasks are up to date.
+func (s *Server) at(ctx context.Context, function string, id table.WorkerID, op func(w *worker, now time.Time) error) error {
+	return s.call(ctx, function, id, func(now time.Time) error {
+		w := s.workers[id]
+		if w == nil || w.gone {
+			return fault.New(fault.PlatformFailed, "worker %s is not reachable", id)
+		}
+		s.advance(w, now)
+		return op(w, now)
+	})
+}
+
+func (s *Server) start(ctx context.Context, id table.WorkerID, req api.StartRequest) error {
+	return s.at(ctx, "Workers.Start", id, func(w *worker, now time.Time) error {
+		known := w.highest[req.Task]
+		if req.Token < known || req.Token <= w.stopped[req.Task] {
+			s.stats.StaleRefusals++
+			return fault.New(fault.Stale, "token %d of %s is stopped or below %d", req.Token, req.Task, known)
+		}
+		if req.Token == known {
+			return nil
+		}
+		if !req.Until.After(now) {
+			s.stats.StaleRefusals++
+			return fault.New(fault.Stale, "lease of %s ended before its start", req.Task)
+		}
+		if !s.sum(w, req.Task).Plus(req.Need).Fits(w.info.Capacity) {
+			s.stats.CapacityRefusals++
+			s.violate(Violation{Rule: OverCapacity, Time: now, Task: req.Task, Workers: []table.WorkerID{id}})
+			return fault.New(fault.Capacity, "worker %s has no room for %s", id, req.Task)
+		}
+		s.stopOlder(w, req.Task, now, "Superseded")
+		s.begin(w, req, now)
+		return nil
+	})
+}
+
+// sum is what instances and running tasks other than one take of a worker.
+func (s *Server) sum(w *worker, besides table.TaskID) table.Resources {
+	var n table.Resources
+	for _, in := range s.hosts[len(s.hosts)-1].list.Instances {
+		if in.Worker == w.info.ID {
+			n = n.Plus(in.Need)
+		}
+	}
+	for _, r := range w.runs {
+		if r.state == api.RunRunning && r.task != besides {
+			n = n.Plus(r.need)
+		}
+	}
+	return n
+}
+
+func (s *Server) begin(w *worker, req api.StartRequest, now time.Time) {
+	r := &run{
+		runID: runID{req.Task, req.Token}, worker: w.info.ID, need: req.Need,
+		state: api.RunRunning, begun: now, last: now, until: req.Until, saved: -1, share: 1,
+	}
+	var broken string
+	r.payload, broken = parsePayload(req.Payload)
+	var from savedState
+	if len(req.Checkpoint) > 0 && json.Unmarshal(req.Checkpoint, &from) == nil {
+		r.from = from.DoneMillis
+		r.done = from.DoneMillis
+		r.saved = from.DoneMillis
+	}
+	w.runs[r.runID] = r
+	w.highest[req.Task] = req.Token
+	s.runs = append(s.runs, r)
+	s.noteStart(w, r, now)
+	_, _, fails := s.Faults.Take(func(f harness.Fault) bool {
+		return f.Action == FailStarts && (f.Worker == "" || f.Worker == w.info.ID)
+	})
+	if fails {
+		broken = "worker fails every start"
+	}
+	if broken != "" {
+		r.state = api.RunFailed
+		r.reason = broken
+		r.ended = now
+		s.noteEnd(w, r)
+	}
+}
+
+// stopOlder stops what runs of a task; no newer token than the caller's is known.
+func (s *Server) stopOlder(w *worker, task table.TaskID, now time.Time, reason string) {
+	for id, r := range w.runs {
+		if id.task == task && r.state == api.RunRunning {
+			r.halt(now, reason)
+			s.noteEnd(w, r)
+		}
+	}
+}
+
+func (s *Server) renew(ctx context.Context, id table.WorkerID, rs []api.Renewal) error {
+	return s.at(ctx, "Workers.Renew", id, func(w *worker, _ time.Time) error {
+		for _, n := range rs {
+			r := w.runs[runID{n.Task, n.Token}]
+			// A renewal that arrives out of order must not shorten the lease.
+			if r != nil && r.state == api.RunRunning && n.Until.After(r.until) {
+				r.until = n.Until
+			}
+		}
+		return nil
+	})
+}
+
+func (s *Server) stop(ctx context.Context, id table.WorkerID, task table.TaskID, token table.Token) (api.TaskStatus, error) {
+	st := api.TaskStatus{Task: task, Token: token, State: api.RunUnheard}
+	err := s.at(ctx, "Workers.Stop", id, func(w *worker, now time.Time) error {
+		w.stopped[task] = max(w.stopped[task], token)
+		if token >= w.highest[task] {
+			w.highest[task] = token
+			s.stopOlder(w, task, now, "StopCommand")
+		}
+		if r := w.runs[runID{task, token}]; r != nil {
+			st = r.status()
+		}
+		return nil
+	})
+	if err != nil {
+		return api.TaskStatus{}, err
+	}
+	return st, nil
+}
+
+// running returns a task that must run under this very token.
+func (w *worker) running(task table.TaskID, token table.Token) (*run, error) {
+	if token < w.highest[task] {
+		return nil, fault.New(fault.Stale, "token %d of %s is below %d", token, task, w.highest[task])
+	}
+	r := w.runs[runID{task, token}]
+	if r == nil || r.state != api.RunRunning {
+		return nil, fault.New(fault.NotFound, "%s does not run under token %d", task, token)
+	}
+	return r, nil
+}
+
+func (s *Server) checkpoint(ctx context.Context, id table.WorkerID, task table.TaskID, token table.Token) error {
+	return s.at(ctx, "Workers.Checkpoint", id, func(w *worker, _ time.Time) error {
+		r, err := w.running(task, token)
+		if err != nil {
+			return err
+		}
+		r.saved = r.done
+		return nil
+	})
+}
+
+func (s *Server) throttle(ctx context.Context, id table.WorkerID, task table.TaskID, token table.Token, share float64) error {
+	if !(share >= 0 && share <= 1) {
+		return fault.New(fault.Invalid, "share %v is not between 0 and 1", share)
+	}
+	return s.at(ctx, "Workers.Throttle", id, func(w *worker, _ time.Time) error {
+		r, err := w.running(task, token)
+		if err != nil {
+			return err
+		}
+		r.share = share
+		return nil
+	})
+}
+
+func (s *Server) report(ctx context.Context, id table.WorkerID) (api.Report, error) {
+	var rep api.Report
+	err := s.at(ctx, "Workers.Report", id, func(w *worker, now time.Time) error {
+		rep = s.lagged(w, now)
+		rep.Statuses = nil
+		for _, r := range w.runs {
+			rep.Statuses = append(rep.Statuses, r.status())
+		}
+		sort.Slice(rep.Statuses, func(i, j int) bool {
+			a, b := rep.Statuses[i], rep.Statuses[j]
+			return a.Task < b.Task || a.Task == b.Task && a.Token < b.Token
+		})
+		return nil
+	})
+	if err != nil {
+		return api.Report{}, err
+	}
+	return rep, nil
+}
+
+// lagged takes a sample of the usage and returns the newest one that is at least UsageLag old.
+func (s *Server) lagged(w *worker, now time.Time) api.Report {
+	sample := api.Report{Worker: w.info.ID, Taken: now}
+	for _, r := range w.runs {
+		if r.state == api.RunRunning {
+			sample.Tasks = append(sample.Tasks, r.usage())
+		}
+	}
+	sort.Slice(sample.Tasks, func(i, j int) bool { return sample.Tasks[i].Task < sample.Tasks[j].Task })
+	for _, in := range s.hosts[len(s.hosts)-1].list.Instances {
+		if u, ok := s.usage[in.ID]; ok && in.Worker == w.info.ID {
+			sample.Instances = append(sample.Instances, u)
+		}
+	}
+	w.samples = append(w.samples, sample)
+	newest := now.Add(-millis(s.cfg.UsageLag))
+	if w.samples[0].Taken.After(newest) {
+		return api.Report{Worker: w.info.ID}
+	}
+	for len(w.samples) > 1 && !w.samples[1].Taken.After(newest) {
+		w.samples = w.samples[1:]
+	}
+	return w.samples[0]
+}
+
+func (s *Server) forget(ctx context.Context, id table.WorkerID, rs []api.Renewal) error {
+	return s.at(ctx, "Workers.Forget", id, func(w *worker, _ time.Time) error {
+		for _, n := range rs {
+			k := runID{n.Task, n.Token}
+			if r := w.runs[k]; r != nil && r.state != api.RunRunning {
+				delete(w.runs, k)
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/standins/platform/hosts.go
@@ -0,0 +1,146 @@
+package platform
+
+import (
+	"context"
+	"math"
+	"time"
+
+	api "persimmonpick/platform"
+	"persimmonpick/standins/harness"
+	"persimmonpick/table"
+)
+
+// hostVersion is the list of hosts as it was from a time on; it is never changed.
+type hostVersion struct {
+	from time.Time
+	list api.HostList
+}
+
+// HostChange changes the hosts; removed workers lose their tasks.
+type HostChange struct {
+	Add             []api.WorkerInfo    `json:",omitempty"`
+	Leaving         []table.WorkerID    `json:",omitempty"` // marked as leaving
+	Staying         []table.WorkerID    `json:",omitempty"` // no longer marked
+	Remove          []table.WorkerID    `json:",omitempty"`
+	AddInstances    []table.Instance    `json:",omitempty"` // an instance with a known ID is replaced
+	RemoveInstances []table.InstanceID  `json:",omitempty"`
+	Usage           []api.InstanceUsage `json:",omitempty"` // what reports say about instances
+}
+
+// ChangeHosts applies a change, which the list shows after ListLag.
+func (s *Server) ChangeHosts(c HostChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, in := range c.Add {
+		w := s.workers[in.ID]
+		if w == nil {
+			w = newWorker()
+			s.workers[in.ID] = w
+		}
+		w.info = in
+		w.gone = false
+		w.listed = time.Time{}
+	}
+	s.mark(c.Leaving, true)
+	s.mark(c.Staying, false)
+	for _, id := range c.Remove {
+		if w := s.workers[id]; w != nil {
+			s.lose(w, now, "WorkerRemoved")
+			w.gone = true
+		}
+	}
+	for _, u := range c.Usage {
+		s.usage[u.Instance] = u
+	}
+	s.hosts = append(s.hosts, hostVersion{now, s.nextList(c)})
+}
+
+func (s *Server) mark(ids []table.WorkerID, leaving bool) {
+	for _, id := range ids {
+		if w := s.workers[id]; w != nil {
+			w.info.Leaving = leaving
+			w.listed = time.Time{}
+		}
+	}
+}
+
+// nextList keeps the order of the newest list and appends what is new.
+func (s *Server) nextList(c HostChange) api.HostList {
+	var prev, next api.HostList
+	if len(s.hosts) > 0 {
+		prev = s.hosts[len(s.hosts)-1].list
+	}
+	seen := map[table.WorkerID]bool{}
+	for _, in := range append(append([]api.WorkerInfo(nil), prev.Workers...), c.Add...) {
+		if w := s.workers[in.ID]; !w.gone && !seen[in.ID] {
+			seen[in.ID] = true
+			next.Workers = append(next.Workers, w.info)
+		}
+	}
+	replaced := map[table.InstanceID]bool{}
+	for _, id := range c.RemoveInstances {
+		replaced[id] = true
+	}
+	for _, in := range c.AddInstances {
+		replaced[in.ID] = true
+	}
+	for _, in := range prev.Instances {
+		if !replaced[in.ID] && seen[in.Worker] {
+			next.Instances = append(next.Instances, in)
+		}
+	}
+	next.Instances = append(next.Instances, c.AddInstances...)
+	return next
+}
+
+func (s *Server) list(ctx context.Context) (api.HostList, error) {
+	var l api.HostList
+	err := s.call(ctx, "Hosts.List", "", func(now time.Time) error {
+		l = s.shown(now)
+		s.noteListed(l, now)
+		return nil
+	})
+	if err != nil {
+		return api.HostList{}, err
+	}
+	return l, nil
+}
+
+// shown returns the list as of ListLag ago, as the faults distort it.
+func (s *Server) shown(now time.Time) api.HostList {
+	f, ok := s.Faults.Find(func(f harness.Fault) bool {
+		return f.Action == Stale || f.Action == Empty || f.Action == Short
+	})
+	if ok && f.Action == Stale && s.stale != nil {
+		return *s.stale
+	}
+	asOf := now.Add(-millis(s.cfg.ListLag))
+	for len(s.hosts) > 1 && !s.hosts[1].from.After(asOf) {
+		s.hosts = s.hosts[1:]
+	}
+	l := s.hosts[0].list
+	l.AsOf = asOf
+	if ok && f.Action == Empty {
+		return api.HostList{AsOf: asOf}
+	}
+	if ok && f.Action == Short {
+		l.Workers = l.Workers[:portion(len(l.Workers), f.Share)]
+		l.Instances = l.Instances[:portion(len(l.Instances), f.Share)]
+	}
+	return l
+}
+
+func portion(n int, share float64) int {
+	return int(math.Ceil(float64(n) * min(1, max(0, share))))
+}
+
+// noteListed remembers when an answer first showed a worker as leaving.
+func (s *Server) noteListed(l api.HostList, now time.Time) {
+	for _, in := range l.Workers {
+		w := s.workers[in.ID]
+		if in.Leaving && w.listed.IsZero() {
+			w.listed = now
+		}
+	}
+}
--- /dev/null
+++ b/standins/platform/server.go
@@ -0,0 +1,207 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"persimmonpick/fault"
+	api "persimmonpick/platform"
+	"persimmonpick/standins/harness"
+	"persimmonpick/table"
+)
+
+// The actions of faults; see standins/README.md.
+const (
+	Fail       harness.Action = "Fail"       // refuse as an outage does, before any effect
+	Drop       harness.Action = "Drop"       // close the connection before any effect
+	Refuse     harness.Action = "Refuse"     // refuse with Code
+	Slow       harness.Action = "Slow"       // wait for Delay, then run
+	LoseReply  harness.Action = "LoseReply"  // run, then close the connection
+	Late       harness.Action = "Late"       // close the connection, run after Delay
+	Freeze     harness.Action = "Freeze"     // hold calls until the fault ends; with a Worker, pause its tasks as well
+	Cut        harness.Action = "Cut"        // the worker is unreachable and runs on
+	Kill       harness.Action = "Kill"       // the worker loses its tasks and is unreachable while the fault lasts
+	FailStarts harness.Action = "FailStarts" // tasks that the worker starts fail at once
+	RunSlow    harness.Action = "RunSlow"    // tasks of the worker run slower by Factor
+	Stale      harness.Action = "Stale"      // the list of hosts stays as it is
+	Empty      harness.Action = "Empty"      // the list of hosts is empty
+	Short      harness.Action = "Short"      // the list of hosts keeps the first Share of its workers
+)
+
+// errDropped is an answer that never arrives: the HTTP handler closes the connection.
+var errDropped = errors.New("connection closed without an answer")
+
+// Config sets up a Server; zero values take the defaults.
+type Config struct {
+	Workers          []api.WorkerInfo
+	Instances        []table.Instance
+	ListLag          table.Millis // age of the list of hosts
+	UsageLag         table.Millis // least age of the usage in reports
+	AppendsPerSecond int          // 300 by default
+	RetainEntries    int          // entries of each stream that are kept, 100,000 by default
+	RetainFor        table.Millis // age at which entries are dropped, a day by default
+	LeaveGrace       table.Millis // how long after listing a worker as leaving a start is no violation, 5 s by default
+}
+
+// Stats counts what was asked of the stand-in.
+type Stats struct {
+	Calls            map[string]int // by function
+	AppendsRefused   int            // above the limit of appends a second
+	CapacityRefusals int
+	StaleRefusals    int
+}
+
+// Server is the stand-in; all of its state is in memory under one lock.
+type Server struct {
+	Faults *harness.Faults
+
+	cfg     Config
+	mu      sync.Mutex
+	stats   Stats
+	streams map[string]*stream
+	limit   *rate.Limiter
+	workers map[table.WorkerID]*worker
+	hosts   []hostVersion
+	stale   *api.HostList // what the list showed when a fault Stale was added
+	usage   map[table.InstanceID]api.InstanceUsage
+	ledger  []Event
+	runs    []*run
+	broken  []Violation
+}
+
+// New returns a running stand-in.
+func New(cfg Config) *Server {
+	cfg.AppendsPerSecond = orDefault(cfg.AppendsPerSecond, 300)
+	cfg.RetainEntries = orDefault(cfg.RetainEntries, 100_000)
+	cfg.RetainFor = table.Millis(orDefault(int(cfg.RetainFor), 24*3600*1000))
+	cfg.LeaveGrace = table.Millis(orDefault(int(cfg.LeaveGrace), 5000))
+	s := &Server{
+		Faults:  harness.NewFaults(Fail, Drop, Refuse, Slow, LoseReply, Late, Freeze, Cut, Kill, FailStarts, RunSlow, Stale, Empty, Short),
+		cfg:     cfg,
+		stats:   Stats{Calls: map[string]int{}},
+		streams: map[string]*stream{},
+		limit:   rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), max(1, cfg.AppendsPerSecond/10)),
+		workers: map[table.WorkerID]*worker{},
+		usage:   map[table.InstanceID]api.InstanceUsage{},
+	}
+	s.Faults.Before = s.beforeFault
+	s.ChangeHosts(HostChange{Add: cfg.Workers, AddInstances: cfg.Instances})
+	s.hosts = s.hosts[len(s.hosts)-1:]
+	s.hosts[0].from = time.Time{}
+	return s
+}
+
+func orDefault(n, def int) int {
+	if n == 0 {
+		return def
+	}
+	return n
+}
+
+// Platform returns the functions of the stand-in for use without HTTP.
+func (s *Server) Platform() api.Platform {
+	return api.Platform{
+		Log:   api.Log{Append: s.append, Read: s.read},
+		Hosts: api.Hosts{List: s.list},
+		Workers: api.Workers{
+			Start: s.start, Renew: s.renew, Stop: s.stop, Checkpoint: s.checkpoint,
+			Throttle: s.throttle, Report: s.report, Forget: s.forget,
+		},
+	}
+}
+
+// Stats returns a copy of the counts.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.stats
+	c.Calls = map[string]int{}
+	for f, n := range s.stats.Calls {
+		c.Calls[f] = n
+	}
+	return c
+}
+
+// call runs op under the lock as the faults in force allow it.
+func (s *Server) call(ctx context.Context, function string, w table.WorkerID, op func(now time.Time) error) error {
+	f, over, ok := s.Faults.Take(func(f harness.Fault) bool { return onCall(f, function, w) })
+	if !ok {
+		return s.run(function, op)
+	}
+	switch f.Action {
+	case Fail:
+		return fault.New(outage(function), "%s fails on demand", function)
+	case Refuse:
+		return fault.New(fault.ParseKind(f.Code), "%s is refused on demand", function)
+	case LoseReply:
+		if err := s.run(function, op); err != nil {
+			return err
+		}
+		return dropped(function)
+	case Late:
+		time.AfterFunc(millis(f.Delay), func() { _ = s.run(function, op) })
+		return dropped(function)
+	case Slow:
+		if err := wait(ctx, function, time.After(millis(f.Delay)), nil); err != nil {
+			return err
+		}
+		return s.run(function, op)
+	case Freeze:
+		if err := wait(ctx, function, nil, over); err != nil {
+			return err
+		}
+		return s.call(ctx, function, w, op)
+	}
+	return dropped(function) // Drop, Cut, Kill
+}
+
+func (s *Server) run(function string, op func(now time.Time) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Calls[function]++
+	return op(time.Now())
+}
+
+// onCall says whether f affects calls of a function at a worker.
+func onCall(f harness.Fault, function string, w table.WorkerID) bool {
+	switch f.Action {
+	case FailStarts, RunSlow, Stale, Empty, Short:
+		return false
+	case Cut, Kill:
+		return w != "" && f.Worker == w
+	}
+	if f.Worker != "" && f.Worker != w {
+		return false
+	}
+	return f.Target == "" || f.Target == function || strings.HasPrefix(function, f.Target+".")
+}
+
+func dropped(function string) error {
+	return fault.Wrap(errDropped, outage(function), "%s got no answer; the outcome is unknown", function)
+}
+
+func outage(function string) fault.Kind {
+	if strings.HasPrefix(function, "Log.") {
+		return fault.LogUnavailable
+	}
+	return fault.PlatformFailed
+}
+
+func wait(ctx context.Context, function string, timer <-chan time.Time, over <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), outage(function), "%s was given up while it waited", function)
+	case <-timer:
+	case <-over:
+	}
+	return nil
+}
+
+func millis(n table.Millis) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
