Add stand-ins for a backend server and a fault-injecting TCP proxy

Cause: routing and failure scenarios need a backend that counts what ran and a network that fails on demand.

--- /dev/null
+++ b/standins/backend/serve.go
@@ -0,0 +1,209 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonpick/standins/harness"
+	"persimmonpick/table"
+)
+
+// lingerTime is how long a connection with extra bytes stays open for its client to use again.
+const lingerTime = time.Second
+
+// Request is the JSON that a request body may hold; a body of another form takes the defaults.
+type Request struct {
+	ServiceMillis float64 // header X-Service-Millis does the same
+	AnswerBytes   int     // padding of the answer
+}
+
+// Answer is the JSON of an answer.
+type Answer struct {
+	RequestID string
+	Instance  string
+	Key       string
+	Digest    string // xxhash of the request body
+	Pad       string
+}
+
+type answer struct {
+	id   string
+	body []byte
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, harness.MaxBody))
+	if !s.admit(r, len(body), err == nil) {
+		w.Header().Set(HeaderRefused, "NoSlot")
+		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.release()
+	if err != nil {
+		http.Error(w, "body was not received whole", http.StatusBadRequest)
+		return
+	}
+	f, over, _ := s.Faults.Take(func(harness.Fault) bool { return true })
+	if f.Action == CloseBefore {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Action == Freeze {
+		select {
+		case <-over:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	var in Request
+	_ = json.Unmarshal(body, &in)
+	if !s.work(r, s.duration(r, in, f)) {
+		http.Error(w, "request was cut short", http.StatusGatewayTimeout)
+		return
+	}
+	a, previous := s.finish(r, in, body)
+	s.reply(w, f, a, previous)
+}
+
+// admit takes a slot and says whether one was free.
+func (s *Server) admit(r *http.Request, size int, whole bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(r.Context())
+	s.stats.Bytes += table.Bytes(size)
+	if whole {
+		s.stats.Requests++
+	}
+	if s.stats.SlotsInUse == s.cfg.Slots {
+		s.stats.SlotViolations++
+		return false
+	}
+	s.stats.SlotsInUse++
+	s.stats.HighestSlots = max(s.stats.HighestSlots, s.stats.SlotsInUse)
+	return true
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.SlotsInUse--
+}
+
+func (s *Server) duration(r *http.Request, in Request, f harness.Fault) time.Duration {
+	d := time.Duration(in.ServiceMillis * float64(time.Millisecond))
+	if ms, err := strconv.ParseFloat(r.Header.Get(HeaderService), 64); err == nil {
+		d = time.Duration(ms * float64(time.Millisecond))
+	}
+	if d <= 0 {
+		d = s.serviceTime()
+	}
+	if f.Action == Slow {
+		d = time.Duration(float64(d) * f.Factor)
+	}
+	return d
+}
+
+// work runs a request for d and says whether it was not cut short.
+func (s *Server) work(r *http.Request, d time.Duration) bool {
+	s.mu.Lock()
+	s.stats.Runs++
+	s.stats.RunsByID[r.Header.Get(HeaderRequestID)]++
+	if key := r.Header.Get(HeaderKey); key != "" {
+		s.stats.RunsByKey[key]++
+	}
+	s.mu.Unlock()
+	ctx := r.Context()
+	if ms, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64); err == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, time.UnixMilli(ms))
+		defer cancel()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Context().Err() != nil {
+		s.stats.Cancelled++
+	} else {
+		s.stats.Late++
+	}
+	return false
+}
+
+func (s *Server) finish(r *http.Request, in Request, body []byte) (a, previous answer) {
+	a.id = r.Header.Get(HeaderRequestID)
+	a.body, _ = json.Marshal(Answer{
+		RequestID: a.id,
+		Instance:  s.cfg.Name,
+		Key:       r.Header.Get(HeaderKey),
+		Digest:    fmt.Sprintf("%016x", xxhash.Sum64(body)),
+		Pad:       strings.Repeat("x", min(max(0, in.AnswerBytes), harness.MaxBody)),
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Finished++
+	previous = s.last
+	s.last = a
+	if previous.body == nil || previous.id == a.id {
+		previous = answer{"other-request", []byte(`{"RequestID":"other-request"}`)}
+	}
+	return a, previous
+}
+
+func (s *Server) reply(w http.ResponseWriter, f harness.Fault, a, previous answer) {
+	switch f.Action {
+	case Fail:
+		w.Header().Set(HeaderRequestID, a.id)
+		http.Error(w, "fails on demand", http.StatusInternalServerError)
+	case CloseAfter:
+		panic(http.ErrAbortHandler)
+	case Truncate:
+		writeAnswer(w, a, len(a.body)/2)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case WrongLength:
+		writeRaw(w, rawAnswer(a, len(a.body)/2))
+	case ExtraBytes:
+		writeRaw(w, append(rawAnswer(a, len(a.body)), rawAnswer(previous, len(previous.body))...))
+	case WrongAnswer:
+		writeAnswer(w, previous, len(previous.body))
+	default:
+		writeAnswer(w, a, len(a.body))
+	}
+}
+
+// writeAnswer writes the first n bytes under the true length.
+func writeAnswer(w http.ResponseWriter, a answer, n int) {
+	w.Header().Set(HeaderRequestID, a.id)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	_, _ = w.Write(a.body[:n])
+}
+
+// rawAnswer is a whole answer on the wire under the given length.
+func rawAnswer(a answer, length int) []byte {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", HeaderRequestID, a.id, length)
+	return append([]byte(head), a.body...)
+}
+
+// writeRaw takes the connection over from the HTTP server, which would not write a wrong answer.
+func writeRaw(w http.ResponseWriter, data []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = c.Write(data)
+	time.AfterFunc(lingerTime, func() { _ = c.Close() })
+}
--- /dev/null
+++ b/standins/faultproxy/faultproxy_test.go
@@ -0,0 +1,122 @@
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// echo serves a listener that sends back what it receives and reports it on got.
+func echo(t *testing.T) (address string, got <-chan string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	ch := make(chan string, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 64)
+				for {
+					n, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					ch <- string(buf[:n])
+					_, _ = c.Write(buf[:n])
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), ch
+}
+
+func start(t *testing.T, s Setting) (*Proxy, net.Conn, <-chan string) {
+	is := is.New(t)
+	address, got := echo(t)
+	p, err := Listen("127.0.0.1:0", address)
+	is.NoErr(err)
+	t.Cleanup(p.Close)
+	is.NoErr(p.Set(s))
+	c, err := net.Dial("tcp", p.Address())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	return p, c, got
+}
+
+// ask writes hello and reads whatever comes back within d.
+func ask(c net.Conn, d time.Duration) (string, error) {
+	if _, err := io.WriteString(c, "hello"); err != nil {
+		return "", err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	buf := make([]byte, 5)
+	n, err := io.ReadFull(c, buf)
+	return string(buf[:n]), err
+}
+
+const (
+	long  = 5 * time.Second
+	short = 50 * time.Millisecond
+)
+
+// Guards against a mode that lets bytes through or holds them when it should not.
+func TestModes(t *testing.T) {
+	t.Run("Delay", func(t *testing.T) {
+		is := is.New(t)
+		_, c, _ := start(t, Setting{Mode: Delay, Delay: 20})
+		begun := time.Now()
+		answer, err := ask(c, long)
+		is.NoErr(err)
+		is.Equal(answer, "hello")
+		is.True(time.Since(begun) >= 40*time.Millisecond)
+	})
+	t.Run("DropReplies", func(t *testing.T) {
+		is := is.New(t)
+		_, c, got := start(t, Setting{Mode: DropReplies})
+		_, err := ask(c, short)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		is.Equal(<-got, "hello")
+	})
+	t.Run("HalfOpen", func(t *testing.T) {
+		is := is.New(t)
+		_, c, got := start(t, Setting{Mode: HalfOpen})
+		_, err := ask(c, short)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		is.Equal(len(got), 0)
+	})
+	t.Run("Freeze", func(t *testing.T) {
+		is := is.New(t)
+		p, c, got := start(t, Setting{Mode: Freeze})
+		_, err := ask(c, short)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		is.Equal(len(got), 0)
+		is.NoErr(p.Set(Setting{Mode: Pass}))
+		is.Equal(<-got, "hello") // what was held arrives late
+	})
+	t.Run("Cut", func(t *testing.T) {
+		is := is.New(t)
+		p, c, _ := start(t, Setting{Mode: Pass})
+		_, err := ask(c, long)
+		is.NoErr(err)
+		is.NoErr(p.Set(Setting{Mode: Cut}))
+		_, err = ask(c, long)
+		is.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
+	})
+	t.Run("Truncate", func(t *testing.T) {
+		is := is.New(t)
+		_, c, _ := start(t, Setting{Mode: Truncate, Bytes: 3})
+		answer, err := ask(c, long)
+		is.Equal(answer, "hel")
+		is.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
+	})
+}
--- /dev/null
+++ b/standins/faultproxy/pump.go
@@ -0,0 +1,133 @@
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"persimmonpick/standins/harness"
+)
+
+var errCut = errors.New("connection was cut by the proxy")
+
+func (p *Proxy) serve(client net.Conn) {
+	defer p.drop(client)
+	if s, _ := p.now(); s.Mode == HalfOpen {
+		// The bytes are read so that the client can go on sending; it alone or Cut ends this.
+		_, _ = io.Copy(io.Discard, client)
+		return
+	}
+	server, err := net.DialTimeout("tcp", p.target, dialTimeout)
+	if err != nil {
+		reset(client)
+		return
+	}
+	if !p.add(server) {
+		reset(client)
+		return
+	}
+	defer p.drop(server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.pump(server, client, false)
+	}()
+	p.pump(client, server, true)
+	<-done
+}
+
+// pump forwards one direction until it ends and passes its end on.
+func (p *Proxy) pump(to, from net.Conn, answers bool) {
+	buf := make([]byte, chunk)
+	sent := 0
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			var out int
+			out, err = p.forward(to, buf[:n], answers, sent)
+			sent += out
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) && p.passEnd(to) {
+			return
+		}
+		reset(to)
+		reset(from)
+		return
+	}
+}
+
+// passEnd closes the sending side of a connection once the mode lets bytes through.
+func (p *Proxy) passEnd(to net.Conn) bool {
+	if _, err := p.await(); err != nil {
+		return false
+	}
+	t, ok := to.(*net.TCPConn)
+	return ok && t.CloseWrite() == nil
+}
+
+// await waits while the proxy is frozen.
+func (p *Proxy) await() (Setting, error) {
+	for {
+		s, changed := p.now()
+		if p.isClosed() || s.Mode == Cut {
+			return s, errCut
+		}
+		if s.Mode != Freeze {
+			return s, nil
+		}
+		<-changed
+	}
+}
+
+func (p *Proxy) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+// forward sends one chunk as the mode asks and returns the bytes that count for Truncate.
+func (p *Proxy) forward(to net.Conn, data []byte, answers bool, sent int) (int, error) {
+	s, err := p.await()
+	if err != nil {
+		return 0, err
+	}
+	if s.Mode == Delay {
+		time.Sleep(time.Duration(s.Delay) * time.Millisecond)
+	}
+	if answers && s.Mode == DropReplies {
+		return 0, nil
+	}
+	if answers && s.Mode == Truncate && sent+len(data) >= s.Bytes {
+		_, _ = to.Write(data[:max(0, s.Bytes-sent)])
+		_ = to.Close() // not a reset, which could overtake the bytes
+		return 0, errCut
+	}
+	n, err := to.Write(data)
+	if s.Mode != Truncate {
+		n = 0
+	}
+	return n, err
+}
+
+// Admin serves GET and POST of the setting at /mode.
+func (p *Proxy) Admin() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/mode", func(w http.ResponseWriter, _ *http.Request) {
+		harness.Answer(w, p.Setting(), nil)
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/mode", func(w http.ResponseWriter, r *http.Request) {
+		var s Setting
+		if harness.Decode(w, r, &s) {
+			err := p.Set(s)
+			harness.Answer(w, p.Setting(), err)
+		}
+	}).Methods(http.MethodPost)
+	return r
+}
--- a/standins/harness/serve.go
+++ b/standins/harness/serve.go
@@ -14,11 +14,13 @@
 )
 
 const (
-	stopTimeout       = 2 * time.Second
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	stopTimeout = 2 * time.Second
+	idleTimeout = 2 * time.Minute
 )
 
+// ReadHeaderTimeout ends connections of clients that do not send their header.
+const ReadHeaderTimeout = 10 * time.Second
+
 // Flags are the flags of every stand-in.
 func Flags() []cli.Flag {
 	return []cli.Flag{
@@ -45,19 +47,23 @@
 	return ctx, func() { cancel(); stop() }
 }
 
-// Serve listens, prints the line Listening=<address>, and serves srv until SIGTERM or max-life.
-func Serve(c *cli.Context, srv *http.Server) error {
+// Serve listens, prints the line Listening=<address>, and serves srv until SIGTERM or max-life; wrap may be nil.
+func Serve(c *cli.Context, srv *http.Server, wrap func(net.Listener) net.Listener) error {
 	ctx, cancel := Life(c)
 	defer cancel()
 	l, err := net.Listen("tcp", c.String("listen"))
 	if err != nil {
 		return err
 	}
-	srv.ReadHeaderTimeout = readHeaderTimeout
+	address := l.Addr()
+	if wrap != nil {
+		l = wrap(l)
+	}
+	srv.ReadHeaderTimeout = ReadHeaderTimeout
 	srv.IdleTimeout = idleTimeout
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(l) }()
-	fmt.Printf("Listening=%s\n", l.Addr())
+	fmt.Printf("Listening=%s\n", address)
 	select {
 	case err = <-ended:
 		return err
--- a/standins/platformd/main.go
+++ b/standins/platformd/main.go
@@ -34,5 +34,5 @@
 			return err
 		}
 	}
-	return harness.Serve(c, &http.Server{Handler: platform.New(cfg).Handler()})
+	return harness.Serve(c, &http.Server{Handler: platform.New(cfg).Handler()}, nil)
 }
