--- a/journal/chunk.go
+++ b/journal/chunk.go
@@ -11,8 +11,8 @@
 
 // Bounds of snapshots.
 const (
-	chunkSize      = 256 << 10 // bytes of one chunk
-	maxChunks      = 4096      // chunks of one snapshot: 1 GiB
+	chunkSize      = 512 << 10 // bytes of one chunk; the log need not accept entries above 1 MiB
+	maxChunks      = 1024      // chunks of one snapshot: 512 MiB
 	maxUnfinished  = 4         // snapshots that the assembler holds in part
 	snapshotFormat = 1
 )
@@ -55,7 +55,7 @@
 		c.Sum = c.sum()
 		data, err := encMode.Marshal(&c)
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "encode chunk %d", i)
+			return nil, fault.Wrap(err, fault.Internal, "encode chunk %d: %v", i, err)
 		}
 		chunks = append(chunks, data)
 	}
@@ -66,7 +66,7 @@
 func decodeChunk(data []byte) (*chunk, error) {
 	c := &chunk{}
 	if err := decMode.Unmarshal(data, c); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "decode chunk")
+		return nil, fault.Wrap(err, fault.Invalid, "decode chunk: %v", err)
 	}
 	if c.Format != snapshotFormat {
 		return nil, fault.New(fault.Invalid, "chunk of unknown format %d", c.Format)
--- a/journal/load.go
+++ b/journal/load.go
@@ -26,7 +26,7 @@
 	}
 	t, err = r.cfg.FromPeer(ctx)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.NotReady, "no tables from the log or a peer")
+		return nil, fault.Wrap(err, fault.NotReady, "no tables from the log or a peer: %v", err)
 	}
 	if t == nil {
 		return nil, fault.New(fault.NotReady, "no tables from the log or a peer")
--- a/journal/proposal.go
+++ b/journal/proposal.go
@@ -24,8 +24,8 @@
 	done    func(Result, error)
 }
 
-// newProposal checks and measures records.
-func newProposal(records []Record, done func(Result, error)) (*proposal, error) {
+// newProposal checks and measures records, which must fit into one entry of maxEntry bytes.
+func newProposal(records []Record, maxEntry int, done func(Result, error)) (*proposal, error) {
 	if len(records) == 0 {
 		return nil, fault.New(fault.Invalid, "a proposal needs a record")
 	}
@@ -34,10 +34,10 @@
 	}
 	data, err := encMode.Marshal(&Batch{Records: records})
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "encode proposal")
+		return nil, fault.Wrap(err, fault.Invalid, "encode proposal: %v", err)
 	}
-	if len(data)+batchOverhead > MaxEntry {
-		return nil, fault.New(fault.TooLarge, "proposal of %d bytes is above the limit of %d", len(data), MaxEntry)
+	if len(data)+batchOverhead > maxEntry {
+		return nil, fault.New(fault.TooLarge, "proposal of %d bytes is above the limit of %d", len(data), maxEntry)
 	}
 	if _, err := Decode(data); err != nil {
 		return nil, err
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"context"
 	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"persimmonpick/fault"
-	"persimmonpick/platform"
 	"persimmonpick/table"
 )
 
@@ -56,26 +54,29 @@
 
 // EncodeSnapshot returns the entries of the snapshot stream that hold t.
 func EncodeSnapshot(t *table.Tables) ([][]byte, error) {
-	body, err := encMode.Marshal(newImage(t))
+	image, err := encMode.Marshal(newImage(t))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode tables at offset %d", t.Applied)
+		return nil, fault.Wrap(err, fault.Internal, "encode tables at offset %d: %v", t.Applied, err)
+	}
+	body, err := deflate(image)
+	if err != nil {
+		return nil, err
 	}
 	return split(t.Applied, body)
 }
 
-// WriteSnapshot appends t to the snapshot stream; t must not change meanwhile. It tries nothing twice, as the next
-// snapshot replaces this one.
-func WriteSnapshot(ctx context.Context, log platform.Log, t *table.Tables) error {
-	chunks, err := EncodeSnapshot(t)
-	if err != nil {
-		return err
-	}
-	for i, data := range chunks {
-		if _, err := log.Append(ctx, SnapshotStream, data); err != nil {
-			return fault.Wrap(err, fault.LogUnavailable, "append chunk %d of %d", i+1, len(chunks))
+// DecodeSnapshot returns the tables that the result of EncodeSnapshot holds.
+func DecodeSnapshot(chunks [][]byte) (*table.Tables, error) {
+	a := NewAssembler()
+	for _, c := range chunks {
+		if err := a.Add(c); err != nil {
+			return nil, err
 		}
 	}
-	return nil
+	if a.Newest() == nil {
+		return nil, fault.New(fault.Invalid, "snapshot of %d chunks is not whole", len(chunks))
+	}
+	return a.Newest(), nil
 }
 
 func newImage(t *table.Tables) *image {
@@ -103,9 +104,13 @@
 
 // decodeTables returns the tables whose image is in body.
 func decodeTables(body []byte) (*table.Tables, error) {
+	data, err := inflate(body)
+	if err != nil {
+		return nil, err
+	}
 	m := &image{}
-	if err := imageDecMode.Unmarshal(body, m); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "decode snapshot")
+	if err := imageDecMode.Unmarshal(data, m); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "decode snapshot: %v", err)
 	}
 	if !m.complete() {
 		return nil, fault.New(fault.Invalid, "snapshot at offset %d holds entities that do not fit together", m.Applied)
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -17,7 +17,8 @@
 // Defaults of WriterConfig.
 const (
 	defaultDelay     = 5 * time.Millisecond
-	defaultMaxBatch  = 1 << 20
+	defaultMaxBatch  = 256 << 10
+	defaultMaxEntry  = 1 << 20
 	defaultMaxQueue  = 4096
 	defaultMaxAhead  = 64
 	defaultAppend    = 10 * time.Second
@@ -32,6 +33,7 @@
 	Incarnation    table.Incarnation
 	Delay          time.Duration // longest wait to fill a batch
 	MaxBatch       int           // bytes at which a batch is sent at once
+	MaxEntry       int           // bytes of the largest entry that the log accepts, at most MaxEntry of the package
 	MaxQueue       int           // proposals that may wait to be sent
 	MaxAhead       int           // batches that may be appended and not yet folded
 	AppendTimeout  time.Duration // longest time of one append
@@ -75,6 +77,9 @@
 	setDuration(&cfg.BackoffMin, defaultBackoff)
 	setDuration(&cfg.BackoffMax, defaultBackoffTo)
 	setInt(&cfg.MaxBatch, defaultMaxBatch)
+	setInt(&cfg.MaxEntry, defaultMaxEntry)
+	cfg.MaxEntry = min(cfg.MaxEntry, MaxEntry)
+	cfg.MaxBatch = min(cfg.MaxBatch, cfg.MaxEntry)
 	setInt(&cfg.MaxQueue, defaultMaxQueue)
 	setInt(&cfg.MaxAhead, defaultMaxAhead)
 	if cfg.Logger == nil {
@@ -106,7 +111,7 @@
 		err    error
 	}
 	ch := make(chan outcome, 1)
-	p, err := newProposal(records, func(r Result, err error) { ch <- outcome{r, err} })
+	p, err := newProposal(records, w.cfg.MaxEntry, func(r Result, err error) { ch <- outcome{r, err} })
 	if err != nil {
 		return Result{}, err
 	}
@@ -129,7 +134,7 @@
 //
 // It is called before Submit returns if the proposal is refused, by Folded or Reloaded on their goroutine, or by Run.
 func (w *Writer) Submit(records []Record, done func(Result, error)) {
-	p, err := newProposal(records, done)
+	p, err := newProposal(records, w.cfg.MaxEntry, done)
 	if err == nil {
 		err = w.enqueue(p)
 	}
--- a/journal/writer_run.go
+++ b/journal/writer_run.go
@@ -116,7 +116,7 @@
 		p.state = proposalDone
 	}
 	w.mu.Unlock()
-	err = fault.Wrap(err, fault.Invalid, "encode batch")
+	err = fault.Wrap(err, fault.Invalid, "encode batch: %v", err)
 	fail(taken, err)
 	return nil, err
 }
@@ -162,7 +162,7 @@
 		select {
 		case <-fl.resolved:
 			return true
-		case <-time.After(w.cfg.ResolveTimeout + w.backoff(attempt)):
+		case <-time.After(w.pause(attempt, err)):
 		case <-ctx.Done():
 			return false
 		}
@@ -197,11 +197,17 @@
 	fail(fl.proposals, err)
 }
 
-// backoff returns a random pause that doubles with each attempt up to BackoffMax.
-func (w *Writer) backoff(attempt int) time.Duration {
-	return backoff(attempt, w.cfg.BackoffMin, w.cfg.BackoffMax)
+// pause returns how long to wait after a failed append. A log that refuses an append because of its rate has not taken
+// it, so that there is nothing to read on for.
+func (w *Writer) pause(attempt int, err error) time.Duration {
+	d := backoff(attempt, w.cfg.BackoffMin, w.cfg.BackoffMax)
+	if fault.Of(err) == fault.Overloaded {
+		return d
+	}
+	return w.cfg.ResolveTimeout + d
 }
 
+// backoff returns a random pause between half of d and d, where d doubles with each attempt from least up to most.
 func backoff(attempt int, least, most time.Duration) time.Duration {
 	d := most
 	if attempt < 16 {
