--- a/journal/apply_test.go
+++ b/journal/apply_test.go
@@ -182,6 +182,7 @@
 		{"FinishedBeforeStartSeen", "k1", 1, g, LeaseFinished, fault.None, table.TaskFinished},
 		{"FinishedThoughCancelled", "k1", 1, g + s + c, LeaseFinished, fault.None, table.TaskFinished},
 		{"FailedAgain", "k1", 2, g + s, LeaseFailed, fault.None, table.TaskPending},
+		{"FailedAtMost", "k1", 1, g + s, LeaseFailed, fault.None, table.TaskFailed},
 		{"FailedForGood", "k1", 0, g + s, LeaseFailed, fault.None, table.TaskFailed},
 		{"FailedOnce", "once", 5, g + s, LeaseFailed, fault.None, table.TaskFailed},
 		{"FailedCancelled", "k1", 2, g + s + c, LeaseFailed, fault.None, table.TaskCancelled},
@@ -210,6 +211,8 @@
 			}
 			if strings.Contains(tc.steps, r) {
 				is.Equal(f.one(revoke("j/0", token)), fault.None)
+				is.Equal(f.one(revoke("j/0", token)), fault.None)
+				is.Equal(f.t.Tasks["j/0"].Lease.Revoked, f.off-1) // the first revocation counts
 			}
 			if strings.Contains(tc.steps, c) {
 				is.Equal(f.one(Record{JobCancelled: &JobCancelled{Job: "j"}}), fault.None)
@@ -255,6 +258,34 @@
 	}
 }
 
+// Guards against two leases or claims under one token, which a batch that guesses its own offset could make.
+func TestTokensAreUniqueWithinABatch(t *testing.T) {
+	is := is.New(t)
+	f := newFolder()
+	f.fold(submit("j", 1, nil))
+	is.Equal(f.fold(grant("j/0", "w1", 5), end("j/0", f.off+1, LeaseNotStarted), grant("j/0", "w1", 5)),
+		[]fault.Kind{fault.None, fault.None, fault.Conflict})
+	key := table.ClaimKey{Key: "a"}
+	made := Record{ClaimMade: &ClaimMade{Key: key, Seat: "s1", Incarnation: "me"}}
+	ended := Record{ClaimEnded: &ClaimEnded{Key: key, Made: f.off + 1, State: table.ClaimNotRun}}
+	is.Equal(f.fold(made, ended, made), []fault.Kind{fault.None, fault.None, fault.Conflict})
+}
+
+// Guards against a cancellation that is refused when repeated, or that undoes an end.
+func TestCancellations(t *testing.T) {
+	is := is.New(t)
+	f := newFolder()
+	cancel := func(id table.JobID) Record { return Record{JobCancelled: &JobCancelled{Job: id}} }
+	f.fold(submit("j", 2, nil), submit("done", 1, nil), grant("j/0", "w1", 5), grant("done/0", "w1", 5))
+	token := f.off
+	is.Equal(f.fold(cancel("j"), cancel("j"), cancel("none")), []fault.Kind{fault.None, fault.None, fault.NotFound})
+	is.Equal(f.t.Jobs["j"].State, table.JobRunning)
+	is.Equal(f.fold(end("j/0", token, LeaseStopped), end("done/0", token, LeaseFinished)), make([]fault.Kind, 2))
+	is.Equal(f.fold(cancel("j"), cancel("done")), []fault.Kind{fault.None, fault.Conflict})
+	is.Equal(f.t.Jobs["j"].State, table.JobCancelled)
+	is.Equal(f.t.Jobs["done"].State, table.JobFinished)
+}
+
 // Guards against a gang that starts in part, and against grants beyond the quota.
 func TestGangsAndQuota(t *testing.T) {
 	is := is.New(t)
@@ -314,8 +345,13 @@
 	is.Equal(f.one(made(2)), fault.Conflict)
 	is.Equal(f.one(Record{Expired: &Expired{Claims: off - 1}}), fault.None)
 	is.Equal(f.t.Claims[key].State, table.ClaimDone)
-	is.Equal(f.one(Record{Expired: &Expired{Claims: off, Writers: f.off}}), fault.None)
+	running := Record{ClaimMade: &ClaimMade{Key: table.ClaimKey{Key: "b"}, Seat: "s1", Incarnation: "me"}}
+	is.Equal(f.one(running), fault.None)
+	expired := Record{Expired: &Expired{Claims: f.off, Writers: f.off}}
+	f.off++
+	is.Equal(Apply(f.t, f.off, &Batch{Writer: "third", Seq: 1, Records: []Record{expired}})[0], fault.None)
 	is.True(f.t.Claims[key] == nil)
+	is.Equal(len(f.t.Claims), 1)         // the running one stays
 	is.True(f.t.Writers["other"] == nil) // holds no seat
 	is.True(f.t.Writers["me"] != nil)
 }
@@ -374,6 +410,11 @@
 		is.Equal(f.one(plan(Version(f.t, &in), in)), fault.None)
 		is.Equal(f.one(plan(f.off, Intent{Type: RemoveDrain, Drain: d})), fault.None)
 	}
+	chunks, err := EncodeSnapshot(f.t)
+	is.NoErr(err)
+	same, err := DecodeSnapshot(chunks)
+	is.NoErr(err)
+	is.Equal(same, f.t)
 	is.Equal(len(f.t.Removed), maxRemoved)
 	is.Equal(len(f.t.Plans), maxPlans)
 	is.Equal(f.one(plan(0, Intent{Type: SetDrain, Drain: &table.Drain{Worker: table.WorkerID(rune(0x4e00))}})), fault.Stale)
--- a/journal/reader_test.go
+++ b/journal/reader_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonpick/platform"
 	"persimmonpick/table"
 )
 
@@ -61,6 +62,18 @@
 	})
 }
 
+// Guards against a gap in a page that is folded over, and against an entry that is folded twice.
+func TestReaderRefusesGaps(t *testing.T) {
+	is := is.New(t)
+	r := NewReader(ReaderConfig{})
+	r.next = 5
+	_, err := r.decode([]platform.Entry{{Offset: 5}, {Offset: 7}})
+	is.Equal(err, errAhead)
+	entries, err := r.decode([]platform.Entry{{Offset: 4}, {Offset: 5}})
+	is.NoErr(err)
+	is.Equal(len(entries), 1)
+}
+
 // Guards against a start that ignores the snapshot or takes one that the log cannot continue.
 func TestReaderStarts(t *testing.T) {
 	cases := []struct {
--- a/journal/snapshot_test.go
+++ b/journal/snapshot_test.go
@@ -86,6 +86,12 @@
 	is.New(t).NoErr(err)
 	_, err = DecodeSnapshot(sound)
 	is.New(t).NoErr(err)
+	body, err := deflate(snapshotOf(t, largeTables(t, 2)))
+	is.New(t).NoErr(err)
+	moved, err := split(1, body) // tables under the offset of others
+	is.New(t).NoErr(err)
+	_, err = DecodeSnapshot(moved)
+	is.New(t).Equal(fault.Of(err), fault.Invalid)
 	_, err = DecodeSnapshot(nil)
 	is.New(t).Equal(fault.Of(err), fault.Invalid)
 	breakages := map[string]func(*table.Tables){
