--- a/journal/delivery.go
+++ b/journal/delivery.go
@@ -17,5 +17,5 @@
 	Tables  *table.Tables // if set, it replaces the receiver's tables before Entries are folded
 	Entries []Entry       // in order of offset, each one above the last
 	AtEnd   bool          // nothing followed Entries in the log when the read was answered
-	Began   time.Time     // local time when the read began; it showed all that was appended before
+	Began   time.Time     // local time when the read began, which showed all that was appended before; zero with Tables
 }
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -67,10 +67,7 @@
 			return
 		}
 		r.cfg.Logger.Warn("log not read", slog.Uint64("Next", uint64(r.next)), slog.Any("Error", err))
-		select {
-		case <-time.After(backoff(failures, r.cfg.BackoffMin, r.cfg.BackoffMax)):
-		case <-ctx.Done():
-		}
+		r.pause(ctx, backoff(failures, r.cfg.BackoffMin, r.cfg.BackoffMax))
 		failures++
 	}
 }
@@ -125,9 +122,19 @@
 		r.cfg.Logger.Error("log ends before entries that it returned earlier", slog.Uint64("End", uint64(page.End)))
 	}
 	r.cfg.Deliver(Delivery{Entries: entries, AtEnd: r.next == page.End, Began: began})
+	if len(entries) == 0 && time.Since(began) < r.cfg.Wait/2 {
+		r.pause(ctx, r.cfg.BackoffMin) // the log answered without waiting
+	}
 	return nil
 }
 
+func (r *Reader) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // read bounds the time of one read.
 func (r *Reader) read(
 	ctx context.Context, stream string, from table.Offset, n int, wait time.Duration,
--- a/journal/reader_test.go
+++ b/journal/reader_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,7 +126,9 @@
 	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
 		l.setDown(true)
 		peerTables := fill(newFakeLog(), 10)
-		h := startHost(ctx, l, "me", func(context.Context) (*table.Tables, error) { return CloneTables(peerTables), nil })
+		var peer atomic.Pointer[table.Tables]
+		peer.Store(peerTables)
+		h := startHost(ctx, l, "me", func(context.Context) (*table.Tables, error) { return CloneTables(peer.Load()), nil })
 		time.Sleep(time.Minute)
 		is.Equal(h.history(), []table.Offset{10}) // from the peer, once
 		want := fill(l, 40)
@@ -140,6 +143,36 @@
 		time.Sleep(time.Minute)
 		is.Equal(h.history(), []table.Offset{10, 35, 36, 37, 38, 39, 40})
 		is.Equal(snapshotOf(t, h.tables()), snapshotOf(t, want))
+		l.setDown(true)
+		time.Sleep(time.Minute)
+		l.mu.Lock()
+		for range 10 {
+			l.add(RecordStream, nil)
+		}
+		l.mu.Unlock()
+		l.truncate(RecordStream, 49)
+		newer := CloneTables(want)
+		newer.Applied = 48
+		peer.Store(newer) // the newest snapshot is still at offset 35
+		l.setDown(false)
+		time.Sleep(time.Minute)
+		is.Equal(h.history()[7:], []table.Offset{48, 49, 50})
+	})
+}
+
+// Guards against a reader that uses a whole processor when the log answers without waiting.
+func TestReaderDoesNotSpin(t *testing.T) {
+	inBubble(t, func(ctx context.Context, _ *fakeLog, is *is.I) {
+		reads := 0
+		read := func(context.Context, string, table.Offset, int, time.Duration) (platform.Page, error) {
+			reads++
+			return platform.Page{Oldest: 1, End: 1}, nil
+		}
+		short, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		r := NewReader(ReaderConfig{Log: platform.Log{Read: read}, Deliver: func(Delivery) {}})
+		r.Run(short)
+		is.True(reads < 500)
 	})
 }
 
