Bound the appends a second of one writer and log errors on one line

Change: WriterConfig.Rate, 25 appends a second by default with a burst of 5; errors are logged as their message.

--- a/journal/load.go
+++ b/journal/load.go
@@ -20,7 +20,7 @@
 	if err == nil {
 		return t, nil
 	}
-	r.cfg.Logger.Warn("no tables from the log", slog.Any("Error", err))
+	r.cfg.Logger.Warn("no tables from the log", slog.String("Error", err.Error()))
 	if r.cfg.FromPeer == nil {
 		return nil, err
 	}
@@ -110,7 +110,7 @@
 		}
 		for _, e := range page.Entries {
 			if err := a.Add(e.Data); err != nil {
-				r.cfg.Logger.Warn("snapshot chunk skipped", slog.Uint64("Offset", uint64(e.Offset)), slog.Any("Error", err))
+				r.cfg.Logger.Warn("snapshot chunk skipped", slog.Uint64("Offset", uint64(e.Offset)), slog.String("Error", err.Error()))
 			}
 			from = max(from, e.Offset+1)
 		}
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -66,7 +66,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.cfg.Logger.Warn("log not read", slog.Uint64("Next", uint64(r.next)), slog.Any("Error", err))
+		r.cfg.Logger.Warn("log not read", slog.Uint64("Next", uint64(r.next)), slog.String("Error", err.Error()))
 		r.pause(ctx, backoff(failures, r.cfg.BackoffMin, r.cfg.BackoffMax))
 		failures++
 	}
@@ -164,7 +164,7 @@
 func (r *Reader) decodeBatch(e platform.Entry) *Batch {
 	b, err := Decode(e.Data)
 	if err != nil {
-		r.cfg.Logger.Error("entry skipped", slog.Uint64("Offset", uint64(e.Offset)), slog.Any("Error", err))
+		r.cfg.Logger.Error("entry skipped", slog.Uint64("Offset", uint64(e.Offset)), slog.String("Error", err.Error()))
 		return &Batch{}
 	}
 	return b
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"persimmonpick/fault"
 	"persimmonpick/platform"
 	"persimmonpick/table"
@@ -21,6 +23,8 @@
 	defaultMaxEntry  = 1 << 20
 	defaultMaxQueue  = 4096
 	defaultMaxAhead  = 64
+	defaultRate      = 25 // 9 hosts and a snapshot stay below 300 appends a second
+	appendBurst      = 5
 	defaultAppend    = 10 * time.Second
 	defaultResolve   = 2 * time.Second
 	defaultBackoff   = 50 * time.Millisecond
@@ -35,6 +39,7 @@
 	MaxBatch       int           // bytes at which a batch is sent at once
 	MaxEntry       int           // bytes of the largest entry that the log accepts, at most MaxEntry of the package
 	MaxQueue       int           // proposals that may wait to be sent
+	Rate           int           // appends a second; the log accepts several hundred from all hosts together
 	MaxAhead       int           // batches that may be appended and not yet folded
 	AppendTimeout  time.Duration // longest time of one append
 	ResolveTimeout time.Duration // longest time that reading on may take to show a batch after a failed append
@@ -45,7 +50,8 @@
 
 // Writer appends proposals to the log in batches, one append at a time.
 type Writer struct {
-	cfg WriterConfig
+	cfg  WriterConfig
+	rate *rate.Limiter // used by Run alone
 
 	mu      sync.Mutex
 	queue   []*proposal
@@ -64,6 +70,7 @@
 	cfg = cfg.withDefaults()
 	return &Writer{
 		cfg:    cfg,
+		rate:   rate.NewLimiter(rate.Limit(cfg.Rate), appendBurst),
 		wake:   make(chan struct{}, 1),
 		full:   make(chan struct{}, 1),
 		landed: make(chan struct{}, 1),
@@ -82,6 +89,7 @@
 	cfg.MaxBatch = min(cfg.MaxBatch, cfg.MaxEntry)
 	setInt(&cfg.MaxQueue, defaultMaxQueue)
 	setInt(&cfg.MaxAhead, defaultMaxAhead)
+	setInt(&cfg.Rate, defaultRate)
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/journal/writer_run.go
+++ b/journal/writer_run.go
@@ -20,7 +20,7 @@
 		}
 		fl, err := w.take()
 		if err != nil {
-			w.cfg.Logger.Error("batch not encoded", slog.Any("Error", err))
+			w.cfg.Logger.Error("batch not encoded", slog.String("Error", err.Error()))
 			continue
 		}
 		if fl != nil && !w.send(ctx, fl) {
@@ -45,7 +45,17 @@
 			return false
 		}
 	}
-	return w.fill(ctx)
+	return w.pace(ctx) && w.fill(ctx)
+}
+
+// pace waits until the rate allows another append; meanwhile proposals gather and may still be withdrawn.
+func (w *Writer) pace(ctx context.Context) bool {
+	select {
+	case <-time.After(w.rate.Reserve().Delay()):
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // fill waits until the oldest proposal is Delay old or the batch is full.
@@ -154,7 +164,7 @@
 			return false
 		}
 		w.cfg.Logger.Warn("append failed", slog.Uint64("Seq", fl.batch.Seq),
-			slog.Int("Attempt", attempt+1), slog.Any("Error", err))
+			slog.Int("Attempt", attempt+1), slog.String("Error", err.Error()))
 		if refused(err) {
 			w.drop(fl, attempt, err)
 			return true
--- a/journal/writer_test.go
+++ b/journal/writer_test.go
@@ -153,6 +153,23 @@
 	})
 }
 
+// Guards against a busy host that takes more than its share of the appends that the log accepts.
+func TestWriterKeepsToItsRate(t *testing.T) {
+	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
+		h := startHost(ctx, l, "me", nil)
+		for range 10 * defaultRate {
+			_, err := h.writer.Propose(ctx, []Record{seen("a")})
+			is.NoErr(err)
+		}
+		began := time.Now()
+		for range 2 * defaultRate {
+			_, err := h.writer.Propose(ctx, []Record{seen("a")})
+			is.NoErr(err)
+		}
+		is.True(time.Since(began) >= 1900*time.Millisecond)
+	})
+}
+
 // Guards against batches above the size at which they should be sent, and against one proposal split over two.
 func TestWriterBoundsBatches(t *testing.T) {
 	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
