--- a/journal/writer.go
+++ b/journal/writer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"persimmonpick/fault"
 	"persimmonpick/platform"
 	"persimmonpick/table"
@@ -17,9 +19,12 @@
 // Defaults of WriterConfig.
 const (
 	defaultDelay     = 5 * time.Millisecond
-	defaultMaxBatch  = 1 << 20
+	defaultMaxBatch  = 256 << 10
+	defaultMaxEntry  = 1 << 20
 	defaultMaxQueue  = 4096
 	defaultMaxAhead  = 64
+	defaultRate      = 25 // 9 hosts and a snapshot stay below 300 appends a second
+	appendBurst      = 5
 	defaultAppend    = 10 * time.Second
 	defaultResolve   = 2 * time.Second
 	defaultBackoff   = 50 * time.Millisecond
@@ -32,7 +37,9 @@
 	Incarnation    table.Incarnation
 	Delay          time.Duration // longest wait to fill a batch
 	MaxBatch       int           // bytes at which a batch is sent at once
+	MaxEntry       int           // bytes of the largest entry that the log accepts, at most MaxEntry of the package
 	MaxQueue       int           // proposals that may wait to be sent
+	Rate           int           // appends a second; the log accepts several hundred from all hosts together
 	MaxAhead       int           // batches that may be appended and not yet folded
 	AppendTimeout  time.Duration // longest time of one append
 	ResolveTimeout time.Duration // longest time that reading on may take to show a batch after a failed append
@@ -43,7 +50,8 @@
 
 // Writer appends proposals to the log in batches, one append at a time.
 type Writer struct {
-	cfg WriterConfig
+	cfg  WriterConfig
+	rate *rate.Limiter // used by Run alone
 
 	mu      sync.Mutex
 	queue   []*proposal
@@ -62,6 +70,7 @@
 	cfg = cfg.withDefaults()
 	return &Writer{
 		cfg:    cfg,
+		rate:   rate.NewLimiter(rate.Limit(cfg.Rate), appendBurst),
 		wake:   make(chan struct{}, 1),
 		full:   make(chan struct{}, 1),
 		landed: make(chan struct{}, 1),
@@ -75,8 +84,12 @@
 	setDuration(&cfg.BackoffMin, defaultBackoff)
 	setDuration(&cfg.BackoffMax, defaultBackoffTo)
 	setInt(&cfg.MaxBatch, defaultMaxBatch)
+	setInt(&cfg.MaxEntry, defaultMaxEntry)
+	cfg.MaxEntry = min(cfg.MaxEntry, MaxEntry)
+	cfg.MaxBatch = min(cfg.MaxBatch, cfg.MaxEntry)
 	setInt(&cfg.MaxQueue, defaultMaxQueue)
 	setInt(&cfg.MaxAhead, defaultMaxAhead)
+	setInt(&cfg.Rate, defaultRate)
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -106,7 +119,7 @@
 		err    error
 	}
 	ch := make(chan outcome, 1)
-	p, err := newProposal(records, func(r Result, err error) { ch <- outcome{r, err} })
+	p, err := newProposal(records, w.cfg.MaxEntry, func(r Result, err error) { ch <- outcome{r, err} })
 	if err != nil {
 		return Result{}, err
 	}
@@ -129,7 +142,7 @@
 //
 // It is called before Submit returns if the proposal is refused, by Folded or Reloaded on their goroutine, or by Run.
 func (w *Writer) Submit(records []Record, done func(Result, error)) {
-	p, err := newProposal(records, done)
+	p, err := newProposal(records, w.cfg.MaxEntry, done)
 	if err == nil {
 		err = w.enqueue(p)
 	}
--- a/journal/writer_run.go
+++ b/journal/writer_run.go
@@ -20,7 +20,7 @@
 		}
 		fl, err := w.take()
 		if err != nil {
-			w.cfg.Logger.Error("batch not encoded", slog.Any("Error", err))
+			w.cfg.Logger.Error("batch not encoded", slog.String("Error", err.Error()))
 			continue
 		}
 		if fl != nil && !w.send(ctx, fl) {
@@ -45,7 +45,17 @@
 			return false
 		}
 	}
-	return w.fill(ctx)
+	return w.pace(ctx) && w.fill(ctx)
+}
+
+// pace waits until the rate allows another append; meanwhile proposals gather and may still be withdrawn.
+func (w *Writer) pace(ctx context.Context) bool {
+	select {
+	case <-time.After(w.rate.Reserve().Delay()):
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // fill waits until the oldest proposal is Delay old or the batch is full.
@@ -116,7 +126,7 @@
 		p.state = proposalDone
 	}
 	w.mu.Unlock()
-	err = fault.Wrap(err, fault.Invalid, "encode batch")
+	err = fault.Wrap(err, fault.Invalid, "encode batch: %v", err)
 	fail(taken, err)
 	return nil, err
 }
@@ -154,7 +164,7 @@
 			return false
 		}
 		w.cfg.Logger.Warn("append failed", slog.Uint64("Seq", fl.batch.Seq),
-			slog.Int("Attempt", attempt+1), slog.Any("Error", err))
+			slog.Int("Attempt", attempt+1), slog.String("Error", err.Error()))
 		if refused(err) {
 			w.drop(fl, attempt, err)
 			return true
@@ -162,7 +172,7 @@
 		select {
 		case <-fl.resolved:
 			return true
-		case <-time.After(w.cfg.ResolveTimeout + w.backoff(attempt)):
+		case <-time.After(w.pause(attempt, err)):
 		case <-ctx.Done():
 			return false
 		}
@@ -197,11 +207,17 @@
 	fail(fl.proposals, err)
 }
 
-// backoff returns a random pause that doubles with each attempt up to BackoffMax.
-func (w *Writer) backoff(attempt int) time.Duration {
-	return backoff(attempt, w.cfg.BackoffMin, w.cfg.BackoffMax)
+// pause returns how long to wait after a failed append. A log that refuses an append because of its rate has not taken
+// it, so that there is nothing to read on for.
+func (w *Writer) pause(attempt int, err error) time.Duration {
+	d := backoff(attempt, w.cfg.BackoffMin, w.cfg.BackoffMax)
+	if fault.Of(err) == fault.Overloaded {
+		return d
+	}
+	return w.cfg.ResolveTimeout + d
 }
 
+// backoff returns a random pause between half of d and d, where d doubles with each attempt from least up to most.
 func backoff(attempt int, least, most time.Duration) time.Duration {
 	d := most
 	if attempt < 16 {
--- a/journal/writer_test.go
+++ b/journal/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,7 +56,7 @@
 func TestWriterResolvesLostReplies(t *testing.T) {
 	scripts := map[string][]reply{
 		"Lost": {replyLost}, "Down": {replyDown, replyDown}, "Late": {replyLate},
-		"LateTwice": {replyLate, replyLate, replyLate}, "Mixed": {replyDown, replyLate, replyLost, replyDown},
+		"Busy": {replyBusy, replyBusy}, "LateTwice": {replyLate, replyLate, replyLate}, "Mixed": {replyDown, replyLate, replyLost, replyDown},
 	}
 	for name, script := range scripts {
 		t.Run(name, func(t *testing.T) {
@@ -110,6 +111,8 @@
 		is.Equal(fault.Of(<-errs), fault.Overloaded)
 		h.writer.Submit(nil, done)
 		is.Equal(fault.Of(<-errs), fault.Invalid)
+		h.writer.Submit([]Record{seen(strings.Repeat("x", defaultMaxEntry))}, done)
+		is.Equal(fault.Of(<-errs), fault.TooLarge)
 		cancel()
 		for range 4 {
 			is.Equal(fault.Of(<-errs), fault.Stopping)
@@ -150,6 +153,23 @@
 	})
 }
 
+// Guards against a busy host that takes more than its share of the appends that the log accepts.
+func TestWriterKeepsToItsRate(t *testing.T) {
+	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
+		h := startHost(ctx, l, "me", nil)
+		for range 10 * defaultRate {
+			_, err := h.writer.Propose(ctx, []Record{seen("a")})
+			is.NoErr(err)
+		}
+		began := time.Now()
+		for range 2 * defaultRate {
+			_, err := h.writer.Propose(ctx, []Record{seen("a")})
+			is.NoErr(err)
+		}
+		is.True(time.Since(began) >= 1900*time.Millisecond)
+	})
+}
+
 // Guards against batches above the size at which they should be sent, and against one proposal split over two.
 func TestWriterBoundsBatches(t *testing.T) {
 	inBubble(t, func(ctx context.Context, l *fakeLog, is *is.I) {
