Measure the rate of grants in windows, and test route under overload, failing and slow instances

A retry now uses an instance again when no other is in use, instead of waiting for its deadline. A kept connection that was closed is replaced within the attempt, as nothing was written on it; before, a bad answer on a kept connection could fail the next request.

--- a/route/answer_test.go
+++ b/route/answer_test.go
@@ -152,11 +152,15 @@
 			_, err := r.Serve(ctx, req)
 			cancel()
 			kinds[fault.Of(err)]++
+			if i%3 == 0 {
+				r.transports.keep(func(table.InstanceID) bool { return false }) // the next request must dial
+			}
 			time.Sleep(time.Duration(i%13) * time.Millisecond)
 			if err != nil && fault.Of(err).Answer().Ran == fault.RanNo && b.saw(req.ID) {
 				t.Fatalf("request %s ran, and the error is %v", req.ID, err)
 			}
 		}
+		t.Log(kinds)
 		is.True(kinds[fault.Overloaded] > 50)
 		is.True(kinds[fault.None] > 50)
 		is.True(kinds[fault.OutcomeUnknown] > 50)
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -15,6 +15,9 @@
 	"persimmonpick/table"
 )
 
+// maxStale bounds how many closed connections of an instance one attempt may meet.
+const maxStale = 8
+
 // attempt sends a request to one instance once; it runs to its answer or its deadline even if the caller leaves, so that its slot is counted while the backend server may work on it.
 type attempt struct {
 	inst     table.Instance
@@ -24,6 +27,7 @@
 	mu    sync.Mutex
 	conn  *countedConn
 	send  *sending
+	kept  bool // conn served a request before
 	stale bool // takes no further connection
 	left  bool // abandoned before a byte was sent
 }
@@ -47,6 +51,13 @@
 func (a *attempt) run(ctx context.Context, transport http.RoundTripper, req *Request, maxAnswer int64) outcome {
 	start := time.Now()
 	out := a.exchange(ctx, transport, req, maxAnswer)
+	// A kept connection that turned out to be closed says nothing about the instance.
+	for range maxStale {
+		if out.err == nil || out.sent || !a.renew() {
+			break
+		}
+		out = a.exchange(ctx, transport, req, maxAnswer)
+	}
 	out.latency = time.Since(start)
 	out.inst = a.inst
 	out.abandoned = a.abandoned()
@@ -110,6 +121,7 @@
 	}
 	a.conn = conn
 	a.send = send
+	a.kept = info.Reused
 }
 
 // fail closes the connection and reports whether a byte may have been sent; none is sent later.
@@ -125,6 +137,20 @@
 	return sent
 }
 
+// renew allows another connection where the last one was a kept one and no byte was sent on it.
+func (a *attempt) renew() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.left || !a.kept {
+		return false
+	}
+	a.conn = nil
+	a.send = nil
+	a.kept = false
+	a.stale = false
+	return true
+}
+
 // abandon stops an attempt of which no byte was sent, and reports whether one may have been sent.
 func (a *attempt) abandon() (sent bool) {
 	a.mu.Lock()
--- a/route/call.go
+++ b/route/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"persimmonpick/fault"
@@ -42,7 +43,7 @@
 
 // mayRetry allows another attempt where the last one did not run or the kind is idempotent.
 func (c *call) mayRetry(ctx context.Context, out *outcome) bool {
-	if ctx.Err() != nil || out.abandoned {
+	if ctx.Err() != nil || out.abandoned || outOfTime(out) {
 		return false
 	}
 	if out.sent && !out.refused && c.req.Kind.NonIdempotent {
@@ -62,7 +63,7 @@
 	switch {
 	case c.req.Kind.NonIdempotent:
 		return Answer{}, fault.Wrap(cause(out), fault.OutcomeUnknown, "request %s may have run", c.req.ID)
-	case ctx.Err() != nil || errors.Is(out.err, context.DeadlineExceeded):
+	case ctx.Err() != nil || outOfTime(out):
 		return Answer{}, fault.Wrap(cause(out), fault.DeadlineExceeded, "request %s was not answered in time", c.req.ID)
 	case fault.Of(out.err) == fault.BadAnswer:
 		return Answer{}, out.err
@@ -75,12 +76,17 @@
 	if out.refused {
 		return fault.New(fault.Overloaded, "instance %s refused the request", out.inst.ID)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || outOfTime(out) {
 		return fault.Wrap(cause(out), fault.Overloaded, "request %s was not sent in time", c.req.ID)
 	}
 	return fault.Wrap(cause(out), fault.NoInstance, "request %s could not be sent", c.req.ID)
 }
 
+// outOfTime says whether an attempt ended at its deadline, which can be seen before that of the request.
+func outOfTime(out *outcome) bool {
+	return errors.Is(out.err, context.DeadlineExceeded) || errors.Is(out.err, os.ErrDeadlineExceeded)
+}
+
 // cause strips the kind of an attempt's error, so that the kind of the request's error is the only one.
 func cause(out *outcome) error {
 	if out.err == nil {
--- a/route/queue.go
+++ b/route/queue.go
@@ -8,8 +8,14 @@
 	"persimmonpick/table"
 )
 
-// intervalWeight is the weight of the newest time between two grants.
-const intervalWeight = 0.1
+const (
+	// rateWindow is how long grants are counted for one measurement of their rate; they come in bursts as short as one request.
+	rateWindow = 50 * time.Millisecond
+	// rateAge is how long a measured rate says something about a queue that was empty in between.
+	rateAge = time.Second
+	// waitMargin allows for the error of the estimate, as a request that is refused late has waited in vain.
+	waitMargin = 1.15
+)
 
 // grant is the right to send a request to an instance.
 type grant struct {
@@ -32,7 +38,9 @@
 	waiting   []*waiter
 	pumping   bool
 	borrowing int           // calls to owners in flight
-	interval  time.Duration // average time between grants while requests wait
+	interval  time.Duration // average time between grants while requests wait; 0 if unknown
+	counted   int           // grants since window
+	window    time.Time     // when the current measurement began
 	granted   time.Time     // last grant, or when the first request began to wait
 }
 
@@ -62,7 +70,7 @@
 		return false, fault.New(fault.Overloaded, "%d requests wait already", len(q.waiting))
 	}
 	if len(q.waiting) == 0 {
-		q.granted = now
+		q.restart(now)
 	} else if wait := q.estimate(now); wait+usual > left {
 		return false, fault.New(fault.Overloaded, "estimated wait %v and usual latency %v exceed the %v left", wait, usual, left)
 	}
@@ -72,10 +80,37 @@
 	return start, nil
 }
 
-// estimate returns how long a request that joins now would wait; a long time without a grant counts as the interval.
+// estimate returns how long a request that joins now would wait; where nothing was granted for longer, that time counts.
 func (q *queue) estimate(now time.Time) time.Duration {
-	interval := max(q.interval, now.Sub(q.granted))
-	return time.Duration(len(q.waiting)+1) * interval
+	wait := float64(len(q.waiting)+1) * float64(q.interval) * waitMargin
+	return max(time.Duration(wait), now.Sub(q.granted))
+}
+
+// restart begins to measure the rate of grants when the first request waits.
+func (q *queue) restart(now time.Time) {
+	if now.Sub(q.granted) > rateAge {
+		q.interval = 0
+	}
+	q.granted = now
+	q.window = now
+	q.counted = 0
+}
+
+// count measures the rate of grants.
+func (q *queue) count(now time.Time) {
+	q.granted = now
+	q.counted++
+	elapsed := now.Sub(q.window)
+	if elapsed < rateWindow {
+		return
+	}
+	interval := elapsed / time.Duration(q.counted)
+	if q.interval > 0 {
+		interval = (interval + q.interval) / 2
+	}
+	q.interval = interval
+	q.window = now
+	q.counted = 0
 }
 
 // leave removes w and reports false if it was granted already.
@@ -109,9 +144,7 @@
 	if len(q.waiting) == 0 || q.waiting[0] != w {
 		return false
 	}
-	now := time.Now()
-	q.interval += time.Duration(intervalWeight * float64(now.Sub(q.granted)-q.interval))
-	q.granted = now
+	q.count(time.Now())
 	q.waiting[0] = nil
 	q.waiting = q.waiting[1:]
 	w.ready <- g
--- /dev/null
+++ b/route/router_test.go
@@ -0,0 +1,240 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/fault"
+	"persimmonpick/table"
+)
+
+// load sends n requests at even intervals and returns the latencies of answers and of refusals, in order of size.
+func load(r *Router, n int, every time.Duration, build func(string) Request) (answered, refused []time.Duration, other int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			start := time.Now()
+			_, err := r.Serve(context.Background(), build(fmt.Sprintf("r%d", i)))
+			mu.Lock()
+			defer mu.Unlock()
+			switch fault.Of(err) {
+			case fault.None:
+				answered = append(answered, time.Since(start))
+			case fault.Overloaded:
+				refused = append(refused, time.Since(start))
+			default:
+				other++
+			}
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	slices.Sort(answered)
+	slices.Sort(refused)
+	return answered, refused, other
+}
+
+func quantile(ds []time.Duration, q float64) time.Duration {
+	return ds[int(q*float64(len(ds)-1))]
+}
+
+// Guards against retries that multiply the load on backend servers that fail.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBackends(10, func(table.InstanceID, int, *http.Request) (string, bool) { return "", false })
+		_, _, other := load(b.router(t, nil), 1000, time.Millisecond, quote)
+		is.Equal(other, 1000)
+		is.True(b.total() > 1100)
+		is.True(b.total() <= 1000+1000/10+maxTokens)
+	})
+}
+
+// Guards against a non-idempotent request that is sent again after a byte was sent, and against one that is not sent again where the backend server refused it or could not be reached.
+func TestRetryOnlyWhatDidNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		refusing := "HTTP/1.1 503 Service Unavailable\r\nPersimmonpick-Refused: 1\r\nContent-Length: 0\r\n\r\n"
+		b := newBackends(2, func(_ table.InstanceID, n int, req *http.Request) (string, bool) {
+			if req.Header.Get("X-Request-Id") == "fails" {
+				return "", false
+			}
+			if n == 1 {
+				return refusing, true
+			}
+			return ok(req), true
+		})
+		r := b.router(t, func(c *Config) { c.RetryBudget = 1 })
+		_, err := r.Serve(t.Context(), cutPlan("refused"))
+		is.NoErr(err) // refused by both, answered by the third attempt
+		is.Equal(b.total(), 3)
+		_, err = r.Serve(t.Context(), cutPlan("fails"))
+		is.Equal(fault.Of(err), fault.OutcomeUnknown)
+		is.Equal(b.total(), 4)
+		b.down = func(id table.InstanceID) bool { return id == "i0" }
+		r.transports.keep(func(table.InstanceID) bool { return false })
+		for i := range 20 {
+			_, err = r.Serve(t.Context(), cutPlan(fmt.Sprint(i)))
+			is.NoErr(err)
+		}
+		is.Equal(b.total(), 24)
+		b.down = func(table.InstanceID) bool { return true }
+		r.transports.keep(func(table.InstanceID) bool { return false })
+		_, err = r.Serve(t.Context(), cutPlan("none up"))
+		is.Equal(fault.Of(err), fault.NoInstance)
+	})
+}
+
+// Guards against ejection of so many instances that the rest cannot carry the load, and against full load on an instance in probation.
+func TestEjectionFloorAndProbation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var mu sync.Mutex
+		failing := true
+		b := newBackends(10, func(id table.InstanceID, _ int, req *http.Request) (string, bool) {
+			time.Sleep(5 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			if failing && id < "i8" {
+				return "", false
+			}
+			return ok(req), true
+		})
+		r := b.router(t, func(c *Config) { c.RetryBudget = 0 })
+		load(r, 2000, time.Millisecond, quote)
+		ejected := 0
+		for _, m := range r.service(svc).members {
+			if m.ejected {
+				ejected++
+			}
+		}
+		is.Equal(ejected, 5) // 8 of 10 fail, and the floor is a half
+		mu.Lock()
+		failing = false
+		mu.Unlock()
+		before := b.requests["i0"]
+		load(r, 100, time.Millisecond, quote)
+		is.True(b.requests["i0"]-before < 50)
+		load(r, 15000, time.Millisecond, quote)
+		for id, m := range r.service(svc).members {
+			is.True(!m.ejected)           // all came back
+			is.True(b.requests[id] > 300) // and are used
+		}
+	})
+}
+
+// Guards against queues so long that all callers run out of time: at three times the load, the capacity is still used for answers in time, and the rest is refused at once.
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBackends(4, after(20*time.Millisecond)) // 32 slots, 1600 requests a second; connections allow all slots
+		r := b.router(t, func(c *Config) { c.RequestTimeout = 200 * time.Millisecond; c.MaxQueue = 5000 })
+		answered, refused, other := load(r, 4800*5, time.Second/4800, quote)
+		is.Equal(other, 0)
+		t.Logf("answered %d, refused %d; latency p50 %v p99 %v; refusal p50 %v p99 %v", len(answered), len(refused),
+			quantile(answered, 0.5), quantile(answered, 0.99), quantile(refused, 0.5), quantile(refused, 0.99))
+		is.True(len(answered) > 1600*5*95/100)
+		is.True(quantile(refused, 0.95) < time.Millisecond)
+		is.True(b.worst <= 8)
+	})
+}
+
+// Guards against a slow instance that holds the tail of all requests.
+func TestSlowInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBackends(10, func(id table.InstanceID, _ int, req *http.Request) (string, bool) {
+			d := time.Duration(8+rand.IntN(5)) * time.Millisecond
+			if id == "i3" {
+				d *= 10
+			}
+			time.Sleep(d)
+			return ok(req), true
+		})
+		r := b.router(t, nil)
+		load(r, 1000, time.Millisecond, quote)
+		answered, _, _ := load(r, 8000, time.Millisecond, quote)
+		t.Logf("p50 %v p99 %v p99.9 %v max %v", quantile(answered, 0.5), quantile(answered, 0.99), quantile(answered, 0.999), quantile(answered, 1))
+		is.Equal(len(answered), 8000)
+		is.True(quantile(answered, 0.99) <= 15*time.Millisecond)
+		is.True(b.requests["i3"] < 200)
+	})
+}
+
+// Guards against a hedge of a non-idempotent kind, hedges beyond the budget, and hedging that does not help.
+func TestHedge(t *testing.T) {
+	p99 := map[bool]time.Duration{}
+	for _, hedge := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBackends(10, func(_ table.InstanceID, n int, req *http.Request) (string, bool) {
+				time.Sleep(10 * time.Millisecond)
+				if n%50 == 0 {
+					time.Sleep(200 * time.Millisecond)
+				}
+				return ok(req), true
+			})
+			r := b.router(t, func(c *Config) { c.Hedge = hedge })
+			load(r, 200, time.Millisecond, cutPlan)
+			is.Equal(b.total(), 200)
+			answered, _, _ := load(r, 5000, time.Millisecond, quote)
+			is.Equal(len(answered), 5000)
+			p99[hedge] = quantile(answered, 0.99)
+			t.Logf("hedge %v: p99 %v, %d requests sent", hedge, p99[hedge], b.total()-200)
+			is.True(b.total()-200 <= 5000+5000/10+maxTokens)
+		})
+	}
+	is.New(t).True(p99[true] < p99[false]/2)
+}
+
+// Guards against a planned stop that interrupts a request, or that takes new ones.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBackends(1, after(time.Second))
+		r := b.router(t, nil)
+		answered := make(chan error, 1)
+		go func() {
+			_, err := r.Serve(context.Background(), quote("a"))
+			answered <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		is.Equal(fault.Of(r.Drain(short)), fault.Stopping)
+		_, err := r.Serve(t.Context(), quote("b"))
+		is.Equal(fault.Of(err), fault.Stopping)
+		is.NoErr(r.Drain(t.Context()))
+		is.NoErr(<-answered)
+		is.Equal(b.total(), 1)
+	})
+}
+
+// Guards against more requests at an instance than its slots when callers leave early: the backend server may still work on theirs.
+func TestSlotsOfCallersThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBackends(2, after(500*time.Millisecond))
+		r := b.router(t, nil)
+		for i := range 1000 {
+			go func() {
+				ctx, cancel := context.WithCancel(context.Background())
+				time.AfterFunc(time.Duration(i%7)*20*time.Millisecond, cancel)
+				_, _ = r.Serve(ctx, quote(fmt.Sprint(i)))
+			}()
+			time.Sleep(2 * time.Millisecond)
+		}
+		is.True(b.total() > 16)
+		is.True(b.worst <= 8)
+	})
+}
--- a/route/service.go
+++ b/route/service.go
@@ -1,8 +1,6 @@
 package route
 
 import (
-	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -62,13 +60,16 @@
 	score float64
 }
 
-// pick orders the instances that pass usable: a probe that is due, then the better of two random ones, then the rest by score.
+// pick orders the instances that pass usable and, while others are in use, were not tried: a probe that is due, then the better of two random ones, then the rest by score.
 func (s *service) pick(instances []table.Instance, req *Request, tried map[table.InstanceID]bool, usable func(table.Instance) bool) []table.Instance {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update(instances)
 	median := s.medianNow(now)
+	if !s.anyFresh(instances, tried) {
+		tried = nil
+	}
 	var probe, rest []candidate
 	for _, inst := range instances {
 		m := s.member(inst.ID)
@@ -86,6 +87,16 @@
 	return inOrder(append(probe, rest...))
 }
 
+// anyFresh says whether an instance in use was not tried yet.
+func (s *service) anyFresh(instances []table.Instance, tried map[table.InstanceID]bool) bool {
+	for _, inst := range instances {
+		if !tried[inst.ID] && !s.member(inst.ID).ejected {
+			return true
+		}
+	}
+	return false
+}
+
 // chooseOfTwo moves the better of two random candidates to the front: always taking the best would send every host to the same instance.
 func chooseOfTwo(cs []candidate) {
 	if len(cs) < 2 {
@@ -170,7 +181,7 @@
 	if out.abandoned || out.refused {
 		return // says nothing about the instance
 	}
-	if errors.Is(out.err, context.DeadlineExceeded) && !s.slow(out.latency, now) {
+	if outOfTime(out) && !s.slow(out.latency, now) {
 		return // the caller gave too little time
 	}
 	if m.ejected {
--- a/route/slot.go
+++ b/route/slot.go
@@ -78,9 +78,6 @@
 
 // atHand takes a slot that needs no call.
 func (r *Router) atHand(s *service, instances []table.Instance, req *Request, tried map[table.InstanceID]bool) (grant, bool) {
-	if len(tried) >= len(instances) {
-		tried = nil
-	}
 	has := func(inst table.Instance) bool { return r.cfg.Slots.AtHand(inst) > 0 }
 	for _, inst := range s.pick(instances, req, tried, has) {
 		if release, ok := r.cfg.Slots.TryAcquire(inst); ok {
@@ -92,12 +89,8 @@
 
 // borrow asks owners for slots on behalf of n waiters.
 func (r *Router) borrow(s *service, instances []table.Instance, w *waiter, n int) {
-	tried := w.tried
-	if len(tried) >= len(instances) {
-		tried = nil
-	}
 	want := (n + parallelBorrows - 1) / parallelBorrows
-	for _, inst := range s.pick(instances, w.req, tried, r.cfg.Slots.Borrowable) {
+	for _, inst := range s.pick(instances, w.req, w.tried, r.cfg.Slots.Borrowable) {
 		if !s.queue.startBorrow(parallelBorrows) {
 			return
 		}
