--- a/share/lend.go
+++ b/share/lend.go
@@ -64,6 +64,7 @@
 	if !m.mayRecall(s, now) {
 		return
 	}
+	s.recalled = now
 	seats := map[table.SeatID]bool{}
 	for id, l := range s.lent {
 		if l.slots > 0 {
@@ -74,7 +75,6 @@
 		return
 	}
 	s.recalling = true
-	s.recalled = now
 	go m.recall(s, s.inst, seats)
 }
 
