Add the experiment's environment and the policy as one system

Cause: the parts of the policy must be measured against baselines on the same arrivals. Change: standins/experiment models workers, instances, late noisy reports and wrong declared sizes in virtual time; placement.System ties the parts together; quantiles of corrections are kept instead of sorted at each use.

--- a/placement/corrections.go
+++ b/placement/corrections.go
@@ -39,7 +39,7 @@
 
 // ratios are the last observed values over the declared ones.
 type ratios struct {
-	cpu, memory, run []float64
+	cpu, memory, run window
 	recent           float64 // highest ratio of memory seen lately
 	recentAt         time.Time
 	seen             time.Time
@@ -75,11 +75,11 @@
 	for _, k := range keysOf(j) {
 		r := c.key(k, now)
 		if ok && finished {
-			r.cpu = push(r.cpu, over(int64(peak.CPU), int64(j.Need.CPU)))
-			r.memory = push(r.memory, over(int64(peak.Memory), int64(j.Need.Memory)))
+			r.cpu.push(over(int64(peak.CPU), int64(j.Need.CPU)), sizeQuantile)
+			r.memory.push(over(int64(peak.Memory), int64(j.Need.Memory)), 1)
 		}
 		if finished && j.RunTime > 0 {
-			r.run = push(r.run, over(ran.Milliseconds(), int64(j.RunTime)))
+			r.run.push(over(ran.Milliseconds(), int64(j.RunTime)), runQuantile)
 		}
 	}
 }
@@ -87,8 +87,8 @@
 // Need returns the size to plan with for each task of j.
 func (c *Corrections) Need(j *table.Job) table.Resources {
 	need := j.Need
-	need.CPU = scale(need.CPU, c.ratio(j, sizeQuantile, func(r *ratios) []float64 { return r.cpu }))
-	memory := c.ratio(j, 1, func(r *ratios) []float64 { return r.memory })
+	need.CPU = scale(need.CPU, c.ratio(j, func(r *ratios) *window { return &r.cpu }))
+	memory := c.ratio(j, func(r *ratios) *window { return &r.memory })
 	if r := c.keys[correctionKey{j.Team, j.Kind}]; r != nil {
 		memory = max(memory, r.recent)
 	}
@@ -100,7 +100,7 @@
 
 // RunTime returns the estimated run time of each task of j.
 func (c *Corrections) RunTime(j *table.Job) time.Duration {
-	ratio := c.ratio(j, runQuantile, func(r *ratios) []float64 { return r.run })
+	ratio := c.ratio(j, func(r *ratios) *window { return &r.run })
 	return time.Duration(float64(queue.DeclaredRunTime(j)) * ratio)
 }
 
@@ -116,15 +116,15 @@
 }
 
 // ratio returns the quantile of the observed ratios, shrunk to that of all teams and then to the declared value.
-func (c *Corrections) ratio(j *table.Job, q float64, of func(*ratios) []float64) float64 {
+func (c *Corrections) ratio(j *table.Job, of func(*ratios) *window) float64 {
 	center := 0.0
 	for _, k := range []correctionKey{{kind: j.Kind}, {j.Team, j.Kind}} {
 		r := c.keys[k]
-		if r == nil || len(of(r)) == 0 {
+		if r == nil || len(of(r).last) == 0 {
 			continue
 		}
-		n := float64(len(of(r)))
-		center = (n*math.Log(quantile(of(r), q)) + priorTasks*center) / (n + priorTasks)
+		n := float64(len(of(r).last))
+		center = (n*math.Log(of(r).value) + priorTasks*center) / (n + priorTasks)
 	}
 	return min(max(math.Exp(center), lowestRatio), highestRatio)
 }
@@ -165,14 +165,17 @@
 	return min(max(float64(used)/float64(declared), lowestRatio), highestRatio)
 }
 
-func push(list []float64, v float64) []float64 {
-	list = append(list, v)
-	return list[max(0, len(list)-keptRatios):]
+// window holds the last ratios and a quantile of them.
+type window struct {
+	last  []float64
+	value float64
 }
 
-func quantile(list []float64, q float64) float64 {
-	sorted := slices.Sorted(slices.Values(list))
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+func (w *window) push(v, q float64) {
+	w.last = append(w.last, v)
+	w.last = w.last[max(0, len(w.last)-keptRatios):]
+	sorted := slices.Sorted(slices.Values(w.last))
+	w.value = sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
 }
 
 func scale(v table.Millicores, ratio float64) table.Millicores {
--- a/placement/input.go
+++ b/placement/input.go
@@ -22,6 +22,10 @@
 	Load func(id table.InstanceID) float64
 	// Calm says whether more batch work may start beside an instance; nil means always.
 	Calm func(id table.InstanceID) bool
+	// Revoked holds tasks that the same batch revokes already.
+	Revoked map[table.TaskID]bool
+
+	closed []table.WorkerID // workers that the same batch closes
 }
 
 // Bounds on the work of one tick.
--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"persimmonpick/journal"
@@ -32,12 +33,18 @@
 //
 // The grants of one call fit together, and those of a gang must be proposed in one batch.
 func Place(t *table.Tables, now time.Time, in Input) []journal.Record {
-	scan := queue.NewScan(t)
+	return place(t, queue.NewScan(t), now, in)
+}
+
+func place(t *table.Tables, scan *queue.Scan, now time.Time, in Input) []journal.Record {
 	if len(scan.Pending) == 0 {
 		in.Reserved.clear()
 		return nil
 	}
 	p := &tick{t: t, now: now, in: in, sites: sites(t, scan), spread: newSpread(t)}
+	for _, s := range p.sites {
+		s.open = s.open && !slices.Contains(in.closed, s.w.ID)
+	}
 	in.Reserved.keep(t, p.sites)
 	q := queue.New(t, scan, now, in.Queue)
 	placed, refused := 0, 0
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -100,7 +100,7 @@
 }
 
 func (p *tick) revocable(task *table.Task) bool {
-	if task.State != table.TaskLeased && task.State != table.TaskStarted {
+	if (task.State != table.TaskLeased && task.State != table.TaskStarted) || p.in.Revoked[task.ID] {
 		return false
 	}
 	j := p.t.Jobs[task.Job]
--- /dev/null
+++ b/standins/experiment/baseline.go
@@ -0,0 +1,132 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"persimmonpick/journal"
+	"persimmonpick/placement"
+	"persimmonpick/platform"
+	"persimmonpick/queue"
+	"persimmonpick/table"
+)
+
+// baseline places by the declared size, in the same order as the policy.
+type baseline struct {
+	alone  bool       // only on workers without instances
+	draws  *rand.Rand // places at random if set, and best fit otherwise
+	evicts bool       // evicts the newest batch task when an objective is missed, without a model
+	ratio  map[table.InstanceID]float64
+	last   map[table.WorkerID]time.Time // of the last eviction
+	due    []journal.Record
+}
+
+// Reaction of the baseline that evicts.
+const (
+	baselineSmoothing = 0.3
+	baselineCoolDown  = 30 * time.Second // between two evictions on a worker, and before new work goes there
+)
+
+func (b *baseline) controller() controller {
+	b.ratio = map[table.InstanceID]float64{}
+	b.last = map[table.WorkerID]time.Time{}
+	c := controller{tick: b.tick}
+	if b.evicts {
+		c.report = b.report
+	}
+	return c
+}
+
+func (b *baseline) report(w *world, rep *platform.Report) {
+	missed := false
+	for _, in := range rep.Instances {
+		ratio := float64(in.P99) / float64(objective)
+		old, ok := b.ratio[in.Instance]
+		if !ok {
+			old = ratio
+		}
+		b.ratio[in.Instance] = old + baselineSmoothing*(ratio-old)
+		missed = missed || b.ratio[in.Instance] > 1
+	}
+	if !missed || w.now().Sub(b.last[rep.Worker]) < baselineCoolDown {
+		return
+	}
+	runs := w.byID[rep.Worker].runs
+	for i := len(runs) - 1; i >= 0; i-- {
+		if j := w.t.Jobs[runs[i].task.Job]; !j.Urgent && !runs[i].stopping {
+			b.last[rep.Worker] = w.now()
+			b.due = append(b.due, journal.Record{LeaseRevoked: &journal.LeaseRevoked{
+				Task: runs[i].task.ID, Token: runs[i].token, Reason: placement.ReasonInterference,
+			}})
+			return
+		}
+	}
+}
+
+func (b *baseline) tick(w *world) ([]journal.Record, []placement.Command) {
+	records := b.due
+	b.due = nil
+	free := make([]table.Resources, len(w.hosts))
+	for i, h := range w.hosts {
+		free[i] = w.t.Workers[h.id].Free()
+	}
+	var refused []table.Resources
+	q := queue.New(w.t, queue.NewScan(w.t), w.now(), queue.Config{})
+	for {
+		e, ok := q.Next()
+		if !ok {
+			return records, nil
+		}
+		if slices.ContainsFunc(refused, func(r table.Resources) bool { return r.Fits(e.Need) }) {
+			q.Refuse(e)
+			continue
+		}
+		grants := b.place(w, e, free)
+		if len(grants) < len(e.Tasks) {
+			for _, g := range grants {
+				i := w.byID[g.LeaseGranted.Worker].index
+				free[i] = free[i].Plus(e.Need)
+			}
+			refused = append(refused, e.Need)
+			q.Refuse(e)
+			continue
+		}
+		records = append(records, grants...)
+	}
+}
+
+func (b *baseline) place(w *world, e queue.Entry, free []table.Resources) []journal.Record {
+	var grants []journal.Record
+	for _, task := range e.Tasks {
+		h := b.choose(w, e, free)
+		if h == nil {
+			return grants
+		}
+		free[h.index] = free[h.index].Minus(e.Need)
+		grants = append(grants, journal.Record{LeaseGranted: &journal.LeaseGranted{
+			Task: task.ID, Worker: h.id, Need: e.Need,
+		}})
+	}
+	return grants
+}
+
+func (b *baseline) choose(w *world, e queue.Entry, free []table.Resources) *host {
+	var best *host
+	var feasible []*host
+	for _, h := range w.hosts {
+		left := free[h.index]
+		last, cooling := b.last[h.id]
+		if !e.Need.Fits(left) || (b.alone && len(h.instances) > 0) || (cooling && w.now().Sub(last) < baselineCoolDown) {
+			continue
+		}
+		feasible = append(feasible, h)
+		if best == nil || left.CPU < free[best.index].CPU {
+			best = h
+		}
+	}
+	if b.draws != nil && len(feasible) > 0 {
+		return feasible[b.draws.IntN(len(feasible))]
+	}
+	return best
+}
--- /dev/null
+++ b/standins/experiment/policy.go
@@ -0,0 +1,30 @@
+package experiment
+
+import (
+	"time"
+
+	"persimmonpick/journal"
+	"persimmonpick/placement"
+	"persimmonpick/platform"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+)
+
+// policyController runs the policy of package placement.
+func policyController(s *placement.System) controller {
+	return controller{
+		report: func(w *world, rep *platform.Report) { s.Report(w.t, w.now(), rep) },
+		tick:   func(w *world) ([]journal.Record, []placement.Command) { return s.Tick(w.t, w.now()) },
+		ended: func(w *world, task *table.Task, on table.WorkerID, ran time.Duration, o journal.LeaseOutcome) {
+			if j := w.t.Jobs[task.Job]; j != nil {
+				s.Ended(w.now(), j, task.ID, on, ran, o)
+			}
+		},
+	}
+}
+
+func newSystem(size Size) *placement.System {
+	p := settings.Default().Policy
+	p.LatencyWeight = size.LatencyWeight
+	return placement.NewSystem(p, "seat", func(table.ServiceID) time.Duration { return objective })
+}
--- /dev/null
+++ b/standins/experiment/result.go
@@ -0,0 +1,67 @@
+package experiment
+
+import (
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"persimmonpick/placement"
+)
+
+// Result is what one run of one variant measured after the warm-up.
+type Result struct {
+	P50, P99, P999 time.Duration
+	InTime         float64 // share of requests within the objective
+	Work           float64 // core hours of batch work done in an hour, less what was lost
+	Jobs           int     // finished
+	Evictions      int     // to protect instances
+	Preempted      int     // for urgent work
+	Lost           float64 // core hours lost to evictions
+	Kills          int     // tasks killed for want of memory
+	UrgentMax      time.Duration
+	Quarantines    int
+	Violations     int // records that broke a rule
+
+	hist *hdr.Histogram
+	good int64
+	work float64
+	lost float64
+}
+
+func newResult() Result {
+	return Result{hist: hdr.New(1, int64(time.Minute/time.Microsecond), 3)}
+}
+
+func (r *Result) request(latency time.Duration) {
+	// A latency beyond the range of the histogram counts as its end.
+	_ = r.hist.RecordValue(min(max(latency.Microseconds(), 1), r.hist.HighestTrackableValue()))
+	if latency <= objective {
+		r.good++
+	}
+}
+
+func (r *Result) evicted(reason string) {
+	if reason == placement.ReasonUrgent {
+		r.Preempted++
+		return
+	}
+	r.Evictions++
+}
+
+func (r *Result) urgent(waited time.Duration) {
+	r.UrgentMax = max(r.UrgentMax, waited)
+}
+
+// finish computes the figures from what was counted.
+func (r *Result) finish() {
+	micros := func(q float64) time.Duration {
+		return time.Duration(r.hist.ValueAtQuantile(q)) * time.Microsecond
+	}
+	r.P50, r.P99, r.P999 = micros(50), micros(99), micros(99.9)
+	if n := r.hist.TotalCount(); n > 0 {
+		r.InTime = float64(r.good) / float64(n)
+	}
+	r.Work = r.work / 3600 / measured.Hours()
+	r.Lost = r.lost / 3600
+	r.hist = nil
+}
--- /dev/null
+++ b/standins/experiment/variant.go
@@ -0,0 +1,77 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"persimmonpick/placement"
+)
+
+// Variant is one way to decide, or one reference.
+type Variant struct {
+	Name     string
+	Baseline bool // counts as a baseline that must not beat the policy
+	prepare  func(w *world)
+}
+
+// Names of the variants that goals refer to.
+const (
+	NoBatch    = "no batch work"
+	BatchAlone = "batch alone on spare capacity"
+	BestFit    = "best fit"
+	Policy     = "policy"
+)
+
+// Variants returns the references, the baselines, the policy, and the policy with each part switched off.
+func Variants() []Variant {
+	vs := []Variant{
+		{Name: NoBatch, prepare: func(w *world) {
+			w.noBatch = true
+			w.ctl = (&baseline{}).controller()
+		}},
+		{Name: BatchAlone, prepare: func(w *world) {
+			// The reference does not depend on the policy, so that a policy that packs badly does not lower its own goal.
+			w.quiet = true
+			w.ctl = (&baseline{}).controller()
+		}},
+		{Name: "random", Baseline: true, prepare: func(w *world) {
+			w.ctl = (&baseline{draws: rand.New(rand.NewPCG(w.sc.Seed, 3))}).controller()
+		}},
+		{Name: BestFit, Baseline: true, prepare: func(w *world) {
+			w.ctl = (&baseline{evicts: true}).controller()
+		}},
+		{Name: "no colocation", Baseline: true, prepare: func(w *world) {
+			w.ctl = (&baseline{alone: true}).controller()
+		}},
+		with(Policy, func(*placement.System) {}),
+	}
+	return append(vs, ablations()...)
+}
+
+// ablations returns the policy with each part switched off.
+func ablations() []Variant {
+	return []Variant{
+		with("without interference", func(s *placement.System) { s.Policy.Interference = false }),
+		with("without correction", func(s *placement.System) { s.Policy.Correction = false }),
+		with("without throttle", func(s *placement.System) { s.Policy.Throttle = false }),
+		with("without eviction", func(s *placement.System) { s.Policy.EvictionBudget = 0 }),
+		with("without headroom", func(s *placement.System) { s.Policy.UrgentHeadroom = 0 }),
+		with("without reservations", func(s *placement.System) { s.Reserved = nil }),
+		with("without quarantine", func(s *placement.System) { s.Policy.QuarantineShare = 0 }),
+	}
+}
+
+func with(name string, change func(*placement.System)) Variant {
+	return Variant{Name: name, prepare: func(w *world) {
+		s := newSystem(w.sc.Size)
+		change(s)
+		w.ctl = policyController(s)
+	}}
+}
+
+// Run simulates one variant of a scenario.
+func Run(sc *Scenario, v Variant) Result {
+	w := newWorld(sc)
+	v.prepare(w)
+	w.simulate()
+	return w.res
+}
--- /dev/null
+++ b/standins/experiment/world.go
@@ -0,0 +1,244 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"persimmonpick/journal"
+	"persimmonpick/placement"
+	"persimmonpick/platform"
+	"persimmonpick/table"
+)
+
+// controller decides about the work of a world.
+type controller struct {
+	report func(w *world, rep *platform.Report)
+	ended  func(w *world, task *table.Task, worker table.WorkerID, ran time.Duration, outcome journal.LeaseOutcome)
+	tick   func(w *world) ([]journal.Record, []placement.Command)
+}
+
+// run is one task on a worker.
+type run struct {
+	task     *table.Task
+	token    table.Token
+	kind     int
+	unit     *unit
+	worker   *host
+	done     float64 // core seconds
+	share    float64
+	used     float64 // processors in the last step
+	started  time.Duration
+	savedAt  time.Duration
+	stopping bool
+}
+
+// host is one worker.
+type host struct {
+	id        table.WorkerID
+	index     int
+	runs      []*run // in order of tokens
+	instances []*instance
+	spareCPU  float64
+	spareGB   float64
+	over      float64 // processors asked for beyond the spare ones, as a share of all
+	using     [kinds]float64
+}
+
+// world is the state of one run of one variant.
+type world struct {
+	sc      *Scenario
+	t       *table.Tables
+	at      time.Duration
+	ctl     controller
+	hosts   []*host
+	byID    map[table.WorkerID]*host
+	units   map[table.TaskID]*unit
+	running map[table.TaskID]*run
+	delayed []delayed // reports under way
+	noise   *rand.Rand
+	load    float64
+	next    struct{ arrival, shift int }
+	quiet   bool // no latency-critical work: instances get no requests and report nothing
+	noBatch bool
+	res     Result
+}
+
+func (w *world) now() time.Time {
+	return epoch.Add(w.at)
+}
+
+func newWorld(sc *Scenario) *world {
+	w := &world{
+		sc: sc, t: table.New(), byID: map[table.WorkerID]*host{}, units: map[table.TaskID]*unit{},
+		running: map[table.TaskID]*run{}, noise: rand.New(rand.NewPCG(sc.Seed, 2)), res: newResult(),
+	}
+	size := sc.Size
+	for i := range size.Workers {
+		id := table.WorkerID(fmt.Sprintf("w%02d", i))
+		capacity := resources(float64(size.Cores), float64(size.Memory))
+		rack := table.RackID(fmt.Sprintf("r%d", i/size.RackSize))
+		zone := table.ZoneID(fmt.Sprintf("z%d", i/size.RackSize%3))
+		w.t.Workers[id] = &table.Worker{ID: id, Rack: rack, Zone: zone, Capacity: capacity}
+		h := &host{id: id, index: i, spareCPU: float64(size.Cores), spareGB: float64(size.Memory)}
+		w.hosts = append(w.hosts, h)
+		w.byID[id] = h
+	}
+	for i, on := range sc.host {
+		w.addInstance(i, w.hosts[on])
+	}
+	for i := range teams {
+		id := table.TeamID(fmt.Sprintf("team%d", i))
+		all := float64(size.Workers)
+		quota := resources(all*float64(size.Cores), all*float64(size.Memory))
+		w.t.Teams[id] = &table.Team{ID: id, Quota: quota, Weight: float64(1 + i)}
+	}
+	return w
+}
+
+func (w *world) addInstance(i int, h *host) {
+	need := w.sc.Size.InstanceNeed
+	e := &table.Instance{
+		ID: table.InstanceID(fmt.Sprintf("i%02d", i)), Worker: h.id, Need: need, Slots: slots,
+		Service: table.ServiceID(fmt.Sprintf("service%d", i%services)),
+	}
+	w.t.Instances[e.ID] = e
+	worker := w.t.Workers[h.id]
+	worker.Used = worker.Used.Plus(need)
+	h.spareCPU -= float64(need.CPU) / 1000
+	h.spareGB -= float64(need.Memory) / (1 << 30)
+	h.instances = append(h.instances, &instance{
+		e: e, service: i % services, draws: rand.New(rand.NewPCG(w.sc.Seed, uint64(1000+i))),
+	})
+}
+
+// simulate runs the scenario to its end.
+func (w *world) simulate() {
+	for w.at = 0; w.at < warmUp+measured; w.at += step {
+		w.arrive()
+		for _, h := range w.hosts {
+			w.progress(h)
+			w.serve(h)
+		}
+		w.send()
+		w.deliver()
+		records, commands := w.ctl.tick(w)
+		for i := range records {
+			w.apply(&records[i])
+		}
+		for _, c := range commands {
+			w.command(c)
+		}
+	}
+	w.res.finish()
+}
+
+func (w *world) measuring() bool {
+	return w.at >= warmUp
+}
+
+func (w *world) arrive() {
+	for ; w.next.shift < len(w.sc.shifts) && w.sc.shifts[w.next.shift].at <= w.at; w.next.shift++ {
+		w.load = w.sc.shifts[w.next.shift].load
+	}
+	for ; w.next.arrival < len(w.sc.arrivals) && w.sc.arrivals[w.next.arrival].at <= w.at; w.next.arrival++ {
+		if !w.noBatch {
+			w.submit(&w.sc.arrivals[w.next.arrival])
+		}
+	}
+}
+
+func (w *world) submit(a *arrival) {
+	j := a.job
+	j.State = table.JobPending
+	for i := range a.units {
+		id := table.TaskID(fmt.Sprintf("%s/%02d", j.ID, i))
+		u := a.units[i]
+		w.units[id] = &u
+		w.t.Tasks[id] = &table.Task{ID: id, Job: j.ID, State: table.TaskPending}
+		j.Tasks = append(j.Tasks, id)
+	}
+	j.Open = len(j.Tasks)
+	w.t.Jobs[j.ID] = &j
+}
+
+// progress runs the batch tasks of h for one step.
+func (w *world) progress(h *host) {
+	for _, r := range slices.Clone(h.runs) {
+		if r.stopping {
+			w.end(r, journal.LeaseStopped)
+		}
+	}
+	w.killOverMemory(h)
+	asked := 0.0
+	for _, r := range h.runs {
+		asked += r.unit.cores * r.share
+	}
+	scale := 1.0
+	if asked > h.spareCPU {
+		scale = h.spareCPU / asked
+	}
+	h.over = max(0, asked-h.spareCPU) / float64(w.sc.Size.Cores)
+	h.using = [kinds]float64{}
+	for _, r := range slices.Clone(h.runs) {
+		r.used = r.unit.cores * r.share * scale
+		h.using[r.kind] += r.used / float64(w.sc.Size.Cores)
+		w.advance(h, r)
+	}
+}
+
+func (w *world) advance(h *host, r *run) {
+	gain := min(r.used*step.Seconds(), r.unit.work-r.done)
+	r.done += gain
+	if w.measuring() {
+		w.res.work += gain
+	}
+	bad := h.index == w.sc.bad && w.at >= badWorkerFrom && w.at < badWorkerFrom+badWorkerFor
+	if bad && w.at-r.started >= badWorkerFail {
+		w.end(r, journal.LeaseFailed)
+		return
+	}
+	if r.done >= r.unit.work {
+		w.end(r, journal.LeaseFinished)
+		return
+	}
+	if w.at-r.savedAt >= ownCheckpoint {
+		w.save(r)
+	}
+}
+
+func (w *world) save(r *run) {
+	r.unit.saved = r.done
+	r.savedAt = w.at
+}
+
+// killOverMemory ends the tasks that use most beyond their grants until the rest fits into memory.
+func (w *world) killOverMemory(h *host) {
+	for {
+		sum := 0.0
+		var worst *run
+		for _, r := range h.runs {
+			sum += r.unit.gbs
+			if worst == nil || r.excess() > worst.excess() {
+				worst = r
+			}
+		}
+		if sum <= h.spareGB || worst == nil {
+			return
+		}
+		if w.measuring() {
+			w.res.Kills++
+		}
+		w.end(worst, journal.LeaseFailed)
+	}
+}
+
+func (r *run) excess() float64 {
+	return r.unit.gbs - float64(r.task.Lease.Need.Memory)/(1<<30)
+}
+
+func sortRuns(rs []*run) {
+	slices.SortFunc(rs, func(a, b *run) int { return cmp.Compare(a.token, b.token) })
+}
