--- a/placement/place.go
+++ b/placement/place.go
@@ -19,7 +19,7 @@
 	refused []shape // needs that fit nowhere, so that no larger one is tried again
 	records []journal.Record
 	revoked int
-	reserve bool // a reservation was made in this tick
+	tries   int // to make a reservation
 }
 
 // shape is a need that fits nowhere in this tick.
@@ -117,8 +117,9 @@
 		return
 	}
 	p.refused = append(p.refused, shape{e.Job.Kind, e.Need, e.RunTime})
-	if !p.reserve && p.in.Reserved.make(p, e) {
-		p.reserve = true
+	if p.tries < maxReserveTries {
+		p.tries++
+		p.in.Reserved.make(p, e)
 	}
 }
 
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -118,10 +118,10 @@
 	s  *site
 }
 
-// make reserves the earliest places for all tasks of e and says whether there are enough.
-func (r *Reservations) make(p *tick, e queue.Entry) bool {
+// make reserves the earliest places for all tasks of e, if there are enough.
+func (r *Reservations) make(p *tick, e queue.Entry) {
 	if r == nil || len(r.list) >= maxReservations || r.holds(e.Job.ID) {
-		return false
+		return
 	}
 	var list []opening
 	for _, s := range p.sites {
@@ -130,7 +130,7 @@
 		}
 	}
 	if len(list) < len(e.Tasks) {
-		return false
+		return
 	}
 	slices.SortStableFunc(list, func(a, b opening) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.s.w.ID, b.s.w.ID))
@@ -138,14 +138,13 @@
 	list = list[:len(e.Tasks)]
 	if !list[len(list)-1].at.After(p.now) {
 		// There is room now, and something else than size keeps the job waiting.
-		return false
+		return
 	}
 	v := reservation{job: e.Job.ID, need: e.Need, at: list[len(list)-1].at, units: map[table.WorkerID]int{}}
 	for _, o := range list {
 		v.units[o.s.w.ID]++
 	}
 	r.list = append(r.list, v)
-	return true
 }
 
 // due says whether s holds a place for job id whose time has come.
@@ -164,28 +163,44 @@
 	if !e.Need.Fits(s.offer()) || !p.bearableAlone(s, e) {
 		return nil
 	}
-	held := slices.Clone(s.held)
-	slices.SortFunc(held, func(a, b *table.Task) int {
-		return cmp.Or(p.end(a).Compare(p.end(b)), cmp.Compare(a.ID, b.ID))
-	})
+	ends := p.ends(s)
 	var list []opening
 	spare := s.headroom(p.in.Policy.UrgentHeadroom)
 	free := s.free.Minus(spare)
 	at := p.now
 	for i := 0; ; i++ {
-		if i == len(held) && len(list) == 0 {
+		if i == len(ends) && len(list) == 0 {
 			free = free.Plus(spare)
 		}
 		for len(list) < len(e.Tasks) && e.Need.Fits(free) {
 			free = free.Minus(e.Need)
 			list = append(list, opening{at, s})
 		}
-		if i == len(held) || len(list) == len(e.Tasks) {
+		if i == len(ends) || len(list) == len(e.Tasks) {
 			return list
 		}
-		free = free.Plus(held[i].Lease.Need)
-		if end := p.end(held[i]); end.After(at) {
-			at = end
+		free = free.Plus(ends[i].need)
+		if ends[i].at.After(at) {
+			at = ends[i].at
 		}
 	}
 }
+
+// ending is when a held task is expected to end and what it frees.
+type ending struct {
+	at   time.Time
+	need table.Resources
+	id   table.TaskID
+}
+
+// ends returns the ends of the tasks that s holds, in order of time.
+func (p *tick) ends(s *site) []ending {
+	list := make([]ending, 0, len(s.held))
+	for _, task := range s.held {
+		list = append(list, ending{p.end(task), task.Lease.Need, task.ID})
+	}
+	slices.SortFunc(list, func(a, b ending) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+	})
+	return list
+}
