--- a/placement/input.go
+++ b/placement/input.go
@@ -24,12 +24,17 @@
 	Load func(id table.InstanceID) float64
 	// Calm says whether more batch work may start beside an instance; nil means always.
 	Calm func(id table.InstanceID) bool
+	// Revoked holds tasks that the same batch revokes already.
+	Revoked map[table.TaskID]bool
+
+	closed []table.WorkerID // workers that the same batch closes
 }
 
 // Bounds on the work of one tick.
 const (
-	maxGrants     = 256 // entries placed in one tick
-	maxRefused    = 512 // entries that were looked at and did not fit
-	maxCandidates = 64  // feasible workers that are scored for one task
-	maxPreempted  = 32  // tasks revoked for urgent work in one tick
+	maxGrants       = 256 // entries placed in one tick
+	maxRefused      = 512 // entries that were looked at and did not fit
+	maxCandidates   = 64  // feasible workers that are scored for one task
+	maxReserveTries = 2   // blocked entries for which a reservation is tried in one tick
+	maxPreempted    = 32  // tasks revoked for urgent work in one tick
 )
--- a/placement/place.go
+++ b/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"persimmonpick/journal"
@@ -18,7 +19,7 @@
 	refused []shape // needs that fit nowhere, so that no larger one is tried again
 	records []journal.Record
 	revoked int
-	reserve bool // a reservation was made in this tick
+	tries   int // to make a reservation
 }
 
 // shape is a need that fits nowhere in this tick.
@@ -32,12 +33,18 @@
 //
 // The grants of one call fit together, and those of a gang must be proposed in one batch.
 func Place(t *table.Tables, now time.Time, in Input) []journal.Record {
-	scan := queue.NewScan(t)
+	return place(t, queue.NewScan(t), now, in)
+}
+
+func place(t *table.Tables, scan *queue.Scan, now time.Time, in Input) []journal.Record {
 	if len(scan.Pending) == 0 {
 		in.Reserved.clear()
 		return nil
 	}
 	p := &tick{t: t, now: now, in: in, sites: sites(t, scan, in.Avoid), spread: newSpread(t)}
+	for _, s := range p.sites {
+		s.open = s.open && !slices.Contains(in.closed, s.w.ID)
+	}
 	in.Reserved.keep(t, p.sites)
 	q := queue.New(t, scan, now, in.Queue)
 	placed, refused := 0, 0
@@ -110,8 +117,9 @@
 		return
 	}
 	p.refused = append(p.refused, shape{e.Job.Kind, e.Need, e.RunTime})
-	if !p.reserve && p.in.Reserved.make(p, e) {
-		p.reserve = true
+	if p.tries < maxReserveTries {
+		p.tries++
+		p.in.Reserved.make(p, e)
 	}
 }
 
