--- /dev/null
+++ b/entry/capacity_test.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"syscall"
+	"testing"
+	"time"
+
+	"persimmonpick/journal"
+	"persimmonpick/platform"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+)
+
+// The share of the design target on each worker.
+const (
+	capacityHeld      = 9 // running batch tasks
+	capacityInstances = 3
+)
+
+func cpuTime() time.Duration {
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+		panic(err)
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+func capacityTask(worker, k int) table.TaskID {
+	return table.TaskID(fmt.Sprintf("j-ABCDEFGHIJKLMNOPQR%08d/%d", worker, k))
+}
+
+func capacityWorker(i int) table.WorkerID {
+	return table.WorkerID(fmt.Sprintf("worker-%05d", i))
+}
+
+// capacityTables has n workers with their share of instances and of running tasks, one job to a worker.
+func capacityTables(n int) *table.Tables {
+	t := table.New()
+	t.Applied = 1000
+	need := table.Resources{CPU: 1000, Memory: 4 << 30}
+	for i := range 290 {
+		id := table.TeamID(fmt.Sprintf("team-%03d", i))
+		t.Teams[id] = &table.Team{ID: id, Weight: 1, Quota: table.Resources{CPU: 1 << 40, Memory: 1 << 50}}
+	}
+	for i := range n {
+		w := &table.Worker{ID: capacityWorker(i), Capacity: table.Resources{CPU: 32_000, Memory: 125 << 30}}
+		t.Workers[w.ID] = w
+		for k := range capacityInstances {
+			in := &table.Instance{
+				ID: table.InstanceID(fmt.Sprintf("instance-%05d-%d", i, k)), Service: table.ServiceID(fmt.Sprintf("service-%02d", k)),
+				Worker: w.ID, Need: need, Slots: 8, Connections: 64,
+			}
+			t.Instances[in.ID] = in
+			w.Used, w.Holds = w.Used.Plus(need), w.Holds+1
+		}
+		job := &table.Job{ID: table.JobID(fmt.Sprintf("j-%d", i)), Team: "team-001", Kind: "rerun", Need: need, State: table.JobRunning, Open: capacityHeld}
+		job.Counts.Held = capacityHeld
+		t.Jobs[job.ID] = job
+		for k := range capacityHeld {
+			task := &table.Task{ID: capacityTask(i, k), Job: job.ID, State: table.TaskStarted, LastToken: 900}
+			task.Lease = table.Lease{Worker: w.ID, Token: 900, Need: need, Started: true}
+			t.Tasks[task.ID] = task
+			job.Tasks = append(job.Tasks, task.ID)
+			w.Used, w.Holds = w.Used.Plus(need), w.Holds+1
+		}
+	}
+	return t
+}
+
+// capacityHost is an entry host alone, current, with these tables and workers that answer at once.
+func capacityHost(t *table.Tables, reports map[table.WorkerID]platform.Report) *Host {
+	s := settings.Default()
+	s.Seat = "seat-1"
+	s.Seats = []settings.Seat{{ID: "seat-1", PeerAddress: "127.0.0.1:1"}}
+	s.Peers.Plain = true
+	h, err := New(Config{Settings: s, Logger: slog.New(slog.DiscardHandler), Platform: platform.Platform{
+		Workers: platform.Workers{
+			Report: func(_ context.Context, w table.WorkerID) (platform.Report, error) { return reports[w], nil },
+			Renew:  func(context.Context, table.WorkerID, []platform.Renewal) error { return nil },
+		},
+	}})
+	if err != nil {
+		panic(err)
+	}
+	h.control.fold(journal.Delivery{Tables: t})
+	h.control.atEnd.Store(true)
+	h.control.joined.Store(true)
+	return h
+}
+
+func capacityReports(n int, taken time.Time) map[table.WorkerID]platform.Report {
+	all := map[table.WorkerID]platform.Report{}
+	for i := range n {
+		rep := platform.Report{Worker: capacityWorker(i), Taken: taken}
+		for k := range capacityHeld {
+			id := capacityTask(i, k)
+			rep.Statuses = append(rep.Statuses, platform.TaskStatus{Task: id, Token: 900, State: platform.RunRunning})
+			rep.Tasks = append(rep.Tasks, platform.TaskUsage{Task: id, Token: 900, Used: table.Resources{CPU: 913, Memory: 3_456_789_012}, Progress: 0.1234})
+		}
+		for k := range capacityInstances {
+			rep.Instances = append(rep.Instances, platform.InstanceUsage{
+				Instance: table.InstanceID(fmt.Sprintf("instance-%05d-%d", i, k)), Load: 0.4321, P99: 12_345_678,
+			})
+		}
+		all[rep.Worker] = rep
+	}
+	return all
+}
+
+// BenchmarkVisits measures one round of visits to several numbers of workers: order, comparison, renewal and learning.
+//
+// The bytes are those of a report and a renewal in JSON, without HTTP headers; the processor time is without encoding.
+func BenchmarkVisits(b *testing.B) {
+	for _, n := range []int{65, 145, 289, 650, 2600} {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			t := capacityTables(n)
+			reports := capacityReports(n, time.Now())
+			h := capacityHost(t, reports)
+			c := h.control
+			now := time.Now()
+			began := cpuTime()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				c.group.Fence.Folded(t.Applied, time.Now(), time.Now())
+				for done := 0; done < n; {
+					c.agents.run(t, now)
+					select {
+					case v := <-c.visits:
+						c.agents.visited(t, v, now)
+						done++
+					case <-time.After(10 * time.Second):
+						b.Fatal("no visit ended")
+					}
+				}
+			}
+			b.ReportMetric(float64(cpuTime()-began)/float64(b.N*n)/1e3, "cpu-us/worker")
+			b.ReportMetric(visitBytes(b, reports[capacityWorker(0)]), "json-B/worker")
+		})
+	}
+}
+
+func visitBytes(b *testing.B, rep platform.Report) float64 {
+	var rs []platform.Renewal
+	for _, st := range rep.Statuses {
+		rs = append(rs, platform.Renewal{Task: st.Task, Token: st.Token, Until: time.Now()})
+	}
+	report, err := json.Marshal(rep)
+	if err != nil {
+		b.Fatal(err)
+	}
+	renewal, err := json.Marshal(rs)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(report) + len(renewal))
+}
+
+// BenchmarkLearn measures what a host does with a report that a peer passed on.
+func BenchmarkLearn(b *testing.B) {
+	for _, n := range []int{65, 289, 650, 2600} {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			t := capacityTables(n)
+			taken := time.Now()
+			reports := capacityReports(n, taken)
+			h := capacityHost(t, reports)
+			began := cpuTime()
+			for b.Loop() {
+				taken = taken.Add(time.Second)
+				for id, rep := range reports {
+					rep.Taken = taken
+					h.control.systems.learn.reported(t, id, rep, taken)
+				}
+			}
+			b.ReportMetric(float64(cpuTime()-began)/float64(b.N*n)/1e3, "cpu-us/report")
+		})
+	}
+}
+
+// BenchmarkControlFold measures the control goroutine on one delivery of one batch: the fold, what follows records, and the view.
+func BenchmarkControlFold(b *testing.B) {
+	for _, n := range []int{65, 650, 1300, 2600} {
+		for _, records := range []int{1, 16, 64} {
+			b.Run(fmt.Sprintf("workers=%d/records=%d", n, records), func(b *testing.B) {
+				h := capacityHost(capacityTables(n), nil)
+				c := h.control
+				next := func(rs []journal.Record) {
+					off := c.tables.Applied + 1
+					batch := &journal.Batch{Writer: "seat-2-ABCDEFGHIJKLMNOP", Seq: uint64(off), Records: rs}
+					c.fold(journal.Delivery{Entries: []journal.Entry{{Offset: off, Batch: batch}}, Began: time.Now()})
+				}
+				began := cpuTime()
+				for b.Loop() {
+					var ends, grants, starts []journal.Record
+					for i := range records {
+						id := capacityTask(i%65, i/65)
+						ends = append(ends, journal.Record{LeaseEnded: &journal.LeaseEnded{Task: id, Token: c.tables.Tasks[id].Lease.Token, Outcome: journal.LeaseStopped}})
+					}
+					next(ends)
+					for i := range records {
+						id := capacityTask(i%65, i/65)
+						grants = append(grants, journal.Record{LeaseGranted: &journal.LeaseGranted{
+							Task: id, Worker: capacityWorker(i % 65), Need: table.Resources{CPU: 1000, Memory: 4 << 30}, Holder: "seat-1",
+						}})
+					}
+					next(grants)
+					for i := range records {
+						id := capacityTask(i%65, i/65)
+						starts = append(starts, journal.Record{LeaseStarted: &journal.LeaseStarted{Task: id, Token: c.tables.Applied, Starter: "seat-2-ABCDEFGHIJKLMNOP"}})
+					}
+					next(starts)
+				}
+				b.ReportMetric(float64(cpuTime()-began)/float64(3*b.N)/1e3, "cpu-us/batch")
+			})
+		}
+	}
+}
