--- a/entry/capacity_test.go
+++ b/entry/capacity_test.go
@@ -218,3 +218,61 @@
 		}
 	}
 }
+
+// BenchmarkReportJSON measures the decoding of one worker's report and the encoding of the renewal of its leases.
+func BenchmarkReportJSON(b *testing.B) {
+	rep := capacityReports(1, time.Now())[capacityWorker(0)]
+	data, err := json.Marshal(rep)
+	if err != nil {
+		b.Fatal(err)
+	}
+	rs := make([]platform.Renewal, capacityHeld)
+	began := cpuTime()
+	for b.Loop() {
+		var got platform.Report
+		if err := json.Unmarshal(data, &got); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := json.Marshal(rs); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(cpuTime()-began)/float64(b.N)/1e3, "cpu-us/op")
+}
+
+// BenchmarkHostList measures the platform's list of hosts: its bytes in JSON, its decoding, and its comparison with the tables.
+func BenchmarkHostList(b *testing.B) {
+	for _, n := range []int{65, 650, 1300, 2600} {
+		t := capacityTables(n)
+		list := platform.HostList{AsOf: time.Now()}
+		for _, id := range table.SortedWorkers(t) {
+			w := t.Workers[id]
+			list.Workers = append(list.Workers, platform.WorkerInfo{ID: id, Capacity: w.Capacity})
+		}
+		for _, id := range table.SortedInstances(t) {
+			list.Instances = append(list.Instances, *t.Instances[id])
+		}
+		data, err := json.Marshal(list)
+		if err != nil {
+			b.Fatal(err)
+		}
+		hosts := capacityHost(t, nil).control.systems.hosts
+		for name, op := range map[string]func(){
+			"decode": func() { _ = json.Unmarshal(data, &platform.HostList{}) },
+			"compare": func() {
+				hosts.newest = list
+				list.AsOf = list.AsOf.Add(time.Second)
+				hosts.run(t, time.Now())
+			},
+		} {
+			b.Run(fmt.Sprintf("%s/workers=%d", name, n), func(b *testing.B) {
+				began := cpuTime()
+				for b.Loop() {
+					op()
+				}
+				b.ReportMetric(float64(cpuTime()-began)/float64(b.N)/1e6, "cpu-ms/op")
+				b.ReportMetric(float64(len(data)), "json-B")
+			})
+		}
+	}
+}
