Run the policy as placement.System, add the site, the demo and scenarios with real processes

Cause: the control loop had its own copy of what package placement now holds as System, which the experiment measures; the fold refused NotStarted after an announced start, so a refused start was proposed for ever. Change: entry feeds placement.System; LeaseEnded names the process that announced a start, which alone may say that it was refused; an idempotent task that its worker lost ends as Stopped; the writer hears of loaded tables; standins/site, standins/demo and the scenarios start the daemons as processes. Conclusion: one policy in the daemon and in the experiment.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -120,15 +118,6 @@
 	return ""
 }
 
-// heldTasks returns the tasks that hold leases on a worker, in order of ids.
-func (a *agents) heldTasks(t *table.Tables, id table.WorkerID) []*table.Task {
-	list := make([]*table.Task, 0, len(a.held[id]))
-	for _, taskID := range slices.Sorted(maps.Keys(a.held[id])) {
-		list = append(list, t.Tasks[taskID])
-	}
-	return list
-}
-
 func (a *agents) release(id table.TaskID, token table.Token) {
 	worker, ok := a.workerOf[id]
 	if !ok {
--- a/entry/control.go
+++ b/entry/control.go
@@ -108,6 +108,7 @@
 	now := time.Now()
 	if d.Tables != nil {
 		c.tables = d.Tables
+		c.writer.Reloaded(c.tables)
 		c.group.Fence.Hosts(c.tables.Hosts, now, true)
 		c.agents.reload(c.tables)
 		c.systems.reload(c.tables, now)
@@ -143,7 +144,7 @@
 		worker := c.agents.workerFor(r)
 		c.agents.folded(c.tables, r)
 		if worker != "" {
-			c.systems.learn.leaseChanged(c.tables, worker, r, now)
+			c.systems.policy.leaseChanged(c.tables, worker, r, now)
 		}
 		c.systems.folded(c.tables, now)
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -114,17 +114,15 @@
 		slots: make(chan struct{}, maxVisits), tried: map[leaseKey]bool{},
 	}
 	c.agents.reload(c.tables)
-	learn := newLearning(h.cfg, h.log)
-	learn.workers = h.platform.Workers
-	learn.submit = c.submit
-	learn.held = c.agents.heldTasks
-	learn.command = h.inBackground
+	p := newPolicy(h.cfg, h.log)
+	p.workers = h.platform.Workers
+	p.command = h.inBackground
 	c.agents.reported = func(t *table.Tables, rep platform.Report, now time.Time) {
 		h.reports.add(rep)
-		learn.reported(t, rep.Worker, rep, now)
+		p.reported(t, rep, now)
 	}
 	c.systems = systems{
-		cfg: h.cfg, submit: c.submit, later: c.later, avoid: h.avoid, learn: learn, never: h.reportNever,
+		cfg: h.cfg, submit: c.submit, later: c.later, avoid: h.avoid, policy: p, never: h.reportNever,
 		hosts: &hostList{cfg: h.cfg, hosts: h.platform.Hosts, submit: c.submit, later: c.later, avoid: h.avoid, log: h.log},
 		snapshots: snapshots{
 			ctx: h.ctx, log: h.platform.Log, period: h.cfg.Timing.SnapshotPeriod.D(), later: c.later, logger: h.log, wg: &h.wg,
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -97,7 +97,7 @@
 	c := h.control
 	c.later(func() {
 		for _, rep := range list {
-			c.systems.learn.reported(c.tables, rep.Worker, rep, time.Now())
+			c.systems.policy.reported(c.tables, rep, time.Now())
 		}
 	})
 }
--- a/entry/snapshots.go
+++ b/entry/snapshots.go
@@ -16,7 +16,7 @@
 // snapshotTimeout bounds the appends of one snapshot; a later one replaces it anyway.
 const snapshotTimeout = 30 * time.Second
 
-// snapshots writes the tables to the log from time to time.
+// snapshots writes the tables to the log from time to time, also when nothing changed, as older snapshots leave the log's retention.
 type snapshots struct {
 	ctx    context.Context
 	log    platform.Log
@@ -27,14 +27,13 @@
 
 	writing bool
 	last    time.Time
-	applied table.Offset // of the last whole snapshot
 }
 
 func (s *snapshots) run(t *table.Tables, now time.Time) {
 	if s.last.IsZero() {
 		s.last = now
 	}
-	if s.writing || t.Applied <= s.applied || now.Sub(s.last) < s.period {
+	if s.writing || now.Sub(s.last) < s.period {
 		return
 	}
 	s.writing = true
@@ -50,12 +49,7 @@
 		} else {
 			s.logger.Info("snapshot written", "Applied", copied.Applied, "Took", time.Since(began))
 		}
-		s.later(func() {
-			s.writing = false
-			if err == nil {
-				s.applied = copied.Applied
-			}
-		})
+		s.later(func() { s.writing = false })
 	})
 }
 
@@ -75,17 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := journal.NewAssembler()
-	for _, chunk := range reply.Chunks {
-		if err := a.Add(chunk); err != nil {
-			return nil, err
-		}
-	}
-	t := a.Newest()
-	if t == nil {
-		return nil, fault.New(fault.Invalid, "seat %s sent an incomplete snapshot", best.Seat)
-	}
-	return t, nil
+	return journal.DecodeSnapshot(reply.Chunks)
 }
 
 // handleSnapshot gives a peer the tables of this host.
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"persimmonpick/journal"
-	"persimmonpick/placement"
 	"persimmonpick/queue"
 	"persimmonpick/settings"
 	"persimmonpick/table"
@@ -22,11 +21,10 @@
 	submit func(what string, rs []journal.Record, done func(journal.Result, error))
 	later  func(func())
 	avoid  func() map[table.WorkerID]bool // workers that some host cannot reach
-	learn  *learning
+	policy *policy
 	hosts  *hostList
 	never  func([]queue.NeverFits) // reports jobs that can run nowhere
 
-	reserved  placement.Reservations
 	placing   bool // grants were proposed and are not folded yet
 	dirty     bool // the tables changed since the last placement
 	placed    time.Time
@@ -49,7 +47,6 @@
 func (s *systems) reload(t *table.Tables, now time.Time) {
 	s.dirty = true
 	s.marks = append(s.marks, mark{t.Applied, now})
-	s.learn.reload(t, now)
 }
 
 // folded notes a record that took effect.
@@ -63,32 +60,27 @@
 func (s *systems) run(t *table.Tables, now time.Time) {
 	s.hosts.run(t, now)
 	s.place(t, now)
-	s.learn.run(t, now)
 	s.expire(now)
 	s.snapshots.run(t, now)
 	if now.Sub(s.nevered) >= neverPeriod {
 		s.nevered = now
-		s.never(queue.Never(t, s.learn.queueConfig()))
+		s.never(queue.Never(t, s.policy.system.QueueConfig(t)))
 	}
 }
 
-// place proposes grants; the next pass waits until these are folded, as it would choose the same tasks again.
+// place runs the policy; the next pass waits until its records are folded, as it would choose the same tasks again.
 func (s *systems) place(t *table.Tables, now time.Time) {
 	if s.placing || (!s.dirty && now.Sub(s.placed) < placeAnyway) {
 		return
 	}
 	s.dirty = false
 	s.placed = now
-	in := placement.Input{
-		Policy: s.cfg.Policy, Holder: s.cfg.Seat, Queue: s.learn.queueConfig(), Reserved: &s.reserved, Avoid: s.avoid(),
-	}
-	s.learn.inform(&in)
-	rs := placement.Place(t, now, in)
+	rs := s.policy.tick(t, now, s.avoid())
 	if len(rs) == 0 {
 		return
 	}
 	s.placing = true
-	s.submit("placement", rs, func(journal.Result, error) {
+	s.submit("policy", rs, func(journal.Result, error) {
 		s.later(func() { s.placing = false })
 	})
 }
--- a/entry/visit.go
+++ b/entry/visit.go
@@ -24,6 +24,7 @@
 	mine          bool // this process announced the start
 	firstTry      bool // this process has not sent a start under this token
 	nonIdempotent bool
+	refused       bool // the worker refused the only start
 	start         platform.StartRequest
 }
 
@@ -231,7 +232,7 @@
 		}
 	case fault.Stale, fault.Capacity, fault.Invalid:
 		r.a.log.Warn("start refused", "Worker", r.o.worker, "Task", id, "Token", l.token, "Error", err)
-		l.started = false // the only start was refused
+		l.refused = true
 		r.stop(ctx, id, l)
 	default:
 		r.a.log.Warn("start not confirmed", "Worker", r.o.worker, "Task", id, "Token", l.token, "Error", err)
@@ -278,21 +279,25 @@
 	r.records = append(r.records, journal.Record{LeaseEnded: e})
 }
 
-// neverHeard ends a lease whose token the worker never accepted, as far as it remembers.
+// neverHeard ends a lease whose token the worker never accepted, as far as it remembers, and will not accept any more.
 //
 // A worker that restarted has forgotten what it ran, so a non-idempotent task whose start was announced is not known to have never run.
 func (r *reconcile) neverHeard(e *journal.LeaseEnded, l leaseOrder) {
-	if !l.nonIdempotent || !l.started {
+	switch {
+	case !l.started:
 		e.Outcome = journal.LeaseNotStarted
-		r.records = append(r.records, journal.Record{LeaseEnded: e})
-		return
-	}
-	if !l.stop {
+	case l.refused && l.mine:
+		e.Outcome = journal.LeaseNotStarted
+		e.Starter = r.a.incarnation
+	case !l.nonIdempotent:
+		e.Outcome = journal.LeaseStopped
+	case !l.stop:
 		r.records = append(r.records, record(&journal.LeaseRevoked{Task: e.Task, Token: e.Token, Reason: "start not confirmed"}))
 		return
+	default:
+		e.Outcome = journal.LeaseExpired
+		e.Reason = "the worker does not know the task, and its start may have arrived"
 	}
-	e.Outcome = journal.LeaseExpired
-	e.Reason = "the worker does not know the task, and its start may have arrived"
 	r.records = append(r.records, journal.Record{LeaseEnded: e})
 }
 
--- a/journal/apply_leases.go
+++ b/journal/apply_leases.go
@@ -70,7 +70,7 @@
 	if task == nil {
 		return fault.Stale
 	}
-	if k := mayEnd(task, r.Outcome); k != fault.None {
+	if k := mayEnd(task, r); k != fault.None {
 		return k
 	}
 	if task.State.Held() {
@@ -93,12 +93,13 @@
 	return task
 }
 
-func mayEnd(task *table.Task, outcome LeaseOutcome) fault.Kind {
-	switch outcome {
+func mayEnd(task *table.Task, r *LeaseEnded) fault.Kind {
+	switch r.Outcome {
 	case LeaseFinished, LeaseFailed, LeaseStopped:
 		return fault.None
 	case LeaseNotStarted:
-		if task.Lease.Started {
+		// Only the process that announced a start knows that it was refused.
+		if task.Lease.Started && (r.Starter == "" || r.Starter != task.Lease.Starter) {
 			return fault.Conflict
 		}
 		return fault.None
--- a/journal/record.go
+++ b/journal/record.go
@@ -130,6 +130,7 @@
 	Task       table.TaskID
 	Token      table.Token
 	Outcome    LeaseOutcome
+	Starter    table.Incarnation `cbor:",omitempty"` // for NotStarted after LeaseStarted: the process that announced the start, whose only start was refused
 	Checkpoint []byte
 	Result     []byte
 	Reason     string
--- a/placement/system.go
+++ b/placement/system.go
@@ -30,7 +30,8 @@
 	Guard     *Guard
 	Sizes     *Corrections
 	Health    *Quarantine
-	Reserved  *Reservations // nil keeps no places for large jobs
+	Reserved  *Reservations           // nil keeps no places for large jobs
+	Avoid     map[table.WorkerID]bool // workers that some entry host cannot reach
 
 	readings map[table.InstanceID]Reading
 	lag      time.Duration
@@ -146,7 +147,7 @@
 
 func (s *System) placeInput(t *table.Tables) Input {
 	return Input{
-		Policy: s.Policy, Holder: s.Holder, Queue: s.QueueConfig(t), Reserved: s.Reserved,
+		Policy: s.Policy, Holder: s.Holder, Queue: s.QueueConfig(t), Reserved: s.Reserved, Avoid: s.Avoid,
 		Slowdown: s.Model.Estimate, Share: s.Guard.Share, Calm: s.Guard.Calm,
 		Load: func(id table.InstanceID) float64 {
 			if r, ok := s.readings[id]; ok {
--- a/route/answer.go
+++ b/route/answer.go
@@ -43,5 +43,5 @@
 }
 
 func refused(res *http.Response) bool {
-	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(RefusedHeader) == "1"
+	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(RefusedHeader) != ""
 }
--- /dev/null
+++ b/scenario/doc.go
@@ -0,0 +1,2 @@
+// Package scenario holds scripted scenarios that run the daemons as processes and inject failures.
+package scenario
--- /dev/null
+++ b/scenario/load_test.go
@@ -0,0 +1,104 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"persimmonpick/standins/backend"
+	"persimmonpick/standins/site"
+)
+
+// load sends requests at a steady rate until it is stopped.
+type load struct {
+	cancel chan struct{}
+	once   sync.Once
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	statuses map[string]int // by status or error code
+	broken   []string       // requests without a whole answer
+}
+
+func (l *load) stop() {
+	l.once.Do(func() { close(l.cancel) })
+	l.done.Wait()
+}
+
+// cmdLoad drives quotes: load start NAME e1 [Every=5ms], then load stop NAME [Broken=0] [Only200=true].
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	plain, opts := options(args)
+	if plain[0] == "start" {
+		every := 5 * time.Millisecond
+		if opts["Every"] != "" {
+			d, err := time.ParseDuration(opts["Every"])
+			ts.Check(err)
+			every = d
+		}
+		w.loads[plain[1]] = startLoad(w.callers(ts, plain[2])+"/v1/requests/quote", every)
+		return
+	}
+	l := w.loads[plain[1]]
+	l.stop()
+	fmt.Fprintf(os.Stderr, "measured %s: load %s: %v, broken %d\n", ts.Name(), plain[1], l.statuses, len(l.broken))
+	if opts["Broken"] != "" && fmt.Sprint(len(l.broken)) != opts["Broken"] {
+		ts.Fatalf("%d requests had no whole answer, want %s: %.500q", len(l.broken), opts["Broken"], l.broken)
+	}
+	if opts["Only200"] == "true" && len(l.statuses) != 1 {
+		ts.Fatalf("not every request succeeded: %v", l.statuses)
+	}
+	if l.statuses["200"] == 0 {
+		ts.Fatalf("no request succeeded: %v", l.statuses)
+	}
+}
+
+func startLoad(url string, every time.Duration) *load {
+	l := &load{cancel: make(chan struct{}), statuses: map[string]int{}}
+	l.done.Go(func() {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for {
+			select {
+			case <-l.cancel:
+				return
+			case <-tick.C:
+				l.done.Go(func() { l.send(url) })
+			}
+		}
+	})
+	return l
+}
+
+func (l *load) send(url string) {
+	status, data, err := site.Call(http.MethodPost, url, token, []byte(`{"ServiceMillis": 20}`), nil)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.broken = append(l.broken, err.Error())
+		return
+	}
+	var f struct{ Code string }
+	if status != http.StatusOK {
+		_ = json.Unmarshal(data, &f)
+	}
+	l.statuses[fmt.Sprint(status)+f.Code]++
+}
+
+// cmdBackends checks that no backend server was given more than its slots and connections.
+func cmdBackends(ts *testscript.TestScript, _ bool, _ []string) {
+	for _, p := range of(ts).site.Backends {
+		addr, err := p.Address("")
+		ts.Check(err)
+		var c backend.Stats
+		ts.Check(site.Get("http://"+addr+"/admin/stats", "", &c))
+		if c.SlotViolations+c.ConnViolations > 0 || c.HighestSlots > 8 || c.HighestConnections > 64 {
+			ts.Fatalf("%s: %+v", p.Name, c)
+		}
+	}
+}
