Ask borrowers for idle slots on behalf of other borrowers, and choose without sorting all instances

When load moved from one host to another, slots idled at the first until their idle term ended: go test -run Moves ./route with half a second of load per host showed p50 77 ms and p99 119 ms on the second host, for 10 to 30 ms of service. The owner now recalls idle slots when it must refuse a borrower: p99 30 ms on each host.

Choice among 50 instances, go test -run xxx -bench AtHand ./route: 56.5 us and 36 kB before, 1.45 us and 64 B after.

--- a/route/queue.go
+++ b/route/queue.go
@@ -162,9 +162,15 @@
 	return true
 }
 
+// endBorrow lets the pump look for what the call brought.
 func (q *queue) endBorrow() {
+	q.cancelBorrow()
+	q.signal()
+}
+
+// cancelBorrow takes back startBorrow where there was nobody to ask.
+func (q *queue) cancelBorrow() {
 	q.mu.Lock()
 	q.borrowing--
 	q.mu.Unlock()
-	q.signal()
 }
--- a/route/service.go
+++ b/route/service.go
@@ -22,6 +22,8 @@
 	count    int           // instances in the newest view
 	median   time.Duration // of the latency averages
 	medianAt time.Time
+	ejected  int   // members that are ejected
+	draw     []int // a permutation of the indices of instances, reused
 }
 
 func newService(cfg *Config) *service {
@@ -40,7 +42,7 @@
 // update forgets instances that left and sets the count that the floor of ejection relies on.
 func (s *service) update(instances []table.Instance) {
 	s.count = len(instances)
-	if len(s.members) <= 2*len(instances) {
+	if len(s.members) <= len(instances) {
 		return
 	}
 	keep := map[table.InstanceID]bool{}
@@ -48,43 +50,88 @@
 		keep[inst.ID] = true
 	}
 	for id, m := range s.members {
-		if !keep[id] && m.inflight == 0 {
-			delete(s.members, id)
+		if keep[id] || m.inflight > 0 {
+			continue
+		}
+		if m.ejected {
+			s.ejected--
 		}
+		delete(s.members, id)
 	}
 }
 
-// candidate is an instance that may be chosen.
-type candidate struct {
-	inst  table.Instance
-	score float64
-}
-
-// pick orders the instances that pass usable and, while others are in use, were not tried: a probe that is due, then the better of two random ones, then the rest by score.
-func (s *service) pick(instances []table.Instance, req *Request, tried map[table.InstanceID]bool, usable func(table.Instance) bool) []table.Instance {
+// pick chooses an instance that passes usable and, while others are in use, was not tried: one whose probe is due, else the better of two random ones.
+//
+// Always taking the best would send every host to the same instance.
+func (s *service) pick(instances []table.Instance, req *Request, tried map[table.InstanceID]bool, usable func(table.Instance) bool) (table.Instance, bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.update(instances)
-	median := s.medianNow(now)
-	if !s.anyFresh(instances, tried) {
+	if len(tried) > 0 && !s.anyFresh(instances, tried) {
 		tried = nil
 	}
-	var probe, rest []candidate
-	for _, inst := range instances {
+	if i := s.dueProbe(instances, req, tried, usable, now); i >= 0 {
+		return instances[i], true
+	}
+	i := s.betterOfTwo(instances, tried, usable, now)
+	if i < 0 {
+		return table.Instance{}, false
+	}
+	return instances[i], true
+}
+
+// dueProbe returns the index of an ejected instance that may get the single request of its probation, or -1.
+func (s *service) dueProbe(instances []table.Instance, req *Request, tried map[table.InstanceID]bool, usable func(table.Instance) bool, now time.Time) int {
+	if s.ejected == 0 {
+		return -1
+	}
+	for i, inst := range instances {
+		m := s.member(inst.ID)
+		if m.probeDue(now, !req.Kind.NonIdempotent) && !tried[inst.ID] && usable(inst) {
+			return i
+		}
+	}
+	return -1
+}
+
+// betterOfTwo draws instances at random until two may be used, and returns the index of the one with the lower score, or -1.
+func (s *service) betterOfTwo(instances []table.Instance, tried map[table.InstanceID]bool, usable func(table.Instance) bool, now time.Time) int {
+	s.fillDraw(len(instances))
+	median := s.medianNow(now)
+	best := -1
+	var bestScore float64
+	for k := range s.draw {
+		other := k + rand.IntN(len(s.draw)-k)
+		s.draw[k], s.draw[other] = s.draw[other], s.draw[k]
+		inst := instances[s.draw[k]]
 		m := s.member(inst.ID)
-		if tried[inst.ID] || !usable(inst) {
+		if m.ejected || tried[inst.ID] || !usable(inst) {
 			continue
 		}
-		switch {
-		case !m.ejected:
-			rest = append(rest, candidate{inst, s.score(m, inst, median)})
-		case m.probeDue(now, !req.Kind.NonIdempotent):
-			probe = append(probe, candidate{inst: inst})
+		score := s.score(m, inst, median)
+		if best < 0 {
+			best = s.draw[k]
+			bestScore = score
+			continue
+		}
+		if score < bestScore {
+			best = s.draw[k]
 		}
+		break
+	}
+	return best
+}
+
+// fillDraw makes draw a permutation of the first n numbers.
+func (s *service) fillDraw(n int) {
+	if len(s.draw) == n {
+		return
+	}
+	s.draw = make([]int, n)
+	for i := range s.draw {
+		s.draw[i] = i
 	}
-	chooseOfTwo(rest)
-	return inOrder(append(probe, rest...))
 }
 
 // anyFresh says whether an instance in use was not tried yet.
@@ -97,34 +144,6 @@
 	return false
 }
 
-// chooseOfTwo moves the better of two random candidates to the front: always taking the best would send every host to the same instance.
-func chooseOfTwo(cs []candidate) {
-	if len(cs) < 2 {
-		return
-	}
-	slices.SortFunc(cs, func(a, b candidate) int {
-		switch {
-		case a.score < b.score:
-			return -1
-		case a.score > b.score:
-			return 1
-		}
-		return 0
-	})
-	i := min(rand.IntN(len(cs)), rand.IntN(len(cs)))
-	best := cs[i]
-	copy(cs[1:i+1], cs[:i])
-	cs[0] = best
-}
-
-func inOrder(cs []candidate) []table.Instance {
-	out := make([]table.Instance, len(cs))
-	for i, c := range cs {
-		out[i] = c.inst
-	}
-	return out
-}
-
 // score is the expected latency: the average, with a handicap for another zone, times the requests in flight.
 func (s *service) score(m *member, inst table.Instance, median time.Duration) float64 {
 	latency := m.ewma
@@ -207,6 +226,7 @@
 	}
 	if out.good() && !s.slow(out.latency, now) {
 		m.readmit()
+		s.ejected--
 		return
 	}
 	m.eject(now)
@@ -223,15 +243,11 @@
 
 // tryEject ejects m unless too few instances would stay in use.
 func (s *service) tryEject(m *member, now time.Time) {
-	out := 1
-	for _, other := range s.members {
-		if other.ejected {
-			out++
-		}
-	}
-	if float64(s.count-out) < s.cfg.EjectFloor*float64(s.count) {
+	left := float64(s.count - s.ejected - 1)
+	if left < s.cfg.EjectFloor*float64(s.count) {
 		return
 	}
+	s.ejected++
 	m.eject(now)
 }
 
--- a/route/slot.go
+++ b/route/slot.go
@@ -13,6 +13,8 @@
 	parallelBorrows = 4
 	// pumpPeriod bounds the wait for slots that come free without a signal, such as after the pause of an owner.
 	pumpPeriod = 2 * time.Millisecond
+	// maxPicks bounds the choices that lose their slot to another goroutine before the request joins the queue.
+	maxPicks = 8
 )
 
 // acquire returns a slot for a request, at once or after its turn in the queue.
@@ -79,7 +81,12 @@
 // atHand takes a slot that needs no call.
 func (r *Router) atHand(s *service, instances []table.Instance, req *Request, tried map[table.InstanceID]bool) (grant, bool) {
 	has := func(inst table.Instance) bool { return r.cfg.Slots.AtHand(inst) > 0 }
-	for _, inst := range s.pick(instances, req, tried, has) {
+	for range maxPicks {
+		inst, ok := s.pick(instances, req, tried, has)
+		if !ok {
+			break
+		}
+		// Another goroutine may have taken the slot in between.
 		if release, ok := r.cfg.Slots.TryAcquire(inst); ok {
 			return grant{inst, release}, true
 		}
@@ -90,10 +97,17 @@
 // borrow asks owners for slots on behalf of n waiters.
 func (r *Router) borrow(s *service, instances []table.Instance, w *waiter, n int) {
 	want := (n + parallelBorrows - 1) / parallelBorrows
-	for _, inst := range s.pick(instances, w.req, w.tried, r.cfg.Slots.Borrowable) {
-		if !s.queue.startBorrow(parallelBorrows) {
+	asked := map[table.InstanceID]bool{}
+	usable := func(inst table.Instance) bool {
+		return !asked[inst.ID] && r.cfg.Slots.Borrowable(inst)
+	}
+	for s.queue.startBorrow(parallelBorrows) {
+		inst, ok := s.pick(instances, w.req, w.tried, usable)
+		if !ok {
+			s.queue.cancelBorrow()
 			return
 		}
+		asked[inst.ID] = true
 		go func() {
 			defer s.queue.endBorrow()
 			// A failed call is not repeated before the pause that share keeps.
--- a/share/borrow.go
+++ b/share/borrow.go
@@ -49,7 +49,7 @@
 		return nil, nil, BorrowRequest{}
 	}
 	if s.owner == m.cfg.Seat {
-		m.startRecall(s, now)
+		m.startRecall(s, now, true)
 		return nil, nil, BorrowRequest{}
 	}
 	s.calling = true
@@ -101,7 +101,7 @@
 	}
 }
 
-// HandleRecall gives the idle slots of an instance back to its owner, and marks those in use to be returned at the end of their request.
+// HandleRecall gives the idle slots of an instance back to its owner; if Soon is set, those in use follow at the end of their request.
 func (m *Manager) HandleRecall(req RecallRequest) RecallReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -111,7 +111,7 @@
 		return reply
 	}
 	for _, l := range s.loans {
-		l.wanted = true
+		l.wanted = l.wanted || req.Soon
 		reply.Returns = append(reply.Returns, s.giveUp(l))
 	}
 	return reply
--- a/share/lend.go
+++ b/share/lend.go
@@ -29,6 +29,9 @@
 		return BorrowReply{Slots: l.slots}, nil
 	}
 	n := max(0, min(req.Slots, free))
+	if n == 0 {
+		m.startRecall(s, now, false)
+	}
 	if n > 0 {
 		s.lent[req.Loan] = &lent{slots: n, end: now.Add(m.cfg.hold())}
 	}
@@ -59,8 +62,8 @@
 	l.slots = max(0, min(l.slots, req.Keep))
 }
 
-// startRecall asks the borrowers of an instance for idle slots, at most once in recallPause.
-func (m *Manager) startRecall(s *state, now time.Time) {
+// startRecall asks the borrowers of an instance for idle slots, at most once in recallPause; soon also asks for those in use, at the end of their request.
+func (m *Manager) startRecall(s *state, now time.Time, soon bool) {
 	if !m.mayRecall(s, now) {
 		return
 	}
@@ -75,18 +78,18 @@
 		return
 	}
 	s.recalling = true
-	go m.recall(s, s.inst, seats)
+	go m.recall(s, RecallRequest{Instance: s.inst.ID, Soon: soon}, seats)
 }
 
 func (m *Manager) mayRecall(s *state, now time.Time) bool {
 	return m.cfg.Recall != nil && len(s.lent) > 0 && !s.recalling && now.Sub(s.recalled) >= recallPause
 }
 
-func (m *Manager) recall(s *state, inst table.Instance, seats map[table.SeatID]bool) {
+func (m *Manager) recall(s *state, req RecallRequest, seats map[table.SeatID]bool) {
 	done := make(chan struct{})
 	for seat := range seats {
 		go func() {
-			m.recallFrom(seat, inst.ID)
+			m.recallFrom(seat, req)
 			done <- struct{}{}
 		}()
 	}
@@ -98,10 +101,10 @@
 	m.mu.Unlock()
 }
 
-func (m *Manager) recallFrom(seat table.SeatID, id table.InstanceID) {
+func (m *Manager) recallFrom(seat table.SeatID, req RecallRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), m.cfg.callTimeout())
 	defer cancel()
-	reply, err := m.cfg.Recall(ctx, seat, RecallRequest{Instance: id})
+	reply, err := m.cfg.Recall(ctx, seat, req)
 	if err != nil {
 		return
 	}
--- a/share/manager.go
+++ b/share/manager.go
@@ -91,7 +91,7 @@
 		return nil, false
 	}
 	if s.free(now) <= 0 {
-		m.startRecall(s, now)
+		m.startRecall(s, now, true)
 		return nil, false
 	}
 	s.own++
--- a/share/message.go
+++ b/share/message.go
@@ -31,6 +31,7 @@
 // RecallRequest asks a borrower for the idle slots of an instance.
 type RecallRequest struct {
 	Instance table.InstanceID
+	Soon     bool // also those in use, at the end of their request
 }
 
 // RecallReply lists what the borrower gave back.
