Test repeated and late calls of share directly

The random histories no longer caught a repeated call that lends again, nor ever a return that raises a loan; both changes, made by hand, fail the new test.

--- a/share/share_test.go
+++ b/share/share_test.go
@@ -232,3 +232,30 @@
 		is.Equal(owner.AtHand(inst), 8)
 	})
 }
+
+// Guards against a repeated or late call that lends or frees a slot twice.
+func TestRepeatedAndLateCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(2, 1, func() string { return "" })
+		inst := c.insts[0]
+		owner := c.managers[Owner(c.seats, inst.ID)]
+		borrow := BorrowRequest{Loan: LoanID{Borrower: "x", Number: 1}, Instance: inst.ID, Slots: 6}
+		for range 2 {
+			reply, err := owner.HandleBorrow(borrow)
+			is.NoErr(err)
+			is.Equal(reply.Slots, 6)
+			is.Equal(owner.AtHand(inst), 2)
+		}
+		for _, keep := range []int{4, 4, 5} { // the last one was sent first
+			owner.HandleReturn(ReturnRequest{Loan: borrow.Loan, Instance: inst.ID, Keep: keep})
+			is.Equal(owner.AtHand(inst), 4)
+		}
+		overtaken := BorrowRequest{Loan: LoanID{Borrower: "x", Number: 2}, Instance: inst.ID, Slots: 1}
+		owner.HandleReturn(ReturnRequest{Loan: overtaken.Loan, Instance: inst.ID})
+		reply, err := owner.HandleBorrow(overtaken)
+		is.NoErr(err)
+		is.Equal(reply.Slots, 0)
+		is.Equal(owner.AtHand(inst), 4)
+	})
+}
