--- a/journal/capacity_test.go
+++ b/journal/capacity_test.go
@@ -315,13 +315,11 @@
 				time.Sleep(took * time.Millisecond)
 				appends, bytes = appends+1, bytes+len(data)
 				off := table.Offset(appends)
-				go func() {
-					b, err := Decode(data)
-					if err != nil {
-						panic(err)
-					}
-					w.Folded(off, b, make([]fault.Kind, len(b.Records)))
-				}()
+				b, err := Decode(data)
+				if err != nil {
+					return 0, err
+				}
+				w.Folded(off, b, make([]fault.Kind, len(b.Records)))
 				return off, nil
 			}
 			go w.Run(ctx)
