Adapt the capacity test of entry to the policy

Cause: learning became policy, which takes the worker from the report. Change: the call. Before and after: did not compile, compiles. Conclusion: none.

--- a/entry/capacity_test.go
+++ b/entry/capacity_test.go
@@ -170,9 +170,9 @@
 			began := cpuTime()
 			for b.Loop() {
 				taken = taken.Add(time.Second)
-				for id, rep := range reports {
+				for _, rep := range reports {
 					rep.Taken = taken
-					h.control.systems.learn.reported(t, id, rep, taken)
+					h.control.systems.policy.reported(t, rep, taken)
 				}
 			}
 			b.ReportMetric(float64(cpuTime()-began)/float64(b.N*n)/1e3, "cpu-us/report")
