--- a/placement/choose.go
+++ b/placement/choose.go
@@ -12,6 +12,7 @@
 const (
 	fitWeight          = 1.0
 	interferenceWeight = 4.0
+	quietCost          = 0.05 // added slowdown above which a task is better off away from instances
 	spreadWeight       = 0.5
 	acceleratorCost    = 2.0 // a task that needs none on a worker that has some
 )
@@ -139,9 +140,8 @@
 func (p *tick) score(s *site, e queue.Entry) float64 {
 	left := s.free.Minus(e.Need)
 	score := fitWeight * share(left, s.w.Capacity)
-	if p.in.Policy.Interference && len(s.instances) > 0 {
-		slow, _ := p.slowdown(s, e)
-		score += interferenceWeight * p.in.Policy.LatencyWeight * (slow - 1)
+	if p.in.Policy.Interference {
+		score += p.latencyCost(s, e)
 	}
 	if e.Need.Accelerators == 0 && s.w.Capacity.Accelerators > 0 {
 		score += acceleratorCost
@@ -149,6 +149,16 @@
 	return score + spreadWeight*p.spread.crowding(e.Job, s.w)
 }
 
+// latencyCost weighs what one more task of e adds to the slowdown on s; a worker without instances costs something too, as louder work needs it more.
+func (p *tick) latencyCost(s *site, e queue.Entry) float64 {
+	if len(s.instances) == 0 {
+		return interferenceWeight * quietCost
+	}
+	before, _ := p.predict(s, p.neighbours(s))
+	after, _ := p.slowdown(s, e)
+	return interferenceWeight * max(0, after-before)
+}
+
 // share returns the mean share of c that r is, over processors and memory.
 func share(r, c table.Resources) float64 {
 	if c.CPU <= 0 || c.Memory <= 0 {
--- a/placement/protect.go
+++ b/placement/protect.go
@@ -14,10 +14,10 @@
 // Steps of throttling, and times around them.
 const (
 	throttleStep  = 0.5
-	throttleFloor = 0.25
+	throttleFloor = 0.5
 	settleLags    = 2.0             // report lags between two actions on a worker, so that the effect of the first is seen
-	calmLags      = 6.0             // report lags that an instance must be calm before a throttle is eased
-	maxBackoff    = 6               // doublings of that time
+	calmLags      = 3.0             // report lags that an instance must be calm before a throttle is eased
+	maxBackoff    = 3               // doublings of that time
 	minSettle     = 5 * time.Second // between two actions, however short the lag
 	checkpointFor = 5 * time.Second // given to a task to save a checkpoint before it is evicted
 	blameAtLeast  = 0.05            // predicted slowdown by a kind below which it is not blamed
@@ -203,22 +203,18 @@
 	}
 }
 
-// ease gives the most throttled task on s one step back.
+// ease gives the throttled tasks on s one step back.
 func (p *protection) ease(s *site) {
-	var lowest *table.Task
+	eased := false
 	for _, task := range s.held {
-		if p.g.Share(task) >= 1 {
-			continue
-		}
-		if lowest == nil || p.g.Share(task) < p.g.Share(lowest) ||
-			(p.g.Share(task) == p.g.Share(lowest) && task.ID < lowest.ID) {
-			lowest = task
+		if share := p.g.Share(task); share < 1 {
+			p.throttle(s, task, min(1, share/throttleStep))
+			eased = true
 		}
 	}
-	if lowest == nil {
+	if !eased {
 		delete(p.g.backoff, s.w.ID)
 		return
 	}
-	p.throttle(s, lowest, min(1, p.g.Share(lowest)/throttleStep))
 	p.g.eased[s.w.ID] = p.now
 }
