--- a/placement/choose.go
+++ b/placement/choose.go
@@ -21,7 +21,8 @@
 const (
 	loosestSlowdown   = 1.6
 	tightestSlowdown  = 1.15
-	enoughConfidence  = 0.1 // below it a prediction only counts in the score
+	harmless          = 0.03 // added slowdown that may start beside an instance that misses its objective
+	enoughConfidence  = 0.1  // below it a prediction only counts in the score
 	defaultLoadKnown  = 0.5
 	hashStep          = 7919 // prime, so that successive ticks start at different workers
 	fewWorkersScanAll = 256
@@ -77,12 +78,10 @@
 	if !p.in.Policy.Interference || len(s.instances) == 0 {
 		return true
 	}
-	if p.in.Calm != nil {
-		for _, in := range s.instances {
-			if !p.in.Calm(in.ID) {
-				return false
-			}
-		}
+	if !p.calm(s) {
+		before, _ := p.predict(s, p.neighbours(s))
+		after, _ := p.slowdown(s, e)
+		return after-before <= harmless
 	}
 	if p.in.Reserved.due(e.Job.ID, s, p.now) {
 		return p.bearableAlone(s, e)
@@ -90,6 +89,19 @@
 	return p.within(p.slowdown(s, e))
 }
 
+// calm says whether every instance on s met its objective lately.
+func (p *tick) calm(s *site) bool {
+	if p.in.Calm == nil {
+		return true
+	}
+	for _, in := range s.instances {
+		if !p.in.Calm(in.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // bearableAlone says whether the instances on s bear one task of e without other batch work.
 func (p *tick) bearableAlone(s *site, e queue.Entry) bool {
 	if !p.in.Policy.Interference {
--- a/placement/guard.go
+++ b/placement/guard.go
@@ -103,7 +103,7 @@
 
 // Smoothing and levels of the ratio of p99 to its objective.
 const (
-	smoothing  = 0.3 // weight of a new reading
+	smoothing  = 0.15 // weight of a new reading
 	upperLevel = 1.0
 	lowerLevel = 0.85
 )
