--- a/placement/corrections.go
+++ b/placement/corrections.go
@@ -13,8 +13,8 @@
 const (
 	keptRatios     = 64        // ended tasks remembered for each key
 	maxKeys        = 4096      // kinds, and kinds of teams, remembered
-	priorTasks     = 4.0       // weight of the declared value, in tasks
-	sizeQuantile   = 0.9       // of the peaks of processors
+	priorTasks     = 2.0       // weight of the declared value, in tasks
+	sizeQuantile   = 0.5       // of the peaks of processors
 	runQuantile    = 0.7       // of the run times
 	memoryMargin   = 1.1       // on the highest peak seen lately; a task over its memory is killed
 	lowestRatio    = 0.1       // smallest correction
--- a/placement/guard.go
+++ b/placement/guard.go
@@ -105,7 +105,7 @@
 const (
 	smoothing  = 0.15 // weight of a new reading
 	upperLevel = 1.0
-	lowerLevel = 0.85
+	lowerLevel = 0.92
 )
 
 // read takes in the readings that are new.
--- a/placement/protect.go
+++ b/placement/protect.go
@@ -20,7 +20,7 @@
 	maxBackoff    = 3               // doublings of that time
 	minSettle     = 5 * time.Second // between two actions, however short the lag
 	checkpointFor = 5 * time.Second // given to a task to save a checkpoint before it is evicted
-	blameAtLeast  = 0.1             // predicted slowdown by a kind below which it is not blamed
+	blameAtLeast  = 0.2             // predicted slowdown by a kind below which it is not blamed
 )
 
 // ReasonInterference is the reason of leases revoked to protect a latency-critical instance.
