--- a/placement/choose.go
+++ b/placement/choose.go
@@ -19,8 +19,8 @@
 
 // Bounds on the predicted slowdown beside an instance, with latency weight 0 and 1.
 const (
-	loosestSlowdown   = 1.6
-	tightestSlowdown  = 1.15
+	loosestSlowdown   = 1.22
+	tightestSlowdown  = 1.18
 	harmless          = 0.03 // added slowdown that may start beside an instance that misses its objective
 	enoughConfidence  = 0.1  // below it a prediction only counts in the score
 	defaultLoadKnown  = 0.5
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,7 +115,7 @@
 		},
 		Policy: Policy{
 			LatencyWeight: 0.5, Interference: true, Correction: true, Throttle: true,
-			EvictionBudget: 40, QuarantineShare: 0.1, QuarantineAfter: 3, QuarantineFor: Duration(5 * time.Minute),
+			EvictionBudget: 6, QuarantineShare: 0.1, QuarantineAfter: 3, QuarantineFor: Duration(5 * time.Minute),
 			UrgentHeadroom: 0, ListDropShare: 0.3, RetryBudget: 0.1, EjectAfter: 5, EjectFloor: 0.5,
 			ZonePreference: Duration(time.Millisecond), BurnShortWindow: Duration(5 * time.Minute),
 			BurnLongWindow: Duration(time.Hour),
