--- a/placement/choose.go
+++ b/placement/choose.go
@@ -12,15 +12,17 @@
 const (
 	fitWeight          = 1.0
 	interferenceWeight = 4.0
+	quietCost          = 0.05 // added slowdown above which a task is better off away from instances
 	spreadWeight       = 0.5
 	acceleratorCost    = 2.0 // a task that needs none on a worker that has some
 )
 
 // Bounds on the predicted slowdown beside an instance, with latency weight 0 and 1.
 const (
-	loosestSlowdown   = 1.6
-	tightestSlowdown  = 1.15
-	enoughConfidence  = 0.1 // below it a prediction only counts in the score
+	loosestSlowdown   = 1.22
+	tightestSlowdown  = 1.18
+	harmless          = 0.03 // added slowdown that may start beside an instance that misses its objective
+	enoughConfidence  = 0.1  // below it a prediction only counts in the score
 	defaultLoadKnown  = 0.5
 	hashStep          = 7919 // prime, so that successive ticks start at different workers
 	fewWorkersScanAll = 256
@@ -76,12 +78,10 @@
 	if !p.in.Policy.Interference || len(s.instances) == 0 {
 		return true
 	}
-	if p.in.Calm != nil {
-		for _, in := range s.instances {
-			if !p.in.Calm(in.ID) {
-				return false
-			}
-		}
+	if !p.calm(s) {
+		before, _ := p.predict(s, p.neighbours(s))
+		after, _ := p.slowdown(s, e)
+		return after-before <= harmless
 	}
 	if p.in.Reserved.due(e.Job.ID, s, p.now) {
 		return p.bearableAlone(s, e)
@@ -89,6 +89,19 @@
 	return p.within(p.slowdown(s, e))
 }
 
+// calm says whether every instance on s met its objective lately.
+func (p *tick) calm(s *site) bool {
+	if p.in.Calm == nil {
+		return true
+	}
+	for _, in := range s.instances {
+		if !p.in.Calm(in.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // bearableAlone says whether the instances on s bear one task of e without other batch work.
 func (p *tick) bearableAlone(s *site, e queue.Entry) bool {
 	if !p.in.Policy.Interference {
@@ -139,9 +152,8 @@
 func (p *tick) score(s *site, e queue.Entry) float64 {
 	left := s.free.Minus(e.Need)
 	score := fitWeight * share(left, s.w.Capacity)
-	if p.in.Policy.Interference && len(s.instances) > 0 {
-		slow, _ := p.slowdown(s, e)
-		score += interferenceWeight * p.in.Policy.LatencyWeight * (slow - 1)
+	if p.in.Policy.Interference {
+		score += p.latencyCost(s, e)
 	}
 	if e.Need.Accelerators == 0 && s.w.Capacity.Accelerators > 0 {
 		score += acceleratorCost
@@ -149,6 +161,16 @@
 	return score + spreadWeight*p.spread.crowding(e.Job, s.w)
 }
 
+// latencyCost weighs what one more task of e adds to the slowdown on s; a worker without instances costs something too, as louder work needs it more.
+func (p *tick) latencyCost(s *site, e queue.Entry) float64 {
+	if len(s.instances) == 0 {
+		return interferenceWeight * quietCost
+	}
+	before, _ := p.predict(s, p.neighbours(s))
+	after, _ := p.slowdown(s, e)
+	return interferenceWeight * max(0, after-before)
+}
+
 // share returns the mean share of c that r is, over processors and memory.
 func share(r, c table.Resources) float64 {
 	if c.CPU <= 0 || c.Memory <= 0 {
--- a/placement/guard.go
+++ b/placement/guard.go
@@ -103,9 +103,9 @@
 
 // Smoothing and levels of the ratio of p99 to its objective.
 const (
-	smoothing  = 0.3 // weight of a new reading
+	smoothing  = 0.15 // weight of a new reading
 	upperLevel = 1.0
-	lowerLevel = 0.85
+	lowerLevel = 0.92
 )
 
 // read takes in the readings that are new.
--- a/standins/experiment/variant.go
+++ b/standins/experiment/variant.go
@@ -21,8 +21,8 @@
 	Policy     = "policy"
 )
 
-// Variants returns the references, the baselines, the policy, and the policy with each part switched off.
-func Variants() []Variant {
+// Variants returns the references, the baselines and the policy, and on demand the policy with each part switched off.
+func Variants(parts bool) []Variant {
 	vs := []Variant{
 		{Name: NoBatch, prepare: func(w *world) {
 			w.noBatch = true
@@ -44,6 +44,9 @@
 		}},
 		with(Policy, func(*placement.System) {}),
 	}
+	if !parts {
+		return vs
+	}
 	return append(vs, ablations()...)
 }
 
@@ -54,7 +57,7 @@
 		with("without correction", func(s *placement.System) { s.Policy.Correction = false }),
 		with("without throttle", func(s *placement.System) { s.Policy.Throttle = false }),
 		with("without eviction", func(s *placement.System) { s.Policy.EvictionBudget = 0 }),
-		with("without headroom", func(s *placement.System) { s.Policy.UrgentHeadroom = 0 }),
+		with("with headroom of 5%", func(s *placement.System) { s.Policy.UrgentHeadroom = 0.05 }),
 		with("without reservations", func(s *placement.System) { s.Reserved = nil }),
 		with("without quarantine", func(s *placement.System) { s.Policy.QuarantineShare = 0 }),
 	}
