--- a/entry/callers.go
+++ b/entry/callers.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -45,23 +46,24 @@
 	return c.bounded(r)
 }
 
-// bounded refuses requests beyond Limits.MaxInFlight; health checks always pass.
+// bounded refuses requests beyond MaxInFlight, which operators may set; health checks always pass.
 func (c *callers) bounded(next http.Handler) http.Handler {
-	slots := make(chan struct{}, c.host.cfg.Limits.MaxInFlight)
+	var serving atomic.Int64
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !strings.HasPrefix(r.URL.Path, "/v1/") {
 			next.ServeHTTP(w, r)
 			return
 		}
-		select {
-		case slots <- struct{}{}:
-			defer func() { <-slots }()
-			c.host.metrics.inFlight.Inc()
-			defer c.host.metrics.inFlight.Dec()
-			next.ServeHTTP(w, r)
-		default:
-			answer.Error(w, fault.New(fault.Overloaded, "more than %d requests in flight", cap(slots)))
+		limit := c.host.control.view.Load().Limit(table.MaxInFlight, c.host.cfg.Limits.MaxInFlight)
+		n := serving.Add(1)
+		defer serving.Add(-1)
+		if n > int64(limit) {
+			answer.Error(w, fault.New(fault.Overloaded, "more than %d requests in flight", limit))
+			return
 		}
+		c.host.metrics.inFlight.Inc()
+		defer c.host.metrics.inFlight.Dec()
+		next.ServeHTTP(w, r)
 	})
 }
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -94,7 +94,7 @@
 	if req.MaxAttempts == 0 {
 		req.MaxAttempts = defaultAttempts
 	}
-	limit := c.host.cfg.Limits.MaxTasksPerJob
+	limit := c.host.control.view.Load().Limit(table.MaxTasksPerJob, c.host.cfg.Limits.MaxTasksPerJob)
 	switch {
 	case req.Tasks < 0 || req.Tasks > limit:
 		return fault.New(fault.Invalid, "Tasks must be between 1 and %d", limit)
--- a/entry/visit.go
+++ b/entry/visit.go
@@ -20,6 +20,7 @@
 type leaseOrder struct {
 	token         table.Token
 	stop          bool
+	cancelled     bool // no checkpoint is needed
 	started       bool // a start was announced or confirmed before
 	mine          bool // this process announced the start
 	firstTry      bool // this process has not sent a start under this token
@@ -69,6 +70,7 @@
 		o.leases[taskID] = leaseOrder{
 			token:         task.Lease.Token,
 			stop:          task.State == table.TaskRevoking,
+			cancelled:     task.Lease.Cancelled,
 			started:       task.Lease.Started,
 			mine:          mine,
 			firstTry:      first,
@@ -181,6 +183,7 @@
 		return
 	}
 	if l.stop {
+		r.save(ctx, id, l)
 		r.stop(ctx, id, l)
 		return
 	}
@@ -190,6 +193,16 @@
 	r.running = append(r.running, platform.Renewal{Task: id, Token: l.token})
 }
 
+// save asks a running task for a checkpoint before it is stopped; without an answer it stops all the same and resumes from the last one.
+func (r *reconcile) save(ctx context.Context, id table.TaskID, l leaseOrder) {
+	if l.cancelled {
+		return
+	}
+	if err := r.a.workers.Checkpoint(ctx, r.o.worker, id, l.token); err != nil {
+		r.a.log.Warn("checkpoint not confirmed", "Worker", r.o.worker, "Task", id, "Error", err)
+	}
+}
+
 // unheard handles a lease that the worker does not know: it is started, or ended when it must stop or was started before.
 func (r *reconcile) unheard(ctx context.Context, id table.TaskID, l leaseOrder) {
 	switch {
--- a/operator/check.go
+++ b/operator/check.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"slices"
 	"strings"
 	"unicode"
 
@@ -141,7 +142,10 @@
 	if l.Value < 0 {
 		return invalid("Limit.Value: must be at least 0")
 	}
-	return checkName("Limit.ID", string(l.ID))
+	if !slices.Contains(table.Limits(), l.ID) {
+		return invalid("Limit.ID: %q is no limit, known are %v", l.ID, table.Limits())
+	}
+	return nil
 }
 
 func checkDrain(d table.Drain) error {
--- a/placement/system.go
+++ b/placement/system.go
@@ -112,6 +112,7 @@
 	scan := queue.NewScan(t)
 	s.Note(t, scan, now)
 	commands, records := s.Guard.Protect(t, scan, now, s.protectInput(t))
+	records = append(records, unlessRevoked(records, Vacate(t, scan))...)
 	in := s.placeInput(t)
 	in.Revoked = map[table.TaskID]bool{}
 	for _, r := range records {
@@ -126,6 +127,21 @@
 	return append(records, place(t, scan, now, in)...), commands
 }
 
+// unlessRevoked returns those of more whose task is not revoked in records already.
+func unlessRevoked(records, more []journal.Record) []journal.Record {
+	revoked := map[table.TaskID]bool{}
+	for _, r := range records {
+		revoked[r.LeaseRevoked.Task] = true
+	}
+	var rest []journal.Record
+	for _, r := range more {
+		if !revoked[r.LeaseRevoked.Task] {
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
+
 // QueueConfig returns the corrections as the queue and its report of jobs that never fit need them.
 func (s *System) QueueConfig(t *table.Tables) queue.Config {
 	if !s.Policy.Correction {
--- /dev/null
+++ b/placement/vacate_test.go
@@ -0,0 +1,31 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/queue"
+	"persimmonpick/table"
+)
+
+// Guards against tasks that stay on a drained or leaving worker until it is switched off, and against revoking one twice.
+func TestVacate(t *testing.T) {
+	is := is.New(t)
+	tables := table.New()
+	for _, w := range []*table.Worker{{ID: "drained", Rack: "r1"}, {ID: "leaving", Leaving: true}, {ID: "open"}, {ID: "gone", Gone: true, Leaving: true}} {
+		tables.Workers[w.ID] = w
+		for _, state := range []table.TaskState{table.TaskStarted, table.TaskRevoking} {
+			id := table.TaskID(string(w.ID) + "/" + string(state))
+			tables.Jobs[table.JobID(id)] = &table.Job{ID: table.JobID(id)}
+			tables.Tasks[id] = &table.Task{ID: id, Job: table.JobID(id), State: state, Lease: table.Lease{Worker: w.ID, Token: 7}}
+		}
+	}
+	d := &table.Drain{Rack: "r1"}
+	tables.Drains[d.Name()] = d
+	reasons := map[table.TaskID]string{}
+	for _, r := range Vacate(tables, queue.NewScan(tables)) {
+		reasons[r.LeaseRevoked.Task] = r.LeaseRevoked.Reason
+	}
+	is.Equal(reasons, map[table.TaskID]string{"drained/Started": ReasonDrained, "leaving/Started": ReasonLeaving})
+}
--- a/table/entity.go
+++ b/table/entity.go
@@ -69,6 +69,17 @@
 	Changed Offset
 }
 
+// The limits that operators can set; each takes the place of the setting of the same name on every entry host.
+const (
+	MaxInFlight    LimitID = "MaxInFlight"    // requests that one entry host serves at once
+	MaxTasksPerJob LimitID = "MaxTasksPerJob" // tasks of one job
+)
+
+// Limits lists the limits that operators can set.
+func Limits() []LimitID {
+	return []LimitID{MaxInFlight, MaxTasksPerJob}
+}
+
 // Limit is a number that operators set, such as MaxInFlight.
 type Limit struct {
 	ID      LimitID
--- a/table/view.go
+++ b/table/view.go
@@ -51,3 +51,11 @@
 	}
 	v.Instances[in.Service] = append(v.Instances[in.Service], *in)
 }
+
+// Limit returns the value that operators set for id, or otherwise where they set none.
+func (v *View) Limit(id LimitID, otherwise int) int {
+	if n, ok := v.Limits[id]; ok {
+		return int(n)
+	}
+	return otherwise
+}
