--- /dev/null
+++ b/entry/agents_test.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/fault"
+	"persimmonpick/journal"
+	"persimmonpick/peer"
+	"persimmonpick/platform"
+	"persimmonpick/settings"
+	"persimmonpick/table"
+)
+
+// fakeWorkers counts the commands that reach workers.
+type fakeWorkers struct {
+	report  platform.Report
+	started []platform.StartRequest
+	renewed []platform.Renewal
+	stopped []table.TaskID
+	refuse  error
+	stopAs  platform.RunState
+}
+
+func (f *fakeWorkers) functions() platform.Workers {
+	return platform.Workers{
+		Report: func(context.Context, table.WorkerID) (platform.Report, error) { return f.report, nil },
+		Start: func(_ context.Context, _ table.WorkerID, req platform.StartRequest) error {
+			f.started = append(f.started, req)
+			return f.refuse
+		},
+		Renew: func(_ context.Context, _ table.WorkerID, rs []platform.Renewal) error {
+			f.renewed = append(f.renewed, rs...)
+			return nil
+		},
+		Stop: func(_ context.Context, _ table.WorkerID, id table.TaskID, token table.Token) (platform.TaskStatus, error) {
+			f.stopped = append(f.stopped, id)
+			return platform.TaskStatus{Task: id, Token: token, State: f.stopAs}, nil
+		},
+		Checkpoint: func(context.Context, table.WorkerID, table.TaskID, table.Token) error { return nil },
+		Forget:     func(context.Context, table.WorkerID, []platform.Renewal) error { return nil },
+	}
+}
+
+func testAgents(f *fakeWorkers) *agents {
+	cfg := settings.Default()
+	cfg.Seat = "a"
+	group := peer.NewGroup(peer.Config{Seat: "a", Seats: []peer.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}, LogGrace: cfg.Timing.LogGrace.D()})
+	return &agents{
+		cfg: cfg, incarnation: "a-1", group: group, workers: f.functions(), log: slog.New(slog.DiscardHandler),
+		ctx: context.Background(), tried: map[leaseKey]bool{},
+	}
+}
+
+func testOrder(l leaseOrder) order {
+	l.token = 7
+	l.start = platform.StartRequest{Task: "j/0", Token: 7}
+	return order{worker: "w", applied: 100, leases: map[table.TaskID]leaseOrder{"j/0": l}}
+}
+
+// Guards against a non-idempotent task that runs twice: its start is announced before it is sent, and sent once by the process that announced it.
+func TestNonIdempotentStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeWorkers{stopAs: platform.RunUnheard}
+		a := testAgents(f)
+		a.group.Fence.Folded(100, time.Now(), time.Now())
+
+		v := a.carryOut(testOrder(leaseOrder{nonIdempotent: true}))
+		is.Equal(len(f.started), 0) // not announced yet
+		is.Equal(v.records[0].LeaseStarted, &journal.LeaseStarted{Task: "j/0", Token: 7, Starter: "a-1"})
+
+		v = a.carryOut(testOrder(leaseOrder{nonIdempotent: true, started: true, mine: true, firstTry: true}))
+		is.Equal(len(f.started), 1)
+		is.Equal(v.tried, []leaseKey{{"j/0", 7}})
+
+		for _, l := range []leaseOrder{{mine: true}, {mine: false}} {
+			l.nonIdempotent, l.started = true, true
+			v = a.carryOut(testOrder(l))
+			is.Equal(len(f.started), 1)               // neither a second time nor by another process
+			is.True(v.records[0].LeaseRevoked != nil) // and not taken for never started
+		}
+
+		f.refuse = fault.New(fault.Capacity, "full")
+		v = a.carryOut(testOrder(leaseOrder{nonIdempotent: true, started: true, mine: true, firstTry: true}))
+		is.Equal(v.records[0].LeaseEnded.Outcome, journal.LeaseNotStarted) // the only start was refused
+		is.Equal(v.records[0].LeaseEnded.Starter, table.Incarnation("a-1"))
+	})
+}
+
+// Guards against a host that was frozen or cut off and renews or starts a task that has moved.
+func TestNothingIsRenewedWhileNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeWorkers{report: platform.Report{Statuses: []platform.TaskStatus{{Task: "j/0", Token: 7, State: platform.RunRunning}}}}
+		a := testAgents(f)
+		a.group.Fence.Folded(100, time.Now(), time.Now())
+		a.carryOut(testOrder(leaseOrder{started: true}))
+		is.Equal(len(f.renewed), 1)
+		is.Equal(f.renewed[0].Until, time.Now().Add(a.cfg.Timing.LeaseTerm.D()))
+
+		time.Sleep(a.cfg.Timing.LogGrace.D() + 1)
+		a.carryOut(testOrder(leaseOrder{started: true}))
+		is.Equal(len(f.renewed), 1)
+		f.report = platform.Report{}
+		a.carryOut(testOrder(leaseOrder{}))
+		is.Equal(len(f.started), 0)
+	})
+}
+
+// Guards against a lease that ends before its last renewal has run out on the clock of its worker.
+func TestLeaseIsOverAfterTermAndClockBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := testAgents(&fakeWorkers{})
+		w := &watch{passed: map[leaseKey]time.Time{}}
+		l := table.Lease{Worker: "w", Token: 7, Revoked: 20}
+		a.group.Fence.Folded(19, time.Now(), time.Now())
+		is.True(!a.over("j/0", l, w, time.Now()))
+		is.Equal(len(w.passed), 0) // not folded here
+		a.group.Fence.Folded(20, time.Now(), time.Now())
+		is.True(!a.over("j/0", l, w, time.Now()))
+		time.Sleep(a.cfg.Timing.LeaseTerm.D() + 2*a.cfg.Timing.ClockBound.D())
+		is.True(!a.over("j/0", l, w, time.Now()))
+		time.Sleep(1)
+		is.True(a.over("j/0", l, w, time.Now()))
+		is.True(!a.over("k/0", l, w, time.Now())) // another task under the same token counts for itself
+	})
+}
+
+// Guards against a list of hosts that is stale, empty or suddenly short and takes the site out, and against a dead zone that is believed alive for ever.
+func TestHostListThatShrinks(t *testing.T) {
+	is := is.New(t)
+	var rs []journal.Record
+	avoid := map[table.WorkerID]bool{}
+	cfg := settings.Default()
+	h := &hostList{
+		cfg: cfg, log: slog.New(slog.DiscardHandler), avoid: func() map[table.WorkerID]bool { return avoid },
+		submit: func(_ string, list []journal.Record, _ func(journal.Result, error)) { rs = list }, later: func(func()) {},
+	}
+	tables := table.New()
+	var all []platform.WorkerInfo
+	for _, id := range []table.WorkerID{"w1", "w2", "w3", "w4", "w5", "w6"} {
+		tables.Workers[id] = &table.Worker{ID: id}
+		all = append(all, platform.WorkerInfo{ID: id})
+	}
+	now := time.Now()
+	see := func(age time.Duration, list []platform.WorkerInfo) int {
+		rs, h.proposing = nil, false
+		h.newest = platform.HostList{AsOf: now.Add(age), Workers: list}
+		h.run(tables, now)
+		return len(rs)
+	}
+	is.Equal(see(1, all), 0)
+	is.Equal(see(2, all[1:]), 1) // one of six is gone
+	is.Equal(see(3, nil), 0)     // all at once are not believed
+	is.Equal(see(4, all[:3]), 0) // nor half of them
+	avoid["w5"] = true
+	is.Equal(see(5, all[:3]), 1) // but for one that no host reaches
+	is.Equal(rs[0].WorkerGone.ID, table.WorkerID("w5"))
+	is.Equal(see(4, all[1:]), 0) // an older list changes nothing
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -77,6 +77,9 @@
 		answer.Error(w, fault.New(fault.Stopping, "this entry host is stopping"))
 	case !c.host.control.ready():
 		answer.Error(w, fault.New(fault.NotReady, "this entry host has not read the log to its end"))
+	case !c.host.group.Fence.Current(time.Now()):
+		// No slot may be used here, so the balancer should send callers elsewhere.
+		answer.Error(w, fault.New(fault.NotCurrent, "this entry host reaches neither the log nor a majority of its peers"))
 	default:
 		answer.JSON(w, http.StatusOK, map[string]string{"Status": "Ready"})
 	}
