Put proxies between the processes of a site and add scenarios

Cause: no scenario cut entry hosts from each other, from the platform or from a backend server, and access control had no test with real listeners. The ports of peer listeners were reserved on 127.0.0.1, where another process could take them before the daemon listened. Change: every ordered pair of entry hosts, every way to the platform and every backend server has a fault-injecting proxy; peer listeners use a loopback address of their own for each site. The backend stand-in counts runs by a key in the body, as the product passes no idempotency key on.

--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -98,6 +98,7 @@
 		var c backend.Stats
 		ts.Check(site.Get("http://"+addr+"/admin/stats", "", &c))
 		if c.SlotViolations+c.ConnViolations > 0 || c.HighestSlots > 8 || c.HighestConnections > 64 {
+			c.RunsByID, c.RunsByKey = nil, nil
 			ts.Fatalf("%s: %+v", p.Name, c)
 		}
 	}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -60,6 +60,17 @@
 			"mark":       cmdMark,
 			"took":       cmdTook,
 			"pick":       cmdPick,
+			"call":       cmdCall,
+			"net":        cmdNet,
+			"handshake":  cmdHandshake,
+			"inforce":    cmdInForce,
+			"notready":   cmdNotReady,
+			"backfault":  cmdBackendFault,
+			"certs":      cmdCerts,
+			"keyruns":    cmdKeyRuns,
+			"answers":    cmdAnswers,
+			"burst":      cmdBurst,
+			"noneruns":   cmdNoneRuns,
 		},
 	})
 }
--- a/standins/backend/server.go
+++ b/standins/backend/server.go
@@ -65,7 +65,7 @@
 	SlotViolations     int
 	ConnViolations     int
 	RunsByID           map[string]int // by X-Request-Id
-	RunsByKey          map[string]int // by Idempotency-Key
+	RunsByKey          map[string]int // by Idempotency-Key, or Request.Key where there is none
 }
 
 // Server is the stand-in.
--- /dev/null
+++ b/standins/site/net.go
@@ -0,0 +1,107 @@
+package site
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+
+	"persimmonpick/settings"
+	"persimmonpick/standins/faultproxy"
+)
+
+// Network holds the proxies between the processes of a site.
+type Network struct {
+	peers    map[[2]int]*faultproxy.Proxy // from entry host to entry host
+	platform []*faultproxy.Proxy          // by entry host
+	backends []*faultproxy.Proxy          // by instance
+	all      []*faultproxy.Proxy
+}
+
+func (n *Network) add(target string) (*faultproxy.Proxy, error) {
+	p, err := faultproxy.Listen("127.0.0.1:0", target)
+	if err == nil {
+		n.all = append(n.all, p)
+	}
+	return p, err
+}
+
+func (n *Network) close() {
+	for _, p := range n.all {
+		p.Close()
+	}
+}
+
+func set(list []*faultproxy.Proxy, s faultproxy.Setting) error {
+	for _, p := range list {
+		if err := p.Set(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SetPeers changes both directions between entry hosts i and j; with j below 0 between i and all others.
+func (s *Site) SetPeers(i, j int, setting faultproxy.Setting) error {
+	var list []*faultproxy.Proxy
+	for pair, p := range s.network.peers {
+		a, b := pair[0], pair[1]
+		if a == i && (j < 0 || b == j) || b == i && (j < 0 || a == j) {
+			list = append(list, p)
+		}
+	}
+	return set(list, setting)
+}
+
+// SetPlatform changes the way of entry host i to the platform.
+func (s *Site) SetPlatform(i int, setting faultproxy.Setting) error {
+	return s.network.platform[i].Set(setting)
+}
+
+// SetBackend changes the way of all entry hosts to the backend server of instance i.
+func (s *Site) SetBackend(i int, setting faultproxy.Setting) error {
+	return s.network.backends[i].Set(setting)
+}
+
+// startNetwork starts the proxies between entry hosts and to the platform.
+func (s *Site) startNetwork() error {
+	s.network.peers = map[[2]int]*faultproxy.Proxy{}
+	for i := range s.Seats {
+		for j, seat := range s.Seats {
+			if i == j {
+				continue
+			}
+			p, err := s.network.add(seat.PeerAddress)
+			if err != nil {
+				return err
+			}
+			s.network.peers[[2]int{i, j}] = p
+		}
+		p, err := s.network.add(s.platformAddr)
+		if err != nil {
+			return err
+		}
+		s.network.platform = append(s.network.platform, p)
+	}
+	return nil
+}
+
+// seatsOf returns the seats as entry host i reaches them.
+func (s *Site) seatsOf(i int) []settings.Seat {
+	var seats []settings.Seat
+	for j, seat := range s.Seats {
+		if p := s.network.peers[[2]int{i, j}]; p != nil {
+			seat.PeerAddress = p.Address()
+		}
+		seats = append(seats, seat)
+	}
+	return seats
+}
+
+var sites atomic.Int32
+
+// peerIP returns a loopback address of this site alone: a port that is free on it
+// stays free while no process of the site listens, as the kernel gives no other site's process a port there.
+func peerIP() net.IP {
+	return net.ParseIP(fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, 1+sites.Add(1)%254))
+}
