Hold the slot of an unanswered request until its deadline plus ClockBound

The entry host freed a slot at the deadline, and the server stops at the deadline by its clock, a little later. Change: the slot of an attempt that may still run is held for ClockBound longer, and share counts MaxRequestTime + ClockBound. Ruled out: an earlier deadline for the backend server; it would take 0.5 s of 2 s from every request. Conclusion: every bound that crosses two hosts' clocks must name ClockBound.

--- a/entry/host.go
+++ b/entry/host.go
@@ -136,8 +136,9 @@
 		ids = append(ids, s.ID)
 	}
 	h.shares = share.New(share.Config{
-		Seat: h.cfg.Seat, Seats: ids, LoanTerm: h.cfg.Timing.LoanTerm.D(), MaxRequestTime: h.cfg.Timing.MaxRequestTime.D(),
-		Usable: h.control.usable, Lookup: h.instance,
+		Seat: h.cfg.Seat, Seats: ids, LoanTerm: h.cfg.Timing.LoanTerm.D(),
+		MaxRequestTime: h.cfg.Timing.MaxRequestTime.D() + h.cfg.Timing.ClockBound.D(),
+		Usable:         h.control.usable, Lookup: h.instance,
 		Borrow: func(ctx context.Context, id table.SeatID, req share.BorrowRequest) (share.BorrowReply, error) {
 			return h.group.Client(id).Borrow(ctx, req)
 		},
@@ -154,7 +155,7 @@
 		Zone: h.cfg.Zone, View: h.control.view.Load, Slots: h.shares, Observe: h.observe,
 		MaxAnswer: h.cfg.Limits.MaxAnswer, MaxQueue: h.cfg.Limits.MaxQueue,
 		RequestTimeout: h.cfg.Timing.RequestTimeout.D(), MaxRequestTime: h.cfg.Timing.MaxRequestTime.D(),
-		RetryBudget: p.RetryBudget, Hedge: p.Hedge, EjectAfter: p.EjectAfter, EjectFloor: p.EjectFloor,
+		ClockBound: h.cfg.Timing.ClockBound.D(), RetryBudget: p.RetryBudget, Hedge: p.Hedge, EjectAfter: p.EjectAfter, EjectFloor: p.EjectFloor,
 		ZonePreference: p.ZonePreference.D(),
 	})
 	h.guard = &claim.Guard{
--- a/route/call.go
+++ b/route/call.go
@@ -179,7 +179,8 @@
 		out := a.run(actx, r.transports.get(g.inst), req, int64(r.cfg.MaxAnswer))
 		s.end(&out)
 		if out.working() {
-			time.AfterFunc(time.Until(deadline), g.release)
+			// The backend server stops at the deadline by its own clock.
+			time.AfterFunc(time.Until(deadline)+r.cfg.ClockBound, g.release)
 		} else {
 			g.release()
 		}
--- a/route/router.go
+++ b/route/router.go
@@ -22,7 +22,8 @@
 	MaxAnswer      table.Bytes
 	MaxQueue       int // requests that may wait for a slot, per service
 	RequestTimeout time.Duration
-	MaxRequestTime time.Duration // the same as share's
+	MaxRequestTime time.Duration
+	ClockBound     time.Duration // error of a backend server's clock; share's MaxRequestTime is longer by as much
 	RetryBudget    float64       // retries and hedges as a share of requests
 	Hedge          bool
 	EjectAfter     int
