--- a/journal/apply_jobs.go
+++ b/journal/apply_jobs.go
@@ -1,7 +1,7 @@
 package journal
 
 import (
-	"strconv"
+	"strings"
 
 	"persimmonpick/fault"
 	"persimmonpick/table"
@@ -57,7 +57,7 @@
 		j.Submitted = f.b.Time
 	}
 	for i := range j.Tasks {
-		id := table.TaskID(string(j.ID) + "/" + strconv.Itoa(i))
+		id := taskID(j.ID, i)
 		j.Tasks[i] = id
 		f.t.Tasks[id] = &table.Task{ID: id, Job: j.ID, State: table.TaskPending, Changed: f.off}
 	}
@@ -102,6 +102,7 @@
 	count(j, state, 1)
 	if state.Final() && !task.State.Final() {
 		j.Open--
+		compact(task)
 	}
 	task.State = state
 	task.Changed = f.off
@@ -112,6 +113,17 @@
 	}
 }
 
+// maxReason bounds the bytes of the reason that a final task keeps; a worker may report a whole log as the reason.
+const maxReason = 256
+
+// compact drops what nothing reads of a final task. Result, state and counts are its outcome, which callers read.
+func compact(task *table.Task) {
+	task.Checkpoint = nil
+	if len(task.Reason) > maxReason {
+		task.Reason = strings.ToValidUTF8(strings.Clone(task.Reason[:maxReason]), "")
+	}
+}
+
 // closeJob counts a job as finished and drops its payload, which nothing reads any more.
 func (f *fold) closeJob(j *table.Job) {
 	j.Payload = nil
--- a/journal/apply_leases.go
+++ b/journal/apply_leases.go
@@ -166,8 +166,5 @@
 // settle clears the lease of task and moves it to state.
 func (f *fold) settle(task *table.Task, state table.TaskState) {
 	task.Lease = table.Lease{}
-	if state.Final() {
-		task.Checkpoint = nil
-	}
 	f.move(task, state)
 }
--- a/journal/capacity_test.go
+++ b/journal/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"slices"
 	"syscall"
@@ -34,12 +35,13 @@
 
 // capacityFold builds tables by folding batches, as an entry host does.
 type capacityFold struct {
-	t   *table.Tables
-	off table.Offset
+	t      *table.Tables
+	off    table.Offset
+	random *rand.ChaCha8
 }
 
 func newCapacityFold(workers int) *capacityFold {
-	f := &capacityFold{t: table.New()}
+	f := &capacityFold{t: table.New(), random: rand.NewChaCha8([32]byte{1})}
 	for i := range capacityTeams {
 		id := table.TeamID(fmt.Sprintf("team-%03d", i))
 		f.t.Teams[id] = &table.Team{ID: id, Quota: table.Resources{CPU: 1 << 40, Memory: 1 << 50}, Weight: 1}
@@ -106,12 +108,19 @@
 	rs := make([]Record, 0, len(ids))
 	for _, id := range ids {
 		rs = append(rs, Record{LeaseEnded: &LeaseEnded{
-			Task: id, Token: f.t.Tasks[id].LastToken, Outcome: outcome, Result: make([]byte, capacityResult),
+			Task: id, Token: f.t.Tasks[id].LastToken, Outcome: outcome, Result: f.result(),
 		}})
 	}
 	return rs
 }
 
+// result returns bytes that do not compress, as a caller's result may be.
+func (f *capacityFold) result() []byte {
+	data := make([]byte, capacityResult)
+	_, _ = f.random.Read(data)
+	return data
+}
+
 // running folds n tasks up to their start, spread over the workers.
 func (f *capacityFold) running(n int) []table.TaskID {
 	f.submit(n)
@@ -264,7 +273,12 @@
 					}
 					size := len(slices.Concat(chunks...))
 					b.ReportMetric(float64(after-base)/float64(n), "heap-B/entity")
+					image, err := encMode.Marshal(newImage(f.t))
+					if err != nil {
+						b.Fatal(err)
+					}
 					b.ReportMetric(float64(size)/float64(n), "snapshot-B/entity")
+					b.ReportMetric(float64(len(image))/float64(n), "image-B/entity")
 					runtime.KeepAlive(f)
 				}
 			})
--- a/journal/chunk.go
+++ b/journal/chunk.go
@@ -14,7 +14,8 @@
 	chunkSize      = 512 << 10 // bytes of one chunk; the log need not accept entries above 1 MiB
 	maxChunks      = 1024      // chunks of one snapshot: 512 MiB
 	maxUnfinished  = 4         // snapshots that the assembler holds in part
-	snapshotFormat = 1
+	snapshotFormat = 2         // since final jobs have a short form, which a reader of format 1 would lose
+	oldestFormat   = 1         // the oldest that is still read
 )
 
 // chunk is one entry of the snapshot stream.
@@ -68,7 +69,7 @@
 	if err := decMode.Unmarshal(data, c); err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "decode chunk: %v", err)
 	}
-	if c.Format != snapshotFormat {
+	if c.Format < oldestFormat || c.Format > snapshotFormat {
 		return nil, fault.New(fault.Invalid, "chunk of unknown format %d", c.Format)
 	}
 	if c.Count < 1 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count || len(c.Data) > chunkSize {
--- a/journal/clone.go
+++ b/journal/clone.go
@@ -8,7 +8,7 @@
 )
 
 // CloneTables returns a copy of t that later folds into t do not change. Payloads and other byte slices are shared, as
-// the fold never changes them in place.
+// the fold never changes them in place; so are final jobs and tasks, which no record changes.
 func CloneTables(t *table.Tables) *table.Tables {
 	c := table.New()
 	c.Applied = t.Applied
@@ -66,11 +66,19 @@
 func cloneWork(c, t *table.Tables) {
 	c.Jobs = make(map[table.JobID]*table.Job, len(t.Jobs))
 	for id, j := range t.Jobs {
+		if j.State.Final() {
+			c.Jobs[id] = j
+			continue
+		}
 		v := *j
 		c.Jobs[id] = &v
 	}
 	c.Tasks = make(map[table.TaskID]*table.Task, len(t.Tasks))
 	for id, task := range t.Tasks {
+		if task.State.Final() {
+			c.Tasks[id] = task
+			continue
+		}
 		v := *task
 		c.Tasks[id] = &v
 	}
--- /dev/null
+++ b/journal/closed.go
@@ -0,0 +1,128 @@
+package journal
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"persimmonpick/table"
+)
+
+// closedStates are the states of a closedTask, by its number; the numbers are part of the snapshot format.
+var closedStates = []table.TaskState{table.TaskFinished, table.TaskFailed, table.TaskCancelled}
+
+// closedJob is a final job in an image. Its tasks follow without ids and field names, which are most of a task's bytes.
+type closedJob struct {
+	Job   *table.Job // without Tasks
+	Tasks []closedTask
+}
+
+// closedTask is the task of a final job in the order of Job.Tasks.
+type closedTask struct {
+	_         struct{} `cbor:",toarray"`
+	State     int      // index in closedStates
+	LastToken table.Token
+	Changed   table.Offset
+	Attempts  int
+	Evictions int
+	Result    []byte
+	Reason    string
+}
+
+// taskID returns the id of the task of a job at index i.
+func taskID(id table.JobID, i int) table.TaskID {
+	return table.TaskID(string(id) + "/" + strconv.Itoa(i))
+}
+
+// shorten returns j in short form, or false where that would lose something.
+func shorten(t *table.Tables, j *table.Job) (*closedJob, bool) {
+	if j == nil || !j.State.Final() {
+		return nil, false
+	}
+	short := *j
+	short.Tasks = nil
+	c := &closedJob{Job: &short, Tasks: make([]closedTask, len(j.Tasks))}
+	for i, id := range j.Tasks {
+		task := t.Tasks[id]
+		if task == nil || id != taskID(j.ID, i) || !plain(task, j.ID) {
+			return nil, false
+		}
+		c.Tasks[i] = closedTask{
+			State: slices.Index(closedStates, task.State), LastToken: task.LastToken, Changed: task.Changed,
+			Attempts: task.Attempts, Evictions: task.Evictions, Result: task.Result, Reason: task.Reason,
+		}
+	}
+	return c, true
+}
+
+// plain says whether a closedTask holds all of task.
+func plain(task *table.Task, job table.JobID) bool {
+	return task.Job == job && task.State.Final() && task.Checkpoint == nil && task.Lease == (table.Lease{})
+}
+
+// fillJobs puts the jobs and tasks of t into m, final jobs in short form.
+func (m *image) fillJobs(t *table.Tables) {
+	short := map[table.JobID]bool{}
+	n := 0
+	for _, id := range table.SortedJobs(t) {
+		c, ok := shorten(t, t.Jobs[id])
+		if !ok {
+			m.Jobs = append(m.Jobs, t.Jobs[id])
+			continue
+		}
+		m.Closed = append(m.Closed, c)
+		short[id] = true
+		n += len(c.Tasks)
+	}
+	m.Tasks = tasksOutside(t, short)
+	if n+len(m.Tasks) != len(t.Tasks) {
+		// A task that its job does not list must not vanish unseen; the image is refused when it is read.
+		m.Closed = nil
+		m.Jobs = slices.SortedFunc(maps.Values(t.Jobs), func(a, b *table.Job) int { return cmp.Compare(a.ID, b.ID) })
+		m.Tasks = tasksOutside(t, nil)
+	}
+}
+
+// tasksOutside returns the tasks of jobs that are not in short form, in the order of their ids.
+func tasksOutside(t *table.Tables, short map[table.JobID]bool) []*table.Task {
+	var tasks []*table.Task
+	for _, task := range t.Tasks {
+		if !short[task.Job] {
+			tasks = append(tasks, task)
+		}
+	}
+	slices.SortFunc(tasks, func(a, b *table.Task) int { return cmp.Compare(a.ID, b.ID) })
+	return tasks
+}
+
+// expand puts the jobs in short form back among the others; it returns false where one is not valid.
+func (m *image) expand() bool {
+	for _, c := range m.Closed {
+		if c == nil || c.Job == nil || !c.Job.State.Final() {
+			return false
+		}
+		if !m.expandTasks(c) {
+			return false
+		}
+		m.Jobs = append(m.Jobs, c.Job)
+	}
+	m.Closed = nil
+	return true
+}
+
+func (m *image) expandTasks(c *closedJob) bool {
+	c.Job.Tasks = make([]table.TaskID, len(c.Tasks))
+	for i, s := range c.Tasks {
+		if s.State < 0 || s.State >= len(closedStates) {
+			return false
+		}
+		id := taskID(c.Job.ID, i)
+		c.Job.Tasks[i] = id
+		m.Tasks = append(m.Tasks, &table.Task{
+			ID: id, Job: c.Job.ID, State: closedStates[s.State], LastToken: s.LastToken, Changed: s.Changed,
+			Attempts: s.Attempts, Evictions: s.Evictions, Result: s.Result, Reason: s.Reason,
+		})
+	}
+	return true
+}
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -23,7 +23,8 @@
 	Teams        []*table.Team
 	Limits       []*table.Limit
 	Drains       []*table.Drain
-	Jobs         []*table.Job
+	Jobs         []*table.Job // those not in Closed
+	Closed       []*closedJob
 	Tasks        []*table.Task
 	Claims       []*table.Claim
 	Writers      map[table.Incarnation]*table.WriterState
@@ -92,8 +93,7 @@
 	m.Teams = slices.SortedFunc(maps.Values(t.Teams), func(a, b *table.Team) int { return cmp.Compare(a.ID, b.ID) })
 	m.Limits = slices.SortedFunc(maps.Values(t.Limits), func(a, b *table.Limit) int { return cmp.Compare(a.ID, b.ID) })
 	m.Drains = slices.SortedFunc(maps.Values(t.Drains), func(a, b *table.Drain) int { return cmp.Compare(a.Name(), b.Name()) })
-	m.Jobs = slices.SortedFunc(maps.Values(t.Jobs), func(a, b *table.Job) int { return cmp.Compare(a.ID, b.ID) })
-	m.Tasks = slices.SortedFunc(maps.Values(t.Tasks), func(a, b *table.Task) int { return cmp.Compare(a.ID, b.ID) })
+	m.fillJobs(t)
 	m.Claims = slices.SortedFunc(maps.Values(t.Claims), compareClaims)
 	return m
 }
@@ -112,7 +112,7 @@
 	if err := imageDecMode.Unmarshal(data, m); err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "decode snapshot: %v", err)
 	}
-	if !m.complete() {
+	if !m.expand() || !m.complete() {
 		return nil, fault.New(fault.Invalid, "snapshot at offset %d holds entities that do not fit together", m.Applied)
 	}
 	return m.tables(), nil
