--- a/entry/snapshots.go
+++ b/entry/snapshots.go
@@ -13,8 +13,8 @@
 	"persimmonpick/table"
 )
 
-// snapshotTimeout bounds the appends of one snapshot; a later one replaces it anyway.
-const snapshotTimeout = 30 * time.Second
+// snapshotTimeout bounds the writing of one snapshot; a later one replaces it anyway. 24 hours of final tasks at the design target need about 40 s.
+const snapshotTimeout = 2 * time.Minute
 
 // snapshots writes the tables to the log from time to time, also when nothing changed, as older snapshots leave the log's retention.
 type snapshots struct {
