Test that a request replaces a kept connection that was closed

Cause: TestBadAnswers/foreign,_empty failed in some runs with NoInstance in place of OutcomeUnknown.

Change: a deterministic test of that replacement. The old test met the closed connection only by chance.

--- a/route/conn_test.go
+++ b/route/conn_test.go
@@ -1,9 +1,11 @@
 package route
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +58,41 @@
 		is.Equal(r.cfg.Slots.AtHand(b.insts[0]), 8)
 	})
 }
+
+// mutedConn takes no byte once muted, as a connection that was closed before its reader noticed.
+type mutedConn struct {
+	net.Conn
+	muted *atomic.Bool
+}
+
+func (c mutedConn) Write(b []byte) (int, error) {
+	if c.muted.Load() {
+		return 0, errSealed
+	}
+	return c.Conn.Write(b)
+}
+
+// Guards against a request that fails as "could not be sent" because the kept connection that it met was closed already.
+func TestClosedKeptConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBackends(1, after(time.Millisecond))
+		var muted []*atomic.Bool
+		r := b.router(t, func(c *Config) {
+			c.RetryBudget = 0
+			c.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := b.dial(ctx, network, address)
+				muted = append(muted, &atomic.Bool{})
+				return mutedConn{conn, muted[len(muted)-1]}, err
+			}
+		})
+		_, err := r.Serve(t.Context(), cutPlan("a"))
+		is.NoErr(err)
+		muted[0].Store(true)
+		ans, err := r.Serve(t.Context(), cutPlan("b"))
+		is.NoErr(err)
+		is.Equal(string(ans.Body), "b")
+		is.Equal(b.connections(), 2)
+		is.Equal(b.total(), 2) // each ran once
+	})
+}
