--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -18,6 +18,7 @@
 type load struct {
 	cancel chan struct{}
 	once   sync.Once
+	began  time.Time
 	done   sync.WaitGroup
 
 	mu       sync.Mutex
@@ -46,7 +47,8 @@
 	}
 	l := w.loads[plain[1]]
 	l.stop()
-	fmt.Fprintf(os.Stderr, "measured %s: load %s: %v, broken %d\n", ts.Name(), plain[1], l.statuses, len(l.broken))
+	rate := float64(l.statuses["200"]) / time.Since(l.began).Seconds()
+	fmt.Fprintf(os.Stderr, "measured %s: load %s: %v, broken %d, %.0f answers a second\n", ts.Name(), plain[1], l.statuses, len(l.broken), rate)
 	if opts["Broken"] != "" && fmt.Sprint(len(l.broken)) != opts["Broken"] {
 		ts.Fatalf("%d requests had no whole answer, want %s: %.500q", len(l.broken), opts["Broken"], l.broken)
 	}
@@ -59,7 +61,7 @@
 }
 
 func startLoad(url string, every time.Duration) *load {
-	l := &load{cancel: make(chan struct{}), statuses: map[string]int{}}
+	l := &load{began: time.Now(), cancel: make(chan struct{}), statuses: map[string]int{}}
 	l.done.Go(func() {
 		tick := time.NewTicker(every)
 		defer tick.Stop()
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -42,6 +42,11 @@
 	run(t, "testdata/length")
 }
 
+// Guards against a slot given to the next request while the backend server is not yet done with one that met its deadline.
+func TestLateBackend(t *testing.T) {
+	run(t, "testdata/late")
+}
+
 func run(t *testing.T, dir string) {
 	testscript.Run(t, testscript.Params{
 		Dir:   dir,
