Keep an index of unfinished tasks in the fold

Cause: each placement pass and each scan walked all tasks, the finished ones of 24 h too; at the design target that overloads the control loop (docs/CAPACITY.md). Change: the fold keeps Tables.Active; scans, agents and the operators' lists of held and unknown tasks walk it. The property test compares the index with all tasks after each batch.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -63,7 +63,7 @@
 func (a *agents) reload(t *table.Tables) {
 	a.held = map[table.WorkerID]map[table.TaskID]bool{}
 	a.workerOf = map[table.TaskID]table.WorkerID{}
-	for id, task := range t.Tasks {
+	for id, task := range t.Unfinished() {
 		if task.State.Held() {
 			a.hold(task.Lease.Worker, id)
 		}
--- a/journal/apply_jobs.go
+++ b/journal/apply_jobs.go
@@ -59,7 +59,9 @@
 	for i := range j.Tasks {
 		id := taskID(j.ID, i)
 		j.Tasks[i] = id
-		f.t.Tasks[id] = &table.Task{ID: id, Job: j.ID, State: table.TaskPending, Changed: f.off}
+		task := &table.Task{ID: id, Job: j.ID, State: table.TaskPending, Changed: f.off}
+		f.t.Tasks[id] = task
+		f.t.Active[id] = task
 	}
 	f.t.Jobs[j.ID] = &j
 	f.t.TeamJobs[j.Team]++
@@ -102,6 +104,7 @@
 	count(j, state, 1)
 	if state.Final() && !task.State.Final() {
 		j.Open--
+		delete(f.t.Active, task.ID)
 		compact(task)
 	}
 	task.State = state
--- a/journal/clone.go
+++ b/journal/clone.go
@@ -82,6 +82,10 @@
 		v := *task
 		c.Tasks[id] = &v
 	}
+	c.Active = nil
+	if t.Active != nil {
+		c.Index()
+	}
 	c.Claims = make(map[table.ClaimKey]*table.Claim, len(t.Claims))
 	for key, claim := range t.Claims {
 		v := *claim
--- a/journal/invariant_test.go
+++ b/journal/invariant_test.go
@@ -16,6 +16,7 @@
 	m.checkTeams(rt)
 	m.checkTokens(rt)
 	m.checkClaims(rt)
+	checkActive(rt, m.t)
 }
 
 func (m *model) checkWorkers(rt *rapid.T) {
--- a/operator/status.go
+++ b/operator/status.go
@@ -82,7 +82,7 @@
 }
 
 func (s *Status) unknown(t *table.Tables) {
-	for _, task := range t.Tasks {
+	for _, task := range t.Unfinished() {
 		if task.State != table.TaskUnknown {
 			continue
 		}
--- a/operator/workers.go
+++ b/operator/workers.go
@@ -51,7 +51,7 @@
 
 func perWorker(t *table.Tables) (tasks, instances map[table.WorkerID]int) {
 	tasks, instances = map[table.WorkerID]int{}, map[table.WorkerID]int{}
-	for _, task := range t.Tasks {
+	for _, task := range t.Unfinished() {
 		if task.State.Held() {
 			tasks[task.Lease.Worker]++
 		}
--- a/queue/scan.go
+++ b/queue/scan.go
@@ -8,13 +8,13 @@
 	Held    map[table.WorkerID][]*table.Task
 }
 
-// NewScan walks all tasks of t once.
+// NewScan walks the unfinished tasks of t once.
 func NewScan(t *table.Tables) *Scan {
 	s := &Scan{
 		Pending: make(map[table.JobID][]*table.Task),
 		Held:    make(map[table.WorkerID][]*table.Task, len(t.Workers)),
 	}
-	for _, task := range t.Tasks {
+	for _, task := range t.Unfinished() {
 		s.add(task)
 	}
 	return s
--- a/table/tables.go
+++ b/table/tables.go
@@ -26,6 +26,7 @@
 	Drains     map[string]*Drain // by Drain.Name
 	Jobs       map[JobID]*Job
 	Tasks      map[TaskID]*Task
+	Active     map[TaskID]*Task // tasks that are not final, kept by the fold; nil if nobody keeps it
 	Claims     map[ClaimKey]*Claim
 	TeamUsed   map[TeamID]Resources // sum of leases held by the tasks of each team
 	TeamJobs   map[TeamID]int       // unfinished jobs of each team
@@ -83,3 +84,24 @@
 func (w *Worker) Free() Resources {
 	return w.Capacity.Minus(w.Used)
 }
+
+// Unfinished returns the tasks that are not final, from the index where the fold keeps one, and perhaps others.
+func (t *Tables) Unfinished() map[TaskID]*Task {
+	if t.Active != nil {
+		return t.Active
+	}
+	return t.Tasks
+}
+
+// Index makes the index of unfinished tasks if there is none.
+func (t *Tables) Index() {
+	if t.Active != nil {
+		return
+	}
+	t.Active = map[TaskID]*Task{}
+	for id, task := range t.Tasks {
+		if !task.State.Final() {
+			t.Active[id] = task
+		}
+	}
+}
