--- a/entry/host.go
+++ b/entry/host.go
@@ -79,7 +79,7 @@
 	h.connectControl()
 	h.reader = journal.NewReader(journal.ReaderConfig{
 		Log: cfg.Platform.Log, Deliver: func(d journal.Delivery) { h.control.deliver(h.ctx, d) },
-		FromPeer: h.tablesFromPeer, Wait: time.Second, Logger: cfg.Logger,
+		FromPeer: h.tablesFromPeer, Wait: readWait, Logger: cfg.Logger,
 	})
 	h.board = burn.NewBoard(h.windows())
 	h.recorder = h.newRecorder()
@@ -195,8 +195,13 @@
 	return func(ctx context.Context) (route.Answer, error) { return h.router.Serve(ctx, req) }
 }
 
-// logSilence is how long no read has reached the end of the log before proposals of callers are refused; a waiting read takes up to a second.
-const logSilence = 3 * time.Second
+const (
+	// readWait is the longest wait of one read of the log for an entry to arrive.
+	readWait = 500 * time.Millisecond
+	// logSilence is how long no read has reached the end of the log before proposals of callers are refused.
+	// The end counts from when a read began, so two waiting reads leave 2 s for a slow log or a busy host.
+	logSilence = 3 * time.Second
+)
 
 // proposeEarly refuses in an outage of the log, when it is still known that nothing was sent.
 func (h *Host) proposeEarly(ctx context.Context, rs []journal.Record) (journal.Result, error) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	joinRetry  = time.Second // pause between attempts to take the seat
-	headerTime = 5 * time.Second
+	joinRetry  = time.Second      // pause between attempts to take the seat
+	headerTime = 10 * time.Second // a host that was frozen for 5 s must not reset the connections that waited
 	idleTime   = 2 * time.Minute
 )
 
