--- a/commands/client.go
+++ b/commands/client.go
@@ -230,3 +230,12 @@
 	}
 	return fault.New(kind, "%s (%s)", f.Message, f.Code)
 }
+
+// read decodes the answer to a GET of an operators' path into v.
+func read(c *cli.Context, path string, v any) error {
+	client, err := operators(c)
+	if err != nil {
+		return err
+	}
+	return client.get(c.Context, path, v)
+}
--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -44,13 +44,9 @@
 			if err := takes(c, 0); err != nil {
 				return err
 			}
-			client, err := operators(c)
-			if err != nil {
-				return err
-			}
 			var page operator.JobPage
 			path := "/v1/jobs?" + pageQuery(c, map[string]string{"team": "Team", "state": "State", "kind": "Kind"})
-			if err := client.get(c.Context, path, &page); err != nil {
+			if err := read(c, path, &page); err != nil {
 				return err
 			}
 			return p.show(c, page, func(w io.Writer) error { return writeJobs(w, page) })
@@ -100,12 +96,8 @@
 			if err := takes(c, 1); err != nil {
 				return err
 			}
-			client, err := operators(c)
-			if err != nil {
-				return err
-			}
 			var d operator.JobDetail
-			if err := client.get(c.Context, jobPath(c.Args().First()), &d); err != nil {
+			if err := read(c, jobPath(c.Args().First()), &d); err != nil {
 				return err
 			}
 			return p.show(c, d, func(w io.Writer) error { return writeJob(w, d) })
--- a/commands/report.go
+++ b/commands/report.go
@@ -19,12 +19,8 @@
 			if err := takes(c, 0); err != nil {
 				return err
 			}
-			client, err := operators(c)
-			if err != nil {
-				return err
-			}
 			var r burn.Report
-			if err := client.get(c.Context, "/v1/report", &r); err != nil {
+			if err := read(c, "/v1/report", &r); err != nil {
 				return err
 			}
 			if name := c.String("html"); name != "" {
--- a/commands/status.go
+++ b/commands/status.go
@@ -32,11 +32,8 @@
 
 func readStatus(c *cli.Context) (operator.Status, error) {
 	var s operator.Status
-	client, err := operators(c)
-	if err != nil {
-		return s, err
-	}
-	return s, client.get(c.Context, "/v1/status", &s)
+	err := read(c, "/v1/status", &s)
+	return s, err
 }
 
 func writeStatus(w io.Writer, s operator.Status) error {
--- a/commands/workers.go
+++ b/commands/workers.go
@@ -24,13 +24,9 @@
 			if err := takes(c, 0); err != nil {
 				return err
 			}
-			client, err := operators(c)
-			if err != nil {
-				return err
-			}
 			var page operator.WorkerPage
 			path := "/v1/workers?" + pageQuery(c, map[string]string{"rack": "Rack", "zone": "Zone"})
-			if err := client.get(c.Context, path, &page); err != nil {
+			if err := read(c, path, &page); err != nil {
 				return err
 			}
 			return p.show(c, page, func(w io.Writer) error { return writeWorkers(w, page) })
