Rename what read as figures of speech

Cause: names such as hurry, outOfView, quiet, entomb and Unheard are not the terms of the field. Change: markDue, unreachableIDs, retryAt, addTombstone, Unaccepted. Conclusion: no behaviour changes.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -34,15 +34,15 @@
 	wg      sync.WaitGroup
 	slots   chan struct{}
 
-	held      map[table.WorkerID]map[table.TaskID]bool
-	workerOf  map[table.TaskID]table.WorkerID
-	tried     map[leaseKey]bool // non-idempotent starts that this process sent
-	watched   map[table.WorkerID]*watch
-	listed    []table.WorkerID
-	relisted  time.Time
-	reported  func(*table.Tables, platform.Report, time.Time) // hands usage to the policy
-	mu        sync.Mutex
-	outOfView []table.WorkerID // workers that this host watches and cannot reach
+	held           map[table.WorkerID]map[table.TaskID]bool
+	workerOf       map[table.TaskID]table.WorkerID
+	tried          map[leaseKey]bool // non-idempotent starts that this process sent
+	watched        map[table.WorkerID]*watch
+	listed         []table.WorkerID
+	relisted       time.Time
+	reported       func(*table.Tables, platform.Report, time.Time) // hands usage to the policy
+	mu             sync.Mutex
+	unreachableIDs []table.WorkerID // workers that this host watches and cannot reach
 }
 
 // leaseKey names one lease; tasks that are granted in one batch share their token.
@@ -87,17 +87,17 @@
 	switch {
 	case r.LeaseGranted != nil:
 		a.hold(r.LeaseGranted.Worker, r.LeaseGranted.Task)
-		a.hurry(r.LeaseGranted.Worker)
+		a.markDue(r.LeaseGranted.Worker)
 	case r.LeaseStarted != nil:
-		a.hurryTask(t, r.LeaseStarted.Task)
+		a.markTaskDue(t, r.LeaseStarted.Task)
 	case r.LeaseRevoked != nil:
-		a.hurryTask(t, r.LeaseRevoked.Task)
+		a.markTaskDue(t, r.LeaseRevoked.Task)
 	case r.LeaseEnded != nil:
 		a.release(r.LeaseEnded.Task, r.LeaseEnded.Token)
 	case r.JobCancelled != nil:
 		if j := t.Jobs[r.JobCancelled.Job]; j != nil {
 			for _, id := range j.Tasks {
-				a.hurryTask(t, id)
+				a.markTaskDue(t, id)
 			}
 		}
 	}
@@ -129,15 +129,15 @@
 	}
 }
 
-// hurryTask makes the worker of a held task due, so that the next step follows at once.
-func (a *agents) hurryTask(t *table.Tables, id table.TaskID) {
+// markTaskDue makes the worker of a held task due, so that the next step follows at once.
+func (a *agents) markTaskDue(t *table.Tables, id table.TaskID) {
 	task := t.Tasks[id]
 	if task != nil && task.State.Held() {
-		a.hurry(task.Lease.Worker)
+		a.markDue(task.Lease.Worker)
 	}
 }
 
-func (a *agents) hurry(id table.WorkerID) {
+func (a *agents) markDue(id table.WorkerID) {
 	if w := a.watched[id]; w != nil {
 		w.due = time.Time{}
 	}
@@ -224,7 +224,7 @@
 		}
 	}
 	a.mu.Lock()
-	a.outOfView = ids
+	a.unreachableIDs = ids
 	a.mu.Unlock()
 }
 
@@ -232,7 +232,7 @@
 func (a *agents) unreachable() []table.WorkerID {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.outOfView
+	return a.unreachableIDs
 }
 
 func record(rev *journal.LeaseRevoked) journal.Record {
--- a/entry/agents_test.go
+++ b/entry/agents_test.go
@@ -67,7 +67,7 @@
 func TestNonIdempotentStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &fakeWorkers{stopAs: platform.RunUnheard}
+		f := &fakeWorkers{stopAs: platform.RunUnaccepted}
 		a := testAgents(f)
 		a.group.Fence.Folded(100, time.Now(), time.Now())
 
--- a/entry/visit.go
+++ b/entry/visit.go
@@ -175,7 +175,7 @@
 func (r *reconcile) lease(ctx context.Context, id table.TaskID, l leaseOrder) {
 	st, ok := r.known[id]
 	if !ok {
-		r.unheard(ctx, id, l)
+		r.unaccepted(ctx, id, l)
 		return
 	}
 	if st.State != platform.RunRunning {
@@ -203,8 +203,8 @@
 	}
 }
 
-// unheard handles a lease that the worker does not know: it is started, or ended when it must stop or was started before.
-func (r *reconcile) unheard(ctx context.Context, id table.TaskID, l leaseOrder) {
+// unaccepted handles a lease that the worker does not know: it is started, or ended when it must stop or was started before.
+func (r *reconcile) unaccepted(ctx context.Context, id table.TaskID, l leaseOrder) {
 	switch {
 	case l.stop:
 		r.stop(ctx, id, l)
@@ -283,8 +283,8 @@
 		e.Outcome = journal.LeaseFailed
 	case platform.RunStopped:
 		e.Outcome = journal.LeaseStopped
-	case platform.RunUnheard:
-		r.neverHeard(e, l)
+	case platform.RunUnaccepted:
+		r.endUnaccepted(e, l)
 		return
 	default:
 		return
@@ -292,10 +292,10 @@
 	r.records = append(r.records, journal.Record{LeaseEnded: e})
 }
 
-// neverHeard ends a lease whose token the worker never accepted, as far as it remembers, and will not accept any more.
+// endUnaccepted ends a lease whose token the worker never accepted, as far as it remembers, and will not accept any more.
 //
 // A worker that restarted has forgotten what it ran, so a non-idempotent task whose start was announced is not known to have never run.
-func (r *reconcile) neverHeard(e *journal.LeaseEnded, l leaseOrder) {
+func (r *reconcile) endUnaccepted(e *journal.LeaseEnded, l leaseOrder) {
 	switch {
 	case !l.started:
 		e.Outcome = journal.LeaseNotStarted
--- a/journal/apply_intents.go
+++ b/journal/apply_intents.go
@@ -55,7 +55,7 @@
 	case RemoveDrain:
 		delete(f.t.Drains, in.Drain.Name())
 	}
-	f.entomb(in)
+	f.addTombstone(in)
 	return fault.None
 }
 
--- a/journal/apply_plans.go
+++ b/journal/apply_plans.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// entomb keeps the version of a removed entity, so that a stale plan cannot create it again.
-func (f *fold) entomb(in *Intent) {
+// addTombstone keeps the version of a removed entity, so that a stale plan cannot create it again.
+func (f *fold) addTombstone(in *Intent) {
 	f.t.Removed[intentName(in)] = f.off
 	if len(f.t.Removed) <= maxRemoved {
 		return
--- a/share/borrow.go
+++ b/share/borrow.go
@@ -18,7 +18,7 @@
 	if s.owner == m.cfg.Seat {
 		return m.mayRecall(s, now)
 	}
-	if s.calling || now.Before(s.quiet) {
+	if s.calling || now.Before(s.retryAt) {
 		return false
 	}
 	return s.used+s.idleSlots(now) < m.Connections(s.inst)
@@ -68,13 +68,13 @@
 	now := time.Now()
 	if err != nil {
 		// The owner may have lent slots although its reply was lost: tell it that none is used.
-		s.quiet = now.Add(m.cfg.callTimeout())
+		s.retryAt = now.Add(m.cfg.callTimeout())
 		l.unsent = true
 		s.loans = append(s.loans, l)
 		return 0
 	}
 	if reply.Slots <= 0 {
-		s.quiet = now.Add(refusedPause)
+		s.retryAt = now.Add(refusedPause)
 		return 0
 	}
 	l.slots = reply.Slots
--- a/share/state.go
+++ b/share/state.go
@@ -22,7 +22,7 @@
 	// Used at other seats only.
 	loans   []*loan
 	calling bool
-	quiet   time.Time // no Borrow call before this time
+	retryAt time.Time // no Borrow call before this time
 }
 
 // lent is a loan as its owner counts it; one with 0 slots stays until its end to refuse late calls.
--- a/standins/platform/commands.go
+++ b/standins/platform/commands.go
@@ -120,7 +120,7 @@
 }
 
 func (s *Server) stop(ctx context.Context, id table.WorkerID, task table.TaskID, token table.Token) (api.TaskStatus, error) {
-	st := api.TaskStatus{Task: task, Token: token, State: api.RunUnheard}
+	st := api.TaskStatus{Task: task, Token: token, State: api.RunUnaccepted}
 	err := s.at(ctx, "Workers.Stop", id, func(w *worker, now time.Time) error {
 		w.stopped[task] = max(w.stopped[task], token)
 		if token >= w.highest[task] {
--- a/standins/platform/platform_test.go
+++ b/standins/platform/platform_test.go
@@ -87,7 +87,7 @@
 		is.Equal(fault.Of(p.Workers.Start(ctx, "w1", request("a", 5, long, time.Minute))), fault.Stale)
 		st, err = p.Workers.Stop(ctx, "w1", "b", 7)
 		is.NoErr(err)
-		is.Equal(st.State, api.RunUnheard)
+		is.Equal(st.State, api.RunUnaccepted)
 		is.Equal(fault.Of(p.Workers.Start(ctx, "w1", request("b", 7, long, time.Minute))), fault.Stale)
 		resumed := request("a", 9, long, time.Minute)
 		resumed.Checkpoint = []byte(`{"DoneMillis":400}`)
