Wait for lent slots before a seat is given back, and wait for displaced processes only

Change: a stopping host closes its slots and waits until none is in use or lent, else the seat counts as not given back; the wait runs on the monotonic clock; the fold keeps EntryHost.Displaced, which HostLeft with Settled clears. TestIdleWaitsForLoans, TestDisplacedUntilSettled and TestSnapshotTellsDisplacedProcesses name the failures.

--- a/entry/control.go
+++ b/entry/control.go
@@ -44,7 +44,8 @@
 type seatUse struct {
 	joined   atomic.Uint64 // offset of the own HostJoined
 	fresh    atomic.Bool   // nobody held the seat before, or its holder had left
-	passed   atomic.Int64  // unix nanoseconds since which the join has passed; 0 if it has not
+	passed   atomic.Int64  // since when the join has passed, in nanoseconds after began; 0 if it has not
+	began    time.Time     // of this process; durations from it do not follow steps of the wall clock
 	requests time.Duration // longest time that a request or a loan of the previous process may still run
 }
 
@@ -61,6 +62,7 @@
 		looks:      make(chan look),
 		visits:     make(chan visit, 64),
 	}
+	c.ownSeat.began = time.Now()
 	c.view.Store(table.NewView(c.tables))
 	return c
 }
@@ -178,7 +180,7 @@
 			continue
 		}
 		prev := c.tables.Hosts[j.Seat]
-		c.ownSeat.fresh.Store(prev == nil || prev.Left)
+		c.ownSeat.fresh.Store(prev == nil || (prev.Left && !prev.Displaced))
 		c.ownSeat.joined.Store(uint64(e.Offset))
 	}
 }
@@ -210,13 +212,21 @@
 		if !c.group.Fence.Passed(table.Offset(c.ownSeat.joined.Load()), now) {
 			return false
 		}
-		c.ownSeat.passed.CompareAndSwap(0, now.UnixNano())
-		passed = c.ownSeat.passed.Load()
+		c.ownSeat.passed.CompareAndSwap(0, int64(now.Sub(c.ownSeat.began))+1)
+	}
+	return c.settled(now)
+}
+
+// settled says whether loans and requests of processes that held the own seat before have certainly ended.
+func (c *control) settled(now time.Time) bool {
+	passed := c.ownSeat.passed.Load()
+	if passed == 0 {
+		return false
 	}
 	if c.ownSeat.fresh.Load() {
 		return true
 	}
-	return now.Sub(time.Unix(0, passed)) > c.ownSeat.requests
+	return now.Sub(c.ownSeat.began)-time.Duration(passed) > c.ownSeat.requests
 }
 
 // ready says whether callers may be served.
--- a/entry/run.go
+++ b/entry/run.go
@@ -190,12 +190,32 @@
 	return err
 }
 
+// awaitIdleSlots waits until no slot of the own seat is in use or lent. The next process uses the slots at once after HostLeft, so a loan that outlives this process would exceed them.
+func (h *Host) awaitIdleSlots(ctx context.Context) bool {
+	tick := time.NewTicker(h.cfg.Timing.Tick.D())
+	defer tick.Stop()
+	for !h.shares.Idle() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+		}
+	}
+	return true
+}
+
 // leave gives the seat back, so that its slots are used at once by the next process.
 func (h *Host) leave(ctx context.Context) {
-	h.control.joined.Store(false) // no slot is used from here on
+	h.shares.Close()
 	_ = h.control.look(ctx, func(*table.Tables) { h.control.agents.stopped = true })
 	h.control.agents.wg.Wait()
-	rec := journal.Record{HostLeft: &journal.HostLeft{Seat: h.cfg.Seat, Incarnation: h.incarnation}}
+	if !h.awaitIdleSlots(ctx) {
+		h.log.Warn("seat not given back", "Seat", h.cfg.Seat, "Reason", "slots are still in use")
+		return
+	}
+	rec := journal.Record{HostLeft: &journal.HostLeft{
+		Seat: h.cfg.Seat, Incarnation: h.incarnation, Settled: h.control.settled(time.Now()),
+	}}
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timing.RequestTimeout.D())
 	defer cancel()
 	if err := h.propose(ctx, rec); err != nil {
--- a/journal/apply_hosts.go
+++ b/journal/apply_hosts.go
@@ -21,11 +21,13 @@
 		h.Zone = r.Zone
 		return fault.None
 	}
+	displaced := false
 	if h != nil {
 		f.retire(h)
+		displaced = !h.Left || h.Displaced
 	}
 	f.t.Hosts[r.Seat] = &table.EntryHost{
-		Seat: r.Seat, Incarnation: r.Incarnation, Address: r.Address, Zone: r.Zone, Joined: f.off,
+		Seat: r.Seat, Incarnation: r.Incarnation, Address: r.Address, Zone: r.Zone, Displaced: displaced, Joined: f.off,
 	}
 	return fault.None
 }
@@ -40,6 +42,9 @@
 	}
 	f.retire(h)
 	h.Left = true
+	if r.Settled {
+		h.Displaced = false
+	}
 	return fault.None
 }
 
--- a/journal/record.go
+++ b/journal/record.go
@@ -53,6 +53,7 @@
 type HostLeft struct {
 	Seat        table.SeatID
 	Incarnation table.Incarnation
+	Settled     bool // processes of the seat before this one have certainly stopped to act
 }
 
 // WorkerSeen adds a worker or changes its place, capacity or Leaving flag.
--- a/peer/fence.go
+++ b/peer/fence.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// Hosts tells the fence who holds the seats; a process that came with a snapshot counts as having just replaced another.
+// Hosts tells the fence who holds the seats; when a displaced process was replaced is not known from a snapshot, so that counts as now.
 func (f *Fence) Hosts(hosts map[table.SeatID]*table.EntryHost, now time.Time, fromSnapshot bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -75,7 +75,7 @@
 			continue
 		}
 		ungraceful := s.known && !s.left && s.incarnation != h.Incarnation
-		if ungraceful || (fromSnapshot && !s.known) {
+		if ungraceful || (fromSnapshot && !s.known && h.Displaced) {
 			s.replaced = now
 		}
 		s.known = true
--- a/peer/fence_test.go
+++ b/peer/fence_test.go
@@ -115,3 +115,15 @@
 	f.Folded(10, start, start)
 	is.True(f.Passed(10, start))
 }
+
+// Guards against a host that starts from a snapshot and waits LogGrace for seats whose processes all left in order, or does not wait where one did not.
+func TestSnapshotTellsDisplacedProcesses(t *testing.T) {
+	is := is.New(t)
+	for _, displaced := range []bool{false, true} {
+		f := NewFence(FenceConfig{Seat: "a", Seats: seats, LogGrace: grace})
+		f.Hosts(map[table.SeatID]*table.EntryHost{"b": {Seat: "b", Incarnation: "b1", Displaced: displaced}}, start, true)
+		f.Folded(10, start, start)
+		f.Heard(report("b", 10), start)
+		is.Equal(f.Passed(10, start), !displaced)
+	}
+}
--- a/share/lend.go
+++ b/share/lend.go
@@ -22,6 +22,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.closed {
+		return BorrowReply{}, fault.New(fault.Stopping, "seat %s lends no more slots", m.cfg.Seat)
+	}
 	s := m.state(inst)
 	now := time.Now()
 	free := s.free(now)
--- a/share/manager.go
+++ b/share/manager.go
@@ -19,6 +19,7 @@
 	number uint64 // of the last loan asked for
 	states map[table.InstanceID]*state
 	onFree func(table.Instance)
+	closed bool // own slots are neither used nor lent any more
 }
 
 // New returns a Manager; Run must be called for loans to be returned.
@@ -36,6 +37,27 @@
 	return m.cfg.hold()
 }
 
+// Close stops the use and the lending of slots that this seat owns; those in use or lent end by themselves.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+}
+
+// Idle says whether no slot of an instance that this seat owns is in use or lent.
+func (m *Manager) Idle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, s := range m.states {
+		s.dropEnded(now)
+		if s.own > 0 || s.lentSlots() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // OnFree sets a function that is called without locks held whenever a slot may have come to hand; call it before any other method.
 func (m *Manager) OnFree(f func(table.Instance)) {
 	m.onFree = f
@@ -87,7 +109,7 @@
 }
 
 func (m *Manager) tryOwn(s *state, usable bool, now time.Time) (func(), bool) {
-	if !usable {
+	if !usable || m.closed {
 		return nil, false
 	}
 	if s.free(now) <= 0 {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -259,3 +259,27 @@
 		is.Equal(owner.AtHand(inst), 4)
 	})
 }
+
+// Guards against a loan that outlives a planned stop: the next process of the seat uses all slots at once.
+func TestIdleWaitsForLoans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(2, 1, func() string { return "" })
+		inst := c.insts[0]
+		owner := c.manager(Owner(c.seats, inst.ID))
+		reply, err := owner.HandleBorrow(BorrowRequest{Loan: LoanID{Borrower: "other", Number: 1}, Instance: inst.ID, Slots: 3})
+		is.NoErr(err)
+		is.Equal(reply.Slots, 3)
+		release, ok := owner.TryAcquire(inst)
+		is.True(ok)
+		owner.Close()
+		_, ok = owner.TryAcquire(inst)
+		is.True(!ok)
+		_, err = owner.HandleBorrow(BorrowRequest{Loan: LoanID{Borrower: "other", Number: 2}, Instance: inst.ID, Slots: 1})
+		is.True(err != nil)
+		release()
+		is.True(!owner.Idle()) // three slots are lent
+		time.Sleep(owner.Settle())
+		is.True(owner.Idle())
+	})
+}
--- a/table/entity.go
+++ b/table/entity.go
@@ -235,5 +235,6 @@
 	Address     string // host:port of its peer listener
 	Zone        ZoneID
 	Left        bool
+	Displaced   bool // some process of the seat was replaced without leaving, and may still run
 	Joined      Offset
 }
