Tell callers and operators why a job can run nowhere

Cause: a job that fits no worker was named in the log of the proposing host alone, again every 10 s, and the field for the reason in a caller's answer was never set. Change: every host looks for such jobs each 5 s; GET /v1/jobs/{ID} and persimmonpick jobs show carry the reason; the log names a job once. Conclusion: a job that waits for ever says so to its owner.

--- a/commands/jobs.go
+++ b/commands/jobs.go
@@ -114,6 +114,9 @@
 		return err
 	}
 	fmt.Fprintf(w, "each task declares %s and %d ms\n", size(d.Need), d.RunTime)
+	if d.Waits != "" {
+		fmt.Fprintf(w, "it can run nowhere: %s\n", d.Waits)
+	}
 	g := newGrid(w, "TASK", "STATE", "WORKER", "TOKEN", "FAILURES", "EVICTIONS", "REASON")
 	for _, t := range d.TaskRows {
 		g.row(t.ID, t.State, t.Worker, t.Token, t.Attempts, t.Evictions, t.Reason)
--- a/entry/host.go
+++ b/entry/host.go
@@ -251,9 +251,9 @@
 	return ids
 }
 
-func (h *Host) reportNever(list []queue.NeverFits) {
-	h.metrics.never.Set(float64(len(list)))
-	for _, n := range list {
+func (h *Host) reportNever(fresh []queue.NeverFits, all int) {
+	h.metrics.never.Set(float64(all))
+	for _, n := range fresh {
 		h.log.Warn("job fits no worker", "Job", n.Job, "Reason", n.Reason)
 	}
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -34,11 +34,11 @@
 
 // JobStatus is what callers and operators see of a job.
 type JobStatus struct {
-	ID      table.JobID
-	Kind    table.KindID
-	State   table.JobState
-	Tasks   []TaskView
-	Pending string `json:",omitempty"` // why it waits, if that is known
+	ID    table.JobID
+	Kind  table.KindID
+	State table.JobState
+	Tasks []TaskView
+	Waits string `json:",omitempty"` // why it can run nowhere as the site is now
 }
 
 // TaskView is what callers see of a task.
@@ -159,6 +159,7 @@
 	err := c.host.control.look(r.Context(), func(t *table.Tables) {
 		if j := t.Jobs[id]; j != nil && j.Team == team {
 			st, found = statusOf(t, j), true
+			st.Waits = c.host.control.systems.neverFits[id]
 		}
 	})
 	if err != nil {
--- a/entry/systems.go
+++ b/entry/systems.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	neverPeriod  = 10 * time.Second // between searches for jobs that can run nowhere
-	markPeriod   = time.Minute      // resolution of retention
+	neverPeriod  = 5 * time.Second // between searches for jobs that can run nowhere
+	markPeriod   = time.Minute     // resolution of retention
 	expirePeriod = time.Minute
 )
 
@@ -23,13 +23,14 @@
 	avoid  func() map[table.WorkerID]bool // workers that some host cannot reach
 	policy *policy
 	hosts  *hostList
-	never  func([]queue.NeverFits) // reports jobs that can run nowhere
+	never  func(fresh []queue.NeverFits, all int) // reports jobs that were found to fit nowhere
 
 	placing   bool // grants were proposed and are not folded yet
 	dirty     bool // the tables changed since the last placement
 	placed    time.Time
 	nevered   time.Time
-	marks     []mark // when offsets were folded, oldest first
+	neverFits map[table.JobID]string // reasons of the jobs that can run nowhere
+	marks     []mark                 // when offsets were folded, oldest first
 	expired   time.Time
 	expiring  bool
 	snapshots snapshots
@@ -62,14 +63,30 @@
 	s.place(t, now)
 	s.expire(now)
 	s.snapshots.run(t, now)
-	if now.Sub(s.nevered) >= neverPeriod {
-		s.nevered = now
-		s.never(queue.Never(t, s.policy.system.QueueConfig(t)))
+	s.never(s.findNeverFits(t, now), len(s.neverFits))
+}
+
+// findNeverFits looks for jobs that can run nowhere as the site is now, and returns those that are new.
+func (s *systems) findNeverFits(t *table.Tables, now time.Time) []queue.NeverFits {
+	if now.Sub(s.nevered) < neverPeriod {
+		return nil
+	}
+	s.nevered = now
+	known := s.neverFits
+	s.neverFits = map[table.JobID]string{}
+	var fresh []queue.NeverFits
+	for _, n := range queue.Never(t, s.policy.system.QueueConfig(t)) {
+		s.neverFits[n.Job] = n.Reason
+		if _, ok := known[n.Job]; !ok {
+			fresh = append(fresh, n)
+		}
 	}
+	return fresh
 }
 
 // follow keeps the history of what runs where on a host that does not propose, so that it can attribute reports once it does.
 func (s *systems) follow(t *table.Tables, now time.Time) {
+	s.findNeverFits(t, now)
 	if now.Sub(s.placed) < placeAnyway {
 		return
 	}
--- a/operator/jobs.go
+++ b/operator/jobs.go
@@ -69,6 +69,9 @@
 	err := h.look(r.Context(), func(t *table.Tables) {
 		if j := t.Jobs[id]; j != nil {
 			detail = jobDetail(t, j)
+			if h.cfg.NeverFits != nil {
+				detail.Waits = h.cfg.NeverFits(id)
+			}
 		}
 	})
 	if err != nil {
--- a/operator/rows.go
+++ b/operator/rows.go
@@ -66,6 +66,7 @@
 	Gang         bool
 	MaxAttempts  int
 	PayloadBytes int
+	Waits        string    // why it can run nowhere as the site is now
 	TaskRows     []TaskRow // at most maxTaskRows
 }
 
