Show the operators' tables in the demo

Cause: the one command that a newcomer runs showed the operators' side as a Go structure. Change: the demo runs persimmonpick status, workers and report.

--- a/standins/demo/main.go
+++ b/standins/demo/main.go
@@ -203,14 +203,18 @@
 	return nil
 }
 
+// status shows what an operator sees at one entry host.
 func (d *demo) status() error {
-	var st struct {
-		Hosts []struct{ Seat, State string }
-	}
-	if err := site.Get(d.operators[2]+"/v1/status", "", &st); err != nil {
-		return err
+	for _, command := range []string{"status", "workers", "report"} {
+		fmt.Printf("\n$ persimmonpick %s\n", command)
+		c := exec.Command(filepath.Join(d.dir, "persimmonpick"), "-operators", d.operators[2], command)
+		c.Stdout = os.Stdout
+		c.Stderr = os.Stderr
+		if err := c.Run(); err != nil {
+			return fmt.Errorf("persimmonpick %s: %w", command, err)
+		}
 	}
-	fmt.Printf("status at entry host e3: %+v\n", st.Hosts)
+	fmt.Println()
 	return nil
 }
 
