Let hosts that read the log propose and watch workers

Cause: the first live seat proposed even when it was cut from the log and its peers still heard it, so nothing was placed anywhere; and its workers' outcomes could not be recorded. Change: heartbeats say whether a read reached the end of the log in the last 3 s; seats that do are the working ones, and all live seats are only where none does, so that leases are renewed in an outage. Ruled out: taking such a host for not ready; it may still serve quick requests. Conclusion: belief about who works needs a sign of being able to record.

--- a/entry/host.go
+++ b/entry/host.go
@@ -205,12 +205,18 @@
 
 // proposeEarly refuses in an outage of the log, when it is still known that nothing was sent.
 func (h *Host) proposeEarly(ctx context.Context, rs []journal.Record) (journal.Result, error) {
-	if tail := h.group.Fence.Tail(); time.Since(tail) > logSilence {
-		return journal.Result{}, fault.New(fault.LogUnavailable, "the log was last read to its end at %s", tail.UTC().Format(time.RFC3339))
+	if !h.readsLog() {
+		last := h.group.Fence.Tail().UTC().Format(time.RFC3339)
+		return journal.Result{}, fault.New(fault.LogUnavailable, "the log was last read to its end at %s", last)
 	}
 	return h.writer.Propose(ctx, rs)
 }
 
+// readsLog says whether a read reached the end of the log lately.
+func (h *Host) readsLog() bool {
+	return time.Since(h.group.Fence.Tail()) <= logSilence
+}
+
 // propose appends records and fails with the first kind that did not take effect.
 func (h *Host) propose(ctx context.Context, rs ...journal.Record) error {
 	res, err := h.proposeEarly(ctx, rs)
@@ -232,6 +238,7 @@
 	}
 	hb.Applied = h.control.appliedOffset()
 	hb.Ready = h.control.atEnd.Load() && h.control.joined.Load()
+	hb.ReadsLog = h.readsLog()
 	hb.Unreachable = h.control.agents.unreachable()
 	hb.InFlight = h.router.InFlight()
 	return hb
--- a/peer/group.go
+++ b/peer/group.go
@@ -147,14 +147,23 @@
 }
 
 // Working returns the seats that are live, ready and not stopping, in the order of the settings.
+//
+// Seats that do not read the log are left out unless none does: they can record nothing, but in an outage of the log leases must be renewed all the same.
 func (g *Group) Working() []table.SeatID {
-	var ids []table.SeatID
+	var working, reading []table.SeatID
 	for _, st := range g.Status() {
-		if st.Live && st.Ready && !st.Stopping {
-			ids = append(ids, st.Seat)
+		if !st.Live || !st.Ready || st.Stopping {
+			continue
 		}
+		working = append(working, st.Seat)
+		if st.ReadsLog {
+			reading = append(reading, st.Seat)
+		}
+	}
+	if len(reading) > 0 {
+		return reading
 	}
-	return ids
+	return working
 }
 
 // Proposer says whether this host is the first working seat, which proposes what any host could.
--- a/peer/group_test.go
+++ b/peer/group_test.go
@@ -87,3 +87,17 @@
 	_, err = c.Borrow(context.Background(), share.BorrowRequest{}) // dials again
 	is.Equal(fault.Of(err), fault.Capacity)
 }
+
+// Guards against placement that stands still behind a host that is cut from the log, and against leases that nobody renews in an outage of it.
+func TestHostsThatReadTheLogGoFirst(t *testing.T) {
+	is := is.New(t)
+	reads := map[table.SeatID]bool{"b": true}
+	g := testGroup("", "a")
+	g.cfg.Self = func() Heartbeat { return Heartbeat{Seat: "a", Ready: true, ReadsLog: reads["a"]} }
+	hear := func() { g.HandleHeartbeat(Heartbeat{Seat: "b", Incarnation: "b1", Ready: true, ReadsLog: reads["b"]}) }
+	hear()
+	is.Equal(g.Working(), []table.SeatID{"b"})
+	reads["b"] = false
+	hear()
+	is.Equal(g.Working(), []table.SeatID{"a", "b"})
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -13,6 +13,7 @@
 	Incarnation table.Incarnation
 	Applied     table.Offset // last offset folded by the sender
 	Ready       bool
+	ReadsLog    bool // a read reached the end of the log lately
 	Stopping    bool
 	InFlight    int              // requests being served
 	Unreachable []table.WorkerID // workers that the sender watches and cannot reach
