Drop what the read-through found twice, dead or growing

Cause: a last read of the whole change. Taking the seat repeated what propose does with an outcome; the list of seats was built in two places; the exchanges of counts and of reports had the same loop; Model.Base and ReportsReply.Incarnation were read by nothing; History.Forget was never called, and readings of replaced instances were kept, so both grew with each replaced host. Change: effect, seatIDs, every and eachLivePeer in package entry; History.Retain, called by System.Note, which also drops readings; the dead ones are gone. TestSystemForgetsWhatIsGone names the growth.

--- a/entry/burn.go
+++ b/entry/burn.go
@@ -33,20 +33,32 @@
 
 // exchangeBurn fetches from each live peer the counts that this host lacks.
 func (h *Host) exchangeBurn(ctx context.Context) {
-	tick := time.NewTicker(burnPeriod)
+	every(ctx, burnPeriod, func() {
+		now := time.Now()
+		h.board.Put(h.recorder.Snapshot(now), now)
+		h.eachLivePeer(func(_ table.SeatID, client *peer.Client) { h.fetchBurn(ctx, client) })
+	})
+}
+
+// every calls f once a period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	tick := time.NewTicker(period)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			f()
 		}
-		now := time.Now()
-		h.board.Put(h.recorder.Snapshot(now), now)
-		for _, st := range h.group.Status() {
-			if client := h.group.Client(st.Seat); client != nil && st.Live {
-				h.fetchBurn(ctx, client)
-			}
+	}
+}
+
+// eachLivePeer calls f for every other seat that is live.
+func (h *Host) eachLivePeer(f func(table.SeatID, *peer.Client)) {
+	for _, st := range h.group.Status() {
+		if client := h.group.Client(st.Seat); client != nil && st.Live {
+			f(st.Seat, client)
 		}
 	}
 }
@@ -77,11 +89,7 @@
 	for id, k := range v.Kinds {
 		objectives[id] = k.Objective
 	}
-	var seats []table.SeatID
-	for _, s := range h.cfg.Seats {
-		seats = append(seats, s.ID)
-	}
 	return burn.Build(burn.Input{
-		Now: now, Windows: h.windows(), Seats: seats, Snapshots: h.board.All(now), Objectives: objectives,
+		Now: now, Windows: h.windows(), Seats: h.seatIDs(), Snapshots: h.board.All(now), Objectives: objectives,
 	})
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -131,12 +131,8 @@
 }
 
 func (h *Host) connectTraffic() {
-	var ids []table.SeatID
-	for _, s := range h.cfg.Seats {
-		ids = append(ids, s.ID)
-	}
 	h.shares = share.New(share.Config{
-		Seat: h.cfg.Seat, Seats: ids, LoanTerm: h.cfg.Timing.LoanTerm.D(),
+		Seat: h.cfg.Seat, Seats: h.seatIDs(), LoanTerm: h.cfg.Timing.LoanTerm.D(),
 		MaxRequestTime: h.cfg.Timing.MaxRequestTime.D() + h.cfg.Timing.ClockBound.D(),
 		Usable:         h.control.usable, Lookup: h.instance,
 		Borrow: func(ctx context.Context, id table.SeatID, req share.BorrowRequest) (share.BorrowReply, error) {
@@ -163,6 +159,14 @@
 	}
 }
 
+func (h *Host) seatIDs() []table.SeatID {
+	ids := make([]table.SeatID, 0, len(h.cfg.Seats))
+	for _, s := range h.cfg.Seats {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
 // clientTLS returns the configuration for dialing peers, read anew for each dial, or nil where they are plain.
 func clientTLS(l settings.Listener) (func() *tls.Config, error) {
 	if l.Plain {
@@ -219,7 +223,11 @@
 
 // propose appends records and fails with the first kind that did not take effect.
 func (h *Host) propose(ctx context.Context, rs ...journal.Record) error {
-	res, err := h.proposeEarly(ctx, rs)
+	return effect(h.proposeEarly(ctx, rs))
+}
+
+// effect turns the outcome of a proposal into an error of the first kind that did not take effect.
+func effect(res journal.Result, err error) error {
 	if err != nil {
 		return err
 	}
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -53,34 +53,23 @@
 
 func (h *Host) handleReports(args peer.ReportsArgs) peer.ReportsReply {
 	list, next := h.reports.since(args.From)
-	return peer.ReportsReply{Incarnation: h.incarnation, Next: next, Reports: list}
+	return peer.ReportsReply{Next: next, Reports: list}
 }
 
 // exchangeReports fetches from each live peer the usage that its workers reported.
 func (h *Host) exchangeReports(ctx context.Context) {
-	tick := time.NewTicker(h.cfg.Timing.ReportPeriod.D())
-	defer tick.Stop()
-	from := map[table.SeatID]peer.ReportsReply{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		for _, st := range h.group.Status() {
-			client := h.group.Client(st.Seat)
-			if client == nil || !st.Live {
-				continue
-			}
-			reply, err := h.fetchReports(ctx, client, from[st.Seat].Next)
+	next := map[table.SeatID]uint64{}
+	every(ctx, h.cfg.Timing.ReportPeriod.D(), func() {
+		h.eachLivePeer(func(seat table.SeatID, client *peer.Client) {
+			reply, err := h.fetchReports(ctx, client, next[seat])
 			if err != nil {
-				h.log.Debug("reports not fetched", "Seat", st.Seat, "Error", err)
-				continue
+				h.log.Debug("reports not fetched", "Seat", seat, "Error", err)
+				return
 			}
-			from[st.Seat] = reply
+			next[seat] = reply.Next
 			h.learnFrom(reply.Reports)
-		}
-	}
+		})
+	})
 }
 
 func (h *Host) fetchReports(ctx context.Context, client *peer.Client, from uint64) (peer.ReportsReply, error) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -136,7 +136,8 @@
 		Seat: h.cfg.Seat, Incarnation: h.incarnation, Address: h.listeners.peers.Addr().String(), Zone: h.cfg.Zone,
 	}}
 	for {
-		err := h.takeSeat(ctx, rec)
+		// Not proposeEarly: a host that starts in an outage waits for the log here.
+		err := effect(h.writer.Propose(ctx, []journal.Record{rec}))
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -149,17 +150,6 @@
 	}
 }
 
-func (h *Host) takeSeat(ctx context.Context, rec journal.Record) error {
-	res, err := h.writer.Propose(ctx, []journal.Record{rec})
-	if err != nil {
-		return err
-	}
-	if k := res.First(); k != fault.None {
-		return fault.New(k, "seat %s", h.cfg.Seat)
-	}
-	return nil
-}
-
 // stop is a graceful shutdown: readiness fails first, requests in flight end, then slots and the seat are handed back.
 func (h *Host) stop(leave bool) error {
 	h.stopping.Store(true)
--- a/interference/history.go
+++ b/interference/history.go
@@ -66,7 +66,11 @@
 	return true
 }
 
-// Forget drops a worker that is gone.
-func (h *History) Forget(w table.WorkerID) {
-	delete(h.workers, w)
+// Retain drops the workers for which keep is false.
+func (h *History) Retain(keep func(table.WorkerID) bool) {
+	for w := range h.workers {
+		if !keep(w) {
+			delete(h.workers, w)
+		}
+	}
 }
--- a/interference/model.go
+++ b/interference/model.go
@@ -112,15 +112,6 @@
 	return min(math.Exp(sum), maxSlowdown), certain
 }
 
-// Base returns the p99 of a service at a load without neighbours; false where nothing is known.
-func (m *Model) Base(service table.ServiceID, load float64) (time.Duration, bool) {
-	b := m.blocks[blockKey{service, level(load)}]
-	if b == nil {
-		return 0, false
-	}
-	return time.Duration(math.Exp(b.mean[0]) * float64(time.Second)), true
-}
-
 // nearest returns the block of k, or of the nearest load level that knows all of ns if k does not.
 func (m *Model) nearest(k blockKey, ns []Neighbour) *block {
 	own := m.blocks[k]
--- a/peer/capacity_test.go
+++ b/peer/capacity_test.go
@@ -105,7 +105,7 @@
 func BenchmarkReports(b *testing.B) {
 	for _, n := range []int{8, 72, 145, 289, 650} {
 		b.Run(fmt.Sprintf("reports=%d", n), func(b *testing.B) {
-			reply := ReportsReply{Incarnation: "seat-2-ABCDEFGHIJKLMNOP", Next: 1 << 30}
+			reply := ReportsReply{Next: 1 << 30}
 			for i := range n {
 				reply.Reports = append(reply.Reports, capacityReport(i))
 			}
--- a/peer/message.go
+++ b/peer/message.go
@@ -47,9 +47,8 @@
 
 // ReportsReply carries usage reports of the workers that a host watches.
 type ReportsReply struct {
-	Incarnation table.Incarnation
-	Next        uint64 // number to ask for next
-	Reports     []platform.Report
+	Next    uint64 // number to ask for next
+	Reports []platform.Report
 }
 
 // Handlers are the functions that answer calls of peers.
--- a/placement/system.go
+++ b/placement/system.go
@@ -105,6 +105,17 @@
 		noted[w.ID] = true
 		s.History.Note(now, w.ID, Neighbours(t, w, scan.Held[w.ID], s.Guard.Share))
 	}
+	s.forget(t)
+}
+
+// forget drops what was learned of workers and instances that are gone; hundreds are replaced a day at the size to design for.
+func (s *System) forget(t *table.Tables) {
+	s.History.Retain(func(id table.WorkerID) bool { return t.Workers[id] != nil })
+	for id := range s.readings {
+		if t.Instances[id] == nil {
+			delete(s.readings, id)
+		}
+	}
 }
 
 // Tick returns the records to propose in one batch, and the commands for workers.
--- a/placement/vacate_test.go
+++ b/placement/vacate_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"persimmonpick/platform"
 	"persimmonpick/queue"
+	"persimmonpick/settings"
 	"persimmonpick/table"
 )
 
@@ -29,3 +32,24 @@
 	}
 	is.Equal(reasons, map[table.TaskID]string{"drained/Started": ReasonDrained, "leaving/Started": ReasonLeaving})
 }
+
+// Guards against memory that grows with every worker and instance that is replaced.
+func TestSystemForgetsWhatIsGone(t *testing.T) {
+	is := is.New(t)
+	tables := table.New()
+	tables.Workers["w"] = &table.Worker{ID: "w"}
+	tables.Instances["i"] = &table.Instance{ID: "i", Worker: "w"}
+	s := NewSystem(settings.Policy{}, "a", func(table.ServiceID) time.Duration { return 0 })
+	now := time.Now()
+	s.Note(tables, queue.NewScan(tables), now)
+	s.Report(tables, now, &platform.Report{Worker: "w", Taken: now, Instances: []platform.InstanceUsage{{Instance: "i", P99: time.Second}}})
+	_, known := s.History.At("w", now)
+	is.True(known)
+	is.Equal(len(s.readings), 1)
+	delete(tables.Workers, "w")
+	delete(tables.Instances, "i")
+	s.Note(tables, queue.NewScan(tables), now)
+	_, known = s.History.At("w", now)
+	is.True(!known)
+	is.Equal(len(s.readings), 0)
+}
