--- /dev/null
+++ b/cmd/persimmonpickd/cgo.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // The platform needs programs that are linked against the C library.
--- a/cmd/persimmonpickd/main.go
+++ b/cmd/persimmonpickd/main.go
@@ -13,7 +13,8 @@
 	"github.com/urfave/cli/v2"
 
 	"persimmonpick/entry"
-	"persimmonpick/platform"
+	"persimmonpick/fault"
+	"persimmonpick/provider"
 	"persimmonpick/settings"
 )
 
@@ -23,9 +24,10 @@
 		Usage:     "run an entry host between callers and backend servers",
 		UsageText: "persimmonpickd -settings FILE",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "read the JSON settings from `FILE`"},
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "read the JSON settings from `FILE`"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{fleetCommand()},
 	}
 	if err := app.Run(os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "persimmonpickd:", err)
@@ -34,6 +36,9 @@
 }
 
 func run(c *cli.Context) error {
+	if c.String("settings") == "" {
+		return fault.New(fault.Invalid, "no settings file is named; use -settings FILE")
+	}
 	cfg, err := settings.Load(c.String("settings"))
 	if err != nil {
 		return err
@@ -46,7 +51,7 @@
 		log.Warn(w)
 	}
 	host, err := entry.New(entry.Config{
-		Settings: cfg, Platform: platform.Dial(platform.Config{URL: cfg.PlatformURL}), Logger: log,
+		Settings: cfg, Platform: provider.Dial(provider.Config{URL: cfg.PlatformURL}), Logger: log,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"persimmonpick/ledger"
+	"persimmonpick/table"
+	"persimmonpick/workload"
+)
+
+// The timing of the dispatcher's loop.
+const (
+	roundEvery  = 15 * time.Millisecond  // shortest time between rounds
+	decideEvery = 200 * time.Millisecond // a round decides at least this often, for what depends on time alone
+	tickEvery   = 100 * time.Millisecond
+	extendFor   = orphanLease // without a confirmed append for this long, leases are not extended any more
+	maxEvents   = 4096
+)
+
+// Roster is the newest list of workers; Whole says that workers without an entry are gone.
+type Roster struct {
+	Whole   bool
+	Workers []WorkerInfo
+	Gone    []table.WorkerID
+}
+
+// DispatcherConfig configures a Dispatcher.
+type DispatcherConfig struct {
+	Board   Config
+	Writer  *ledger.Writer
+	Fold    *ledger.Fold
+	Workers Workers
+	Queues  func() []workload.Queue                       // of the newest configuration
+	Follow  func(ctx context.Context, apply func(Roster)) // the list of workers, until ctx ends
+	Count   func(Counts)                                  // called now and then
+	Observe func(call string, took time.Duration)         // called for each answer of a worker, from any goroutine
+	Log     *slog.Logger
+}
+
+// Dispatcher owns a board while this host leads.
+type Dispatcher struct {
+	cfg     DispatcherConfig
+	ctx     context.Context
+	board   *Board
+	events  chan func(now time.Time)
+	writing bool
+	changed bool
+	round   time.Time
+	decided time.Time
+	ticked  time.Time
+}
+
+// NewDispatcher returns a dispatcher whose Run must be called.
+func NewDispatcher(cfg DispatcherConfig) *Dispatcher {
+	cfg.Board.Log = cfg.Log
+	cfg.Board.Epoch = cfg.Writer.Epoch()
+	return &Dispatcher{cfg: cfg, board: NewBoard(cfg.Board), events: make(chan func(time.Time), maxEvents)}
+}
+
+// Run dispatches until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	d.ctx = ctx
+	now := time.Now()
+	d.board.SetQueues(d.cfg.Queues())
+	for _, e := range d.cfg.Fold.Watch(func(e ledger.Entry) {
+		d.post(func(now time.Time) { d.board.SetEntry(e, now) })
+	}) {
+		d.board.SetEntry(e, now)
+	}
+	defer d.cfg.Fold.Watch(nil)
+	d.cfg.Log.Info("board taken over", "Epoch", d.cfg.Writer.Epoch(), "Jobs", len(d.board.jobs), "FinalJobs", len(d.board.final), "WorkersNamed", len(d.board.workers))
+	go d.cfg.Follow(ctx, func(r Roster) { d.post(func(now time.Time) { d.roster(r, now) }) })
+	tick := time.NewTicker(roundEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-d.events:
+			f(time.Now())
+			d.changed = true
+			d.drain()
+		case <-tick.C:
+		}
+		if now := time.Now(); now.Sub(d.round) >= roundEvery {
+			d.round = now
+			d.act(now)
+		}
+	}
+}
+
+// post hands an event to the loop; after the end of the run it is dropped.
+func (d *Dispatcher) post(f func(now time.Time)) {
+	select {
+	case d.events <- f:
+	case <-d.ctx.Done():
+	}
+}
+
+func (d *Dispatcher) drain() {
+	for {
+		select {
+		case f := <-d.events:
+			f(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) roster(r Roster, now time.Time) {
+	if r.Whole {
+		listed := make(map[table.WorkerID]bool, len(r.Workers))
+		for _, w := range r.Workers {
+			listed[w.ID] = true
+		}
+		for id := range d.board.workers {
+			if !listed[id] {
+				d.board.RemoveWorker(id, now)
+			}
+		}
+	}
+	for _, w := range r.Workers {
+		d.board.SetWorker(w, now)
+	}
+	for _, id := range r.Gone {
+		d.board.RemoveWorker(id, now)
+	}
+}
+
+func (d *Dispatcher) act(now time.Time) {
+	if now.Sub(d.ticked) >= tickEvery {
+		d.ticked = now
+		d.board.SetQueues(d.cfg.Queues())
+		d.board.Tick(now)
+		d.cfg.Count(d.board.Counts())
+	}
+	extend := now.Sub(d.cfg.Writer.Confirmed()) < extendFor
+	for _, o := range d.board.Looks(now, extend) {
+		go d.look(o, now)
+	}
+	if d.changed || now.Sub(d.decided) >= decideEvery {
+		d.changed, d.decided = false, now
+		d.board.Decide(now)
+	}
+	for _, o := range d.board.Stops(now) {
+		go d.stop(o)
+	}
+	for _, o := range d.board.Paces(now) {
+		go d.pace(o)
+	}
+	d.flush(now)
+}
+
+// flush writes the changes of the board; one write is in flight at a time.
+func (d *Dispatcher) flush(now time.Time) {
+	if d.writing {
+		return
+	}
+	f := d.board.Flush(now)
+	if f == nil {
+		return
+	}
+	if len(f.records) == 0 {
+		d.flushed(f, now)
+		return
+	}
+	d.writing = true
+	d.cfg.Writer.Append(f.records, func() {
+		d.post(func(now time.Time) {
+			d.writing = false
+			d.flushed(f, now)
+		})
+	})
+}
+
+func (d *Dispatcher) flushed(f *flush, now time.Time) {
+	extend := now.Sub(d.cfg.Writer.Confirmed()) < extendFor
+	for _, o := range d.board.Flushed(f, now, extend) {
+		go d.start(o)
+	}
+}
+
+func (d *Dispatcher) start(o StartOrder) {
+	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	res := d.cfg.Workers.Start(ctx, o)
+	d.cfg.Observe("Start", time.Since(sent))
+	d.post(func(now time.Time) { d.board.StartDone(o, res, now) })
+}
+
+func (d *Dispatcher) stop(o StopOrder) {
+	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+	defer cancel()
+	err := d.cfg.Workers.Stop(ctx, o)
+	d.post(func(now time.Time) { d.board.StopDone(o, err, now) })
+}
+
+func (d *Dispatcher) pace(o PaceOrder) {
+	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+	defer cancel()
+	err := d.cfg.Workers.Pace(ctx, o)
+	d.post(func(now time.Time) { d.board.PaceDone(o, err, now) })
+}
+
+func (d *Dispatcher) look(o LookOrder, sent time.Time) {
+	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+lookGrace)
+	defer cancel()
+	l, err := d.cfg.Workers.Look(ctx, o)
+	if err == nil {
+		d.cfg.Observe("Look", time.Since(sent)-o.Wait)
+	}
+	d.post(func(now time.Time) { d.board.LookDone(o, sent, l, err, now) })
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"time"
+
+	"persimmonpick/table"
+	"persimmonpick/workload"
+)
+
+// phase says where a task stands on the board.
+type phase uint8
+
+const (
+	waiting  phase = iota
+	reserved       // its place is being written to the log
+	starting       // the order was sent
+	running
+	stopping
+	done
+)
+
+// held says whether a task in phase p takes up its worker.
+func (p phase) held() bool { return p > waiting && p < done }
+
+// task is one task of a job.
+type task struct {
+	key        workload.TaskKey
+	group      *group
+	phase      phase
+	run        workload.RunNumber // newest run
+	failures   int
+	checkpoint string
+	pace       int // percent
+	pacing     bool
+
+	worker     *worker    // while held
+	token      FenceToken // of the start order
+	uncertain  bool       // the start order got no answer
+	answered   time.Time  // when the outcome of the start order was known
+	began      time.Time  // when the run began, as far as known
+	percent    int
+	moved      time.Time // when percent last changed
+	tail       time.Duration
+	cpu        table.Millicores
+	stopSent   time.Time
+	stopWhy    string
+	notBefore  time.Time
+	failedOn   table.WorkerID
+	moves      int       // away from workers where it was slow
+	downSince  time.Time // of an endless task that is not at work
+	wasRunning bool
+}
+
+// group is the tasks of one step of one occurrence.
+type group struct {
+	job        *job
+	occurrence int
+	index      int
+	step       *workload.Step
+	tasks      []*task
+	left       int // tasks that are not done
+	perWorker  map[table.WorkerID]int
+	durations  []time.Duration // of runs that ended as done
+	rack       table.RackID    // of its first placed task
+}
+
+// job is a job that is not final.
+type job struct {
+	id        table.JobID
+	queue     workload.Queue
+	spec      *workload.Spec
+	submitted time.Time
+	deadline  time.Time // objective, from the declared estimates
+	state     workload.State
+	groups    map[int][]*group // by occurrence
+	nextDue   int              // occurrence that comes next
+	finished  int              // occurrences that are done
+	dirty     bool             // progress must be written
+	stated    bool             // state must be written
+}
+
+func newJob(id table.JobID, s *workload.Submission) *job {
+	j := &job{
+		id: id, queue: s.Queue, spec: &s.Spec, submitted: time.UnixMilli(int64(s.Submitted)),
+		groups: map[int][]*group{},
+	}
+	chain := time.Duration(j.chain()) * time.Millisecond
+	j.deadline = j.submitted.Add(time.Duration(max(1, j.queue.Stretch)*float64(chain)) +
+		time.Duration(j.queue.Allowance)*time.Millisecond)
+	return j
+}
+
+// chain returns the estimate of the longest chain of steps.
+func (j *job) chain() table.Millis {
+	ends := make([]table.Millis, len(j.spec.Steps))
+	var longest table.Millis
+	for i := range j.spec.Steps {
+		var start table.Millis
+		for _, a := range j.spec.Steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + j.spec.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// open makes the tasks of an occurrence.
+func (j *job) open(occurrence int) []*group {
+	if gs := j.groups[occurrence]; gs != nil {
+		return gs
+	}
+	gs := make([]*group, len(j.spec.Steps))
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		g := &group{job: j, occurrence: occurrence, index: i, step: s, left: s.Count, perWorker: map[table.WorkerID]int{}}
+		g.tasks = make([]*task, s.Count)
+		for n := range g.tasks {
+			g.tasks[n] = &task{
+				key:   workload.TaskKey{Job: j.id, Occurrence: occurrence, Step: i, Index: n},
+				group: g, pace: fullPace,
+			}
+		}
+		gs[i] = g
+	}
+	j.groups[occurrence] = gs
+	j.nextDue = max(j.nextDue, occurrence+1)
+	return gs
+}
+
+// ready says whether the steps that g waits for are done.
+func (g *group) ready() bool {
+	gs := g.job.groups[g.occurrence]
+	for _, a := range g.step.After {
+		if gs[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// need returns what one task counts against the capacity of a worker.
+func (g *group) need() table.Resources {
+	n := g.step.Need
+	if g.step.Fills {
+		n.CPU = 0
+	}
+	return n
+}
+
+// tasks calls f for each task of j.
+func (j *job) each(f func(*task)) {
+	for _, gs := range j.groups {
+		for _, g := range gs {
+			for _, t := range g.tasks {
+				f(t)
+			}
+		}
+	}
+}
+
+// progress returns the record of what must outlive this process.
+func (j *job) progress() workload.Progress {
+	var p workload.Progress
+	for _, gs := range j.groups {
+		for _, g := range gs {
+			if g.left == 0 {
+				p.Marks = append(p.Marks, workload.TaskMark{Occurrence: g.occurrence, Step: g.index, Index: allTasks, Phase: workload.Done})
+				continue
+			}
+			for _, t := range g.tasks {
+				if t.run > 0 {
+					p.Marks = append(p.Marks, t.mark())
+				}
+			}
+		}
+	}
+	return p
+}
+
+// allTasks is the index of a mark that stands for all tasks of a step.
+const allTasks = -1
+
+func (t *task) mark() workload.TaskMark {
+	m := workload.TaskMark{
+		Occurrence: t.key.Occurrence, Step: t.key.Step, Index: t.key.Index,
+		Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
+	}
+	switch {
+	case t.phase == done:
+		m.Phase, m.Checkpoint = workload.Done, ""
+	case t.phase.held():
+		m.Phase, m.Worker = workload.Assigned, t.worker.info.ID
+	}
+	return m
+}
+
+// restore applies the marks of p to a new job; find returns the worker of an id.
+func (j *job) restore(p workload.Progress, find func(table.WorkerID) *worker) {
+	for _, m := range p.Marks {
+		gs := j.open(m.Occurrence)
+		if m.Step < 0 || m.Step >= len(gs) || m.Index >= len(gs[m.Step].tasks) {
+			continue
+		}
+		g := gs[m.Step]
+		if m.Index == allTasks {
+			for _, t := range g.tasks {
+				t.phase = done
+			}
+			g.left = 0
+			continue
+		}
+		t := g.tasks[m.Index]
+		t.run, t.failures, t.checkpoint = m.Run, m.Failures, m.Checkpoint
+		switch m.Phase {
+		case workload.Done:
+			t.phase = done
+			g.left--
+		case workload.Assigned:
+			find(m.Worker).hold(t, running)
+			t.wasRunning = true
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonpick/table"
+)
+
+// The weights of the score of a place; one unit is a worker that is used in full.
+const (
+	weightFar      = 4.0 // away from the data or from the rack of the gang
+	weightMixed    = 1.5 // a task that fills beside tasks that serve, or the other way round
+	weightHeavy    = 4.0 // more, by what is known of the image
+	weightRetry    = 3.0 // the worker that failed the task before
+	weightUnproven = 1.0 // a task that has failed goes to workers that have finished something lately
+	provenFor      = 10 * time.Second
+	fillTo         = 1.0 // share of the capacity up to which tasks that fill are placed
+	maxPlaced      = 96  // tasks placed in one round, so that a round stays short
+)
+
+// shape is a need that found no place in this round.
+type shape struct {
+	need  table.Resources
+	fills bool
+	plain bool // no constraint that other steps may not share
+}
+
+// Decide places waiting tasks; they are started once their records are in the log.
+func (b *Board) Decide(now time.Time) {
+	b.supervise(now)
+	var refused []shape
+	placed := 0
+	for _, g := range b.waitingGroups(now) {
+		if placed >= maxPlaced {
+			return
+		}
+		sh := shape{need: g.step.Need, fills: g.step.Fills, plain: g.step.Label == "" && g.step.MaxPerWorker == 0 && !g.step.Gang}
+		if hopeless(refused, sh) {
+			continue
+		}
+		n, all := b.placeGroup(g, now)
+		placed += n
+		if !all && sh.plain {
+			refused = append(refused, sh)
+		}
+	}
+}
+
+func hopeless(refused []shape, s shape) bool {
+	for _, r := range refused {
+		if r.fills == s.fills && r.need.Fits(s.need) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingGroups returns the steps with tasks to place, by priority and then by the objective of the job.
+func (b *Board) waitingGroups(now time.Time) []*group {
+	var gs []*group
+	for _, j := range b.jobs {
+		if j.state.Final() {
+			continue
+		}
+		for _, occurrence := range j.groups {
+			for _, g := range occurrence {
+				if g.left > 0 && g.ready() && g.waits(now) {
+					gs = append(gs, g)
+				}
+			}
+		}
+	}
+	slices.SortFunc(gs, func(a, c *group) int {
+		return cmp.Or(cmp.Compare(a.job.queue.Priority, c.job.queue.Priority), a.due().Compare(c.due()),
+			cmp.Compare(a.job.id, c.job.id), cmp.Compare(a.occurrence, c.occurrence), cmp.Compare(a.index, c.index))
+	})
+	return gs
+}
+
+// due returns the objective of the occurrence that g belongs to.
+func (g *group) due() time.Time {
+	if d := g.job.spec.Due(g.occurrence); !d.IsZero() {
+		return d.Add(g.job.deadline.Sub(g.job.submitted))
+	}
+	return g.job.deadline
+}
+
+func (g *group) waits(now time.Time) bool {
+	for _, t := range g.tasks {
+		if t.phase == waiting && !now.Before(t.notBefore) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeGroup places the waiting tasks of g, all or none of a gang; it returns how many it placed and whether none was left for want of a place.
+func (b *Board) placeGroup(g *group, now time.Time) (int, bool) {
+	if g.step.Gang {
+		return b.placeGang(g, now)
+	}
+	n := 0
+	for _, t := range g.tasks {
+		if t.phase != waiting || now.Before(t.notBefore) {
+			continue
+		}
+		w := b.choose(t, now)
+		if w == nil {
+			return n, false
+		}
+		b.reserve(t, w)
+		n++
+	}
+	return n, true
+}
+
+// placeGang places all tasks of a gang under one run number.
+func (b *Board) placeGang(g *group, now time.Time) (int, bool) {
+	top := g.tasks[0].run
+	for _, t := range g.tasks {
+		if t.phase != waiting || now.Before(t.notBefore) {
+			return 0, true // members of the last run have not ended yet
+		}
+		top = max(top, t.run)
+	}
+	checkpoint := newestCheckpoint(g)
+	g.rack = ""
+	for i, t := range g.tasks {
+		w := b.choose(t, now)
+		if w == nil {
+			for _, o := range g.tasks[:i] {
+				o.worker.release(o, waiting)
+			}
+			b.placed = b.placed[:len(b.placed)-i]
+			return 0, false
+		}
+		t.run, t.checkpoint = top, checkpoint
+		b.reserve(t, w)
+	}
+	return len(g.tasks), true
+}
+
+// newestCheckpoint returns a checkpoint of any member, which holds for all of them.
+func newestCheckpoint(g *group) string {
+	best := ""
+	for _, t := range g.tasks {
+		if len(t.checkpoint) > len(best) || len(t.checkpoint) == len(best) && t.checkpoint > best {
+			best = t.checkpoint
+		}
+	}
+	return best
+}
+
+func (b *Board) reserve(t *task, w *worker) {
+	t.run++
+	t.answered = time.Time{}
+	w.hold(t, reserved)
+	t.began = time.Time{}
+	t.group.job.dirty = true
+	b.placed = append(b.placed, t)
+}
+
+// choose returns the best worker for t, or nil if there is none.
+func (b *Board) choose(t *task, now time.Time) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range b.workers {
+		if !w.usable(now) || !b.fits(t, w, now) {
+			continue
+		}
+		s := b.score(t, w, now)
+		if best == nil || s < bestScore || s == bestScore && w.info.ID < best.info.ID {
+			best, bestScore = w, s
+		}
+	}
+	return best
+}
+
+// fits says whether t may run on w at all.
+func (b *Board) fits(t *task, w *worker, now time.Time) bool {
+	g := t.group
+	if w.info.Service != g.job.queue.Service || now.Before(w.fullUntil) || !g.need().Fits(w.free()) {
+		return false
+	}
+	if g.step.Label != "" && !slices.Contains(w.info.Labels, g.step.Label) {
+		return false
+	}
+	if g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID] >= g.step.MaxPerWorker {
+		return false
+	}
+	if !g.step.Fills {
+		return true
+	}
+	room := fillTo*float64(w.info.Capacity.CPU) - w.counted() - float64(w.fills)
+	return w.level == fullPace && (room >= float64(g.step.Need.CPU) || w.fills == 0 && room > 0)
+}
+
+// score rates a place for t; lower is better.
+func (b *Board) score(t *task, w *worker, now time.Time) float64 {
+	g := t.group
+	s := 0.0
+	switch {
+	case g.step.Serves():
+		// Packing tasks that serve leaves whole workers to those that fill.
+		s = -float64(w.serving) / float64(max(1, w.info.Capacity.CPU))
+		s += weightMixed * float64(w.fills) / float64(max(1, w.info.Capacity.CPU))
+	case g.step.Fills:
+		s = w.pressure()
+		if w.serves > 0 {
+			s += weightMixed + weightHeavy*b.images.weight(g.step.Image)
+		}
+	default:
+		s = w.pressure()
+	}
+	if g.step.DataRack != "" && g.step.DataRack != w.info.Rack {
+		s += weightFar * (b.cfg.Far - 1)
+	}
+	if g.step.OneRack && g.rack != "" && g.rack != w.info.Rack {
+		s += weightFar * (b.cfg.Far - 1)
+	}
+	if t.failures == 0 {
+		return s
+	}
+	if t.failedOn == w.info.ID {
+		s += weightRetry
+	}
+	if now.Sub(w.lastDone) > provenFor || w.failStreak > 0 {
+		s += weightUnproven
+	}
+	return s
+}
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -8,7 +8,7 @@
 
 	"persimmonpick/journal"
 	"persimmonpick/peer"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/settings"
 	"persimmonpick/table"
 )
@@ -23,7 +23,7 @@
 	cfg         settings.Settings
 	incarnation table.Incarnation
 	group       *peer.Group
-	workers     platform.Workers
+	workers     provider.Workers
 	submit      func(what string, rs []journal.Record, done func(journal.Result, error))
 	later       func(func()) // runs a function on the control goroutine at its next tick
 	visits      chan<- visit
@@ -40,7 +40,7 @@
 	watched        map[table.WorkerID]*watch
 	listed         []table.WorkerID
 	relisted       time.Time
-	reported       func(*table.Tables, platform.Report, time.Time) // hands usage to the policy
+	reported       func(*table.Tables, provider.Report, time.Time) // hands usage to the policy
 	mu             sync.Mutex
 	unreachableIDs []table.WorkerID // workers that this host watches and cannot reach
 }
--- a/entry/agents_test.go
+++ b/entry/agents_test.go
@@ -12,38 +12,38 @@
 	"persimmonpick/fault"
 	"persimmonpick/journal"
 	"persimmonpick/peer"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/settings"
 	"persimmonpick/table"
 )
 
 // fakeWorkers counts the commands that reach workers.
 type fakeWorkers struct {
-	report  platform.Report
-	started []platform.StartRequest
-	renewed []platform.Renewal
+	report  provider.Report
+	started []provider.StartRequest
+	renewed []provider.Renewal
 	stopped []table.TaskID
 	refuse  error
-	stopAs  platform.RunState
+	stopAs  provider.RunState
 }
 
-func (f *fakeWorkers) functions() platform.Workers {
-	return platform.Workers{
-		Report: func(context.Context, table.WorkerID) (platform.Report, error) { return f.report, nil },
-		Start: func(_ context.Context, _ table.WorkerID, req platform.StartRequest) error {
+func (f *fakeWorkers) functions() provider.Workers {
+	return provider.Workers{
+		Report: func(context.Context, table.WorkerID) (provider.Report, error) { return f.report, nil },
+		Start: func(_ context.Context, _ table.WorkerID, req provider.StartRequest) error {
 			f.started = append(f.started, req)
 			return f.refuse
 		},
-		Renew: func(_ context.Context, _ table.WorkerID, rs []platform.Renewal) error {
+		Renew: func(_ context.Context, _ table.WorkerID, rs []provider.Renewal) error {
 			f.renewed = append(f.renewed, rs...)
 			return nil
 		},
-		Stop: func(_ context.Context, _ table.WorkerID, id table.TaskID, token table.Token) (platform.TaskStatus, error) {
+		Stop: func(_ context.Context, _ table.WorkerID, id table.TaskID, token table.Token) (provider.TaskStatus, error) {
 			f.stopped = append(f.stopped, id)
-			return platform.TaskStatus{Task: id, Token: token, State: f.stopAs}, nil
+			return provider.TaskStatus{Task: id, Token: token, State: f.stopAs}, nil
 		},
 		Checkpoint: func(context.Context, table.WorkerID, table.TaskID, table.Token) error { return nil },
-		Forget:     func(context.Context, table.WorkerID, []platform.Renewal) error { return nil },
+		Forget:     func(context.Context, table.WorkerID, []provider.Renewal) error { return nil },
 	}
 }
 
@@ -59,7 +59,7 @@
 
 func testOrder(l leaseOrder) order {
 	l.token = 7
-	l.start = platform.StartRequest{Task: "j/0", Token: 7}
+	l.start = provider.StartRequest{Task: "j/0", Token: 7}
 	return order{worker: "w", applied: 100, leases: map[table.TaskID]leaseOrder{"j/0": l}}
 }
 
@@ -67,7 +67,7 @@
 func TestNonIdempotentStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &fakeWorkers{stopAs: platform.RunUnaccepted}
+		f := &fakeWorkers{stopAs: provider.RunUnaccepted}
 		a := testAgents(f)
 		a.group.Fence.Folded(100, time.Now(), time.Now())
 
@@ -97,7 +97,7 @@
 func TestNothingIsRenewedWhileNotCurrent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &fakeWorkers{report: platform.Report{Statuses: []platform.TaskStatus{{Task: "j/0", Token: 7, State: platform.RunRunning}}}}
+		f := &fakeWorkers{report: provider.Report{Statuses: []provider.TaskStatus{{Task: "j/0", Token: 7, State: provider.RunRunning}}}}
 		a := testAgents(f)
 		a.group.Fence.Folded(100, time.Now(), time.Now())
 		a.carryOut(testOrder(leaseOrder{started: true}))
@@ -107,7 +107,7 @@
 		time.Sleep(a.cfg.Timing.LogGrace.D() + 1)
 		a.carryOut(testOrder(leaseOrder{started: true}))
 		is.Equal(len(f.renewed), 1)
-		f.report = platform.Report{}
+		f.report = provider.Report{}
 		a.carryOut(testOrder(leaseOrder{}))
 		is.Equal(len(f.started), 0)
 	})
@@ -144,15 +144,15 @@
 		submit: func(_ string, list []journal.Record, _ func(journal.Result, error)) { rs = list }, later: func(func()) {},
 	}
 	tables := table.New()
-	var all []platform.WorkerInfo
+	var all []provider.WorkerInfo
 	for _, id := range []table.WorkerID{"w1", "w2", "w3", "w4", "w5", "w6"} {
 		tables.Workers[id] = &table.Worker{ID: id}
-		all = append(all, platform.WorkerInfo{ID: id})
+		all = append(all, provider.WorkerInfo{ID: id})
 	}
 	now := time.Now()
-	see := func(age time.Duration, list []platform.WorkerInfo) int {
+	see := func(age time.Duration, list []provider.WorkerInfo) int {
 		rs, h.proposing = nil, false
-		h.newest = platform.HostList{AsOf: now.Add(age), Workers: list}
+		h.newest = provider.HostList{AsOf: now.Add(age), Workers: list}
 		h.run(tables, now)
 		return len(rs)
 	}
--- a/entry/capacity_test.go
+++ b/entry/capacity_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"persimmonpick/journal"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/settings"
 	"persimmonpick/table"
 )
@@ -72,15 +72,15 @@
 }
 
 // capacityHost is an entry host alone, current, with these tables and workers that answer at once.
-func capacityHost(t *table.Tables, reports map[table.WorkerID]platform.Report) *Host {
+func capacityHost(t *table.Tables, reports map[table.WorkerID]provider.Report) *Host {
 	s := settings.Default()
 	s.Seat = "seat-1"
 	s.Seats = []settings.Seat{{ID: "seat-1", PeerAddress: "127.0.0.1:1"}}
 	s.Peers.Plain = true
-	h, err := New(Config{Settings: s, Logger: slog.New(slog.DiscardHandler), Platform: platform.Platform{
-		Workers: platform.Workers{
-			Report: func(_ context.Context, w table.WorkerID) (platform.Report, error) { return reports[w], nil },
-			Renew:  func(context.Context, table.WorkerID, []platform.Renewal) error { return nil },
+	h, err := New(Config{Settings: s, Logger: slog.New(slog.DiscardHandler), Platform: provider.Platform{
+		Workers: provider.Workers{
+			Report: func(_ context.Context, w table.WorkerID) (provider.Report, error) { return reports[w], nil },
+			Renew:  func(context.Context, table.WorkerID, []provider.Renewal) error { return nil },
 		},
 	}})
 	if err != nil {
@@ -92,17 +92,17 @@
 	return h
 }
 
-func capacityReports(n int, taken time.Time) map[table.WorkerID]platform.Report {
-	all := map[table.WorkerID]platform.Report{}
+func capacityReports(n int, taken time.Time) map[table.WorkerID]provider.Report {
+	all := map[table.WorkerID]provider.Report{}
 	for i := range n {
-		rep := platform.Report{Worker: capacityWorker(i), Taken: taken}
+		rep := provider.Report{Worker: capacityWorker(i), Taken: taken}
 		for k := range capacityHeld {
 			id := capacityTask(i, k)
-			rep.Statuses = append(rep.Statuses, platform.TaskStatus{Task: id, Token: 900, State: platform.RunRunning})
-			rep.Tasks = append(rep.Tasks, platform.TaskUsage{Task: id, Token: 900, Used: table.Resources{CPU: 913, Memory: 3_456_789_012}, Progress: 0.1234})
+			rep.Statuses = append(rep.Statuses, provider.TaskStatus{Task: id, Token: 900, State: provider.RunRunning})
+			rep.Tasks = append(rep.Tasks, provider.TaskUsage{Task: id, Token: 900, Used: table.Resources{CPU: 913, Memory: 3_456_789_012}, Progress: 0.1234})
 		}
 		for k := range capacityInstances {
-			rep.Instances = append(rep.Instances, platform.InstanceUsage{
+			rep.Instances = append(rep.Instances, provider.InstanceUsage{
 				Instance: table.InstanceID(fmt.Sprintf("instance-%05d-%d", i, k)), Load: 0.4321, P99: 12_345_678,
 			})
 		}
@@ -143,10 +143,10 @@
 	}
 }
 
-func visitBytes(b *testing.B, rep platform.Report) float64 {
-	var rs []platform.Renewal
+func visitBytes(b *testing.B, rep provider.Report) float64 {
+	var rs []provider.Renewal
 	for _, st := range rep.Statuses {
-		rs = append(rs, platform.Renewal{Task: st.Task, Token: st.Token, Until: time.Now()})
+		rs = append(rs, provider.Renewal{Task: st.Task, Token: st.Token, Until: time.Now()})
 	}
 	report, err := json.Marshal(rep)
 	if err != nil {
@@ -226,10 +226,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	rs := make([]platform.Renewal, capacityHeld)
+	rs := make([]provider.Renewal, capacityHeld)
 	began := cpuTime()
 	for b.Loop() {
-		var got platform.Report
+		var got provider.Report
 		if err := json.Unmarshal(data, &got); err != nil {
 			b.Fatal(err)
 		}
@@ -244,10 +244,10 @@
 func BenchmarkHostList(b *testing.B) {
 	for _, n := range []int{65, 650, 1300, 2600} {
 		t := capacityTables(n)
-		list := platform.HostList{AsOf: time.Now()}
+		list := provider.HostList{AsOf: time.Now()}
 		for _, id := range table.SortedWorkers(t) {
 			w := t.Workers[id]
-			list.Workers = append(list.Workers, platform.WorkerInfo{ID: id, Capacity: w.Capacity})
+			list.Workers = append(list.Workers, provider.WorkerInfo{ID: id, Capacity: w.Capacity})
 		}
 		for _, id := range table.SortedInstances(t) {
 			list.Instances = append(list.Instances, *t.Instances[id])
@@ -258,7 +258,7 @@
 		}
 		hosts := capacityHost(t, nil).control.systems.hosts
 		for name, op := range map[string]func(){
-			"decode": func() { _ = json.Unmarshal(data, &platform.HostList{}) },
+			"decode": func() { _ = json.Unmarshal(data, &provider.HostList{}) },
 			"compare": func() {
 				hosts.newest = list
 				list.AsOf = list.AsOf.Add(time.Second)
--- a/entry/host.go
+++ b/entry/host.go
@@ -14,7 +14,7 @@
 	"persimmonpick/fault"
 	"persimmonpick/journal"
 	"persimmonpick/peer"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/queue"
 	"persimmonpick/route"
 	"persimmonpick/settings"
@@ -26,14 +26,14 @@
 // Config sets up an entry host.
 type Config struct {
 	Settings settings.Settings
-	Platform platform.Platform
+	Platform provider.Platform
 	Logger   *slog.Logger
 }
 
 // Host is one entry host.
 type Host struct {
 	cfg         settings.Settings
-	platform    platform.Platform
+	platform    provider.Platform
 	incarnation table.Incarnation
 	log         *slog.Logger
 
@@ -117,7 +117,7 @@
 	p := newPolicy(h.cfg, h.log)
 	p.workers = h.platform.Workers
 	p.command = h.inBackground
-	c.agents.reported = func(t *table.Tables, rep platform.Report, now time.Time) {
+	c.agents.reported = func(t *table.Tables, rep provider.Report, now time.Time) {
 		h.reports.add(rep)
 		p.reported(t, rep, now)
 	}
--- a/entry/hostlist.go
+++ b/entry/hostlist.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"persimmonpick/journal"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/settings"
 	"persimmonpick/table"
 )
@@ -16,14 +16,14 @@
 // hostList follows the platform's list of hosts and proposes what changed.
 type hostList struct {
 	cfg    settings.Settings
-	hosts  platform.Hosts
+	hosts  provider.Hosts
 	submit func(what string, rs []journal.Record, done func(journal.Result, error))
 	later  func(func())
 	avoid  func() map[table.WorkerID]bool
 	log    *slog.Logger
 
 	mu     sync.Mutex
-	newest platform.HostList
+	newest provider.HostList
 
 	seen      time.Time // AsOf of the list that was compared last
 	proposing bool
@@ -79,7 +79,7 @@
 	})
 }
 
-func (h *hostList) seenWorkers(t *table.Tables, list platform.HostList) []journal.Record {
+func (h *hostList) seenWorkers(t *table.Tables, list provider.HostList) []journal.Record {
 	var rs []journal.Record
 	for _, w := range list.Workers {
 		old := t.Workers[w.ID]
@@ -94,7 +94,7 @@
 	return rs
 }
 
-func (h *hostList) seenInstances(t *table.Tables, list platform.HostList) []journal.Record {
+func (h *hostList) seenInstances(t *table.Tables, list provider.HostList) []journal.Record {
 	var rs []journal.Record
 	for _, in := range list.Instances {
 		old := t.Instances[in.ID]
@@ -111,7 +111,7 @@
 // gone proposes the removal of what the list no longer names.
 //
 // A list that is suddenly much shorter may be wrong, so beyond ListDropShare only workers that no host reaches are removed.
-func (h *hostList) gone(t *table.Tables, list platform.HostList, _ time.Time) []journal.Record {
+func (h *hostList) gone(t *table.Tables, list provider.HostList, _ time.Time) []journal.Record {
 	workers := missingWorkers(t, list)
 	instances := missingInstances(t, list)
 	short := tooMany(len(workers), liveWorkers(t), h.cfg.Policy.ListDropShare) ||
@@ -151,7 +151,7 @@
 	return n
 }
 
-func missingWorkers(t *table.Tables, list platform.HostList) []table.WorkerID {
+func missingWorkers(t *table.Tables, list provider.HostList) []table.WorkerID {
 	listed := make(map[table.WorkerID]bool, len(list.Workers))
 	for _, w := range list.Workers {
 		listed[w.ID] = true
@@ -165,7 +165,7 @@
 	return ids
 }
 
-func missingInstances(t *table.Tables, list platform.HostList) []table.InstanceID {
+func missingInstances(t *table.Tables, list provider.HostList) []table.InstanceID {
 	listed := make(map[table.InstanceID]bool, len(list.Instances))
 	for _, in := range list.Instances {
 		listed[in.ID] = true
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -7,7 +7,7 @@
 
 	"persimmonpick/journal"
 	"persimmonpick/placement"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/settings"
 	"persimmonpick/table"
 )
@@ -15,7 +15,7 @@
 // policy feeds placement.System with reports and outcomes and carries out its commands; the control goroutine owns it.
 type policy struct {
 	log     *slog.Logger
-	workers platform.Workers
+	workers provider.Workers
 	command func(func(context.Context)) // runs calls to workers in the background
 
 	system  *placement.System
@@ -59,7 +59,7 @@
 }
 
 // reported takes in the usage part of a report, from an own visit or from a peer.
-func (p *policy) reported(t *table.Tables, rep platform.Report, now time.Time) {
+func (p *policy) reported(t *table.Tables, rep provider.Report, now time.Time) {
 	if rep.Taken.IsZero() {
 		return
 	}
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"persimmonpick/peer"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -17,11 +17,11 @@
 type reports struct {
 	mu   sync.Mutex
 	next uint64 // number of the next report
-	list []platform.Report
+	list []provider.Report
 }
 
 // add keeps the usage of a report; task statuses are for this host alone.
-func (r *reports) add(rep platform.Report) {
+func (r *reports) add(rep provider.Report) {
 	if rep.Taken.IsZero() {
 		return
 	}
@@ -36,7 +36,7 @@
 }
 
 // since returns the reports from number from on, and the number to ask for next.
-func (r *reports) since(from uint64) ([]platform.Report, uint64) {
+func (r *reports) since(from uint64) ([]provider.Report, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := r.next - uint64(len(r.list))
@@ -46,7 +46,7 @@
 	if from < first {
 		from = first
 	}
-	list := make([]platform.Report, r.next-from)
+	list := make([]provider.Report, r.next-from)
 	copy(list, r.list[from-first:])
 	return list, r.next
 }
@@ -79,7 +79,7 @@
 }
 
 // learnFrom hands reports to the control goroutine.
-func (h *Host) learnFrom(list []platform.Report) {
+func (h *Host) learnFrom(list []provider.Report) {
 	if len(list) == 0 {
 		return
 	}
--- a/entry/snapshots.go
+++ b/entry/snapshots.go
@@ -9,7 +9,7 @@
 	"persimmonpick/fault"
 	"persimmonpick/journal"
 	"persimmonpick/peer"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -19,7 +19,7 @@
 // snapshots writes the tables to the log from time to time, also when nothing changed, as older snapshots leave the log's retention.
 type snapshots struct {
 	ctx    context.Context
-	log    platform.Log
+	log    provider.Log
 	period time.Duration
 	later  func(func())
 	logger *slog.Logger
--- a/entry/visit.go
+++ b/entry/visit.go
@@ -6,7 +6,7 @@
 
 	"persimmonpick/fault"
 	"persimmonpick/journal"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -26,14 +26,14 @@
 	firstTry      bool // this process has not sent a start under this token
 	nonIdempotent bool
 	refused       bool // the worker refused the only start
-	start         platform.StartRequest
+	start         provider.StartRequest
 }
 
 // visit is the result of one visit.
 type visit struct {
 	worker  table.WorkerID
 	err     error
-	report  platform.Report
+	report  provider.Report
 	records []journal.Record
 	tried   []leaseKey // non-idempotent starts that were sent
 }
@@ -75,7 +75,7 @@
 			mine:          mine,
 			firstTry:      first,
 			nonIdempotent: job.NonIdempotent,
-			start: platform.StartRequest{
+			start: provider.StartRequest{
 				Task: taskID, Token: task.Lease.Token, Kind: job.Kind, Need: task.Lease.Need,
 				Payload: job.Payload, Checkpoint: task.Checkpoint,
 			},
@@ -130,7 +130,7 @@
 	if v.err != nil {
 		return v
 	}
-	r := reconcile{a: a, o: o, known: map[table.TaskID]platform.TaskStatus{}}
+	r := reconcile{a: a, o: o, known: map[table.TaskID]provider.TaskStatus{}}
 	for _, st := range v.report.Statuses {
 		r.status(ctx, st)
 	}
@@ -147,14 +147,14 @@
 type reconcile struct {
 	a       *agents
 	o       order
-	known   map[table.TaskID]platform.TaskStatus
+	known   map[table.TaskID]provider.TaskStatus
 	records []journal.Record
 	tried   []leaseKey
-	running []platform.Renewal
+	running []provider.Renewal
 }
 
 // status sorts one status of the report: of a lease that is held, or a leftover of one that ended.
-func (r *reconcile) status(ctx context.Context, st platform.TaskStatus) {
+func (r *reconcile) status(ctx context.Context, st provider.TaskStatus) {
 	l, ok := r.o.leases[st.Task]
 	if ok && l.token == st.Token {
 		r.known[st.Task] = st
@@ -163,13 +163,13 @@
 	if st.Token > r.o.applied {
 		return // granted after these tables
 	}
-	if st.State == platform.RunRunning {
+	if st.State == provider.RunRunning {
 		if _, err := r.a.workers.Stop(ctx, r.o.worker, st.Task, st.Token); err != nil {
 			r.a.log.Warn("leftover task not stopped", "Worker", r.o.worker, "Task", st.Task, "Error", err)
 		}
 		return
 	}
-	_ = r.a.workers.Forget(ctx, r.o.worker, []platform.Renewal{{Task: st.Task, Token: st.Token}})
+	_ = r.a.workers.Forget(ctx, r.o.worker, []provider.Renewal{{Task: st.Task, Token: st.Token}})
 }
 
 func (r *reconcile) lease(ctx context.Context, id table.TaskID, l leaseOrder) {
@@ -178,7 +178,7 @@
 		r.unaccepted(ctx, id, l)
 		return
 	}
-	if st.State != platform.RunRunning {
+	if st.State != provider.RunRunning {
 		r.ended(st, l)
 		return
 	}
@@ -190,7 +190,7 @@
 	if !l.started {
 		r.started(id, l)
 	}
-	r.running = append(r.running, platform.Renewal{Task: id, Token: l.token})
+	r.running = append(r.running, provider.Renewal{Task: id, Token: l.token})
 }
 
 // save asks a running task for a checkpoint before it is stopped; without an answer it stops all the same and resumes from the last one.
@@ -272,18 +272,18 @@
 }
 
 // ended records the end of a lease that the worker confirmed.
-func (r *reconcile) ended(st platform.TaskStatus, l leaseOrder) {
+func (r *reconcile) ended(st provider.TaskStatus, l leaseOrder) {
 	e := &journal.LeaseEnded{
 		Task: st.Task, Token: l.token, Checkpoint: st.Checkpoint, Result: st.Result, Reason: st.Reason,
 	}
 	switch st.State {
-	case platform.RunFinished:
+	case provider.RunFinished:
 		e.Outcome = journal.LeaseFinished
-	case platform.RunFailed:
+	case provider.RunFailed:
 		e.Outcome = journal.LeaseFailed
-	case platform.RunStopped:
+	case provider.RunStopped:
 		e.Outcome = journal.LeaseStopped
-	case platform.RunUnaccepted:
+	case provider.RunUnaccepted:
 		r.endUnaccepted(e, l)
 		return
 	default:
--- /dev/null
+++ b/fleet/host.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"persimmonpick/dispatch"
+	"persimmonpick/fault"
+	"persimmonpick/intake"
+	"persimmonpick/ledger"
+	"persimmonpick/workload"
+)
+
+// The timing of an entry host.
+const (
+	followPause   = 150 * time.Millisecond  // between reads of a host that does not lead
+	configFresh   = 1800 * time.Millisecond // a configuration confirmed within this says which routes do not exist
+	readyFor      = 2500 * time.Millisecond // a host that could not read the log for this long sends callers elsewhere
+	stopMargin    = 1200 * time.Millisecond // before the kill, when open connections are closed
+	headerTimeout = 5 * time.Second
+	keepOpen      = 75 * time.Second // of idle connections of callers
+)
+
+// Config configures a Host.
+type Config struct {
+	Settings            Settings
+	Log                 ledger.Log
+	Workers             dispatch.Workers
+	FollowWorkers       func(ctx context.Context, apply func(dispatch.Roster))
+	FollowConfiguration func(ctx context.Context, apply func(Configuration), age func(func() time.Duration))
+	Callers             func(h *Host) http.Handler // what callers speak
+	Readiness           func(h *Host) http.Handler
+	Logger              *slog.Logger
+}
+
+// Host is an entry host.
+type Host struct {
+	cfg       Config
+	log       *slog.Logger
+	fold      *ledger.Fold
+	reader    *ledger.Reader
+	group     *ledger.Group
+	elector   *ledger.Elector
+	desk      *intake.Desk
+	metrics   *metrics
+	config    atomic.Pointer[Configuration]
+	configAge atomic.Pointer[func() time.Duration]
+	stopping  atomic.Bool
+}
+
+// New returns a host whose Run must be called.
+func New(cfg Config) *Host {
+	h := &Host{cfg: cfg, log: cfg.Logger, metrics: newMetrics()}
+	process := cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	h.fold = ledger.NewFold(h.log)
+	h.reader = ledger.NewReader(ledger.ReaderConfig{Log: cfg.Log, Fold: h.fold, Pause: followPause, Logger: h.log})
+	h.group = ledger.NewGroup(ledger.GroupConfig{Log: cfg.Log, Producer: process, Failing: h.reader.Failing, Logger: h.log})
+	h.elector = ledger.NewElector(ledger.ElectorConfig{
+		Log: cfg.Log, Fold: h.fold, Reader: h.reader, Host: cfg.Settings.Host, Process: process,
+		Size: cfg.Settings.Size, Lead: h.lead, Logger: h.log,
+	})
+	h.desk = intake.New(intake.Config{Fold: h.fold, Refresh: h.reader.Refresh, Append: h.group.Append, Log: h.log})
+	return h
+}
+
+// Desk returns what answers callers.
+func (h *Host) Desk() *intake.Desk { return h.desk }
+
+// Configuration returns the newest configuration, or nil if none was read.
+func (h *Host) Configuration() *Configuration { return h.config.Load() }
+
+// ConfigurationFresh says whether the configuration was confirmed lately enough to say that a route does not exist.
+func (h *Host) ConfigurationFresh() bool {
+	age := h.configAge.Load()
+	return age != nil && (*age)() < configFresh
+}
+
+// Ready says whether the host wants new callers.
+func (h *Host) Ready() bool {
+	if h.stopping.Load() || h.config.Load() == nil {
+		return false
+	}
+	_, loaded := h.fold.Position()
+	return loaded && (!h.reader.Failing() || time.Since(h.fold.Confirmed()) < readyFor)
+}
+
+// Observe takes the time that an answer to a caller took.
+func (h *Host) Observe(what string, err error, took time.Duration) {
+	h.metrics.answer(what, fault.Of(err), took)
+}
+
+// Reloaded takes settings that were read again; all of them are fixed for the life of a process.
+func (h *Host) Reloaded(s Settings) {
+	if s != h.cfg.Settings {
+		h.log.Warn("changed settings take effect at the next start", "Host", s.Host)
+		return
+	}
+	h.log.Info("settings read again, nothing changed")
+}
+
+// Run serves until ctx ends, and then until open requests are answered.
+func (h *Host) Run(ctx context.Context) error {
+	s := h.cfg.Settings
+	h.log.Info("starting", "Host", s.Host, "Zone", s.Zone, "Cores", s.Size, "Lease", s.lease())
+	servers := []*http.Server{h.server(h.cfg.Callers(h)), h.server(h.cfg.Readiness(h))}
+	addresses := []string{s.Callers, s.Readiness}
+	if s.Metrics != "" {
+		servers, addresses = append(servers, h.server(h.metrics.handler())), append(addresses, s.Metrics)
+	}
+	failed := make(chan error, len(servers))
+	for i, srv := range servers {
+		l, err := net.Listen("tcp", addresses[i])
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "cannot listen on %s", addresses[i])
+		}
+		go func() { failed <- srv.Serve(l) }()
+	}
+	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var leading sync.WaitGroup
+	h.follow(serveCtx)
+	leading.Go(func() { h.elector.Run(ctx) })
+	h.log.Info("serving", "Host", s.Host)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	h.stopping.Store(true)
+	h.log.Info("stopping", "Host", s.Host, "Error", err)
+	leading.Wait()
+	h.drain(servers)
+	cancel()
+	h.log.Info("stopped", "Host", s.Host)
+	return err
+}
+
+func (h *Host) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepOpen,
+		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func (h *Host) follow(ctx context.Context) {
+	go h.reader.Run(ctx)
+	go h.group.Run(ctx)
+	go h.cfg.FollowConfiguration(ctx, h.configure, func(age func() time.Duration) { h.configAge.Store(&age) })
+}
+
+// configure puts a configuration in force unless a newer one is.
+func (h *Host) configure(c Configuration) {
+	if old := h.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	h.config.Store(&c)
+	h.log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes))
+}
+
+// drain lets callers go: those with open connections are told to leave with their next answer.
+func (h *Host) drain(servers []*http.Server) {
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	time.Sleep(h.cfg.Settings.grace() / 2)
+	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Settings.grace()/2-stopMargin)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			h.log.Warn("requests left open at the stop", "Error", err)
+		}
+	}
+}
+
+func (h *Host) lead(ctx context.Context, w *ledger.Writer) {
+	s := h.cfg.Settings
+	dispatch.NewDispatcher(dispatch.DispatcherConfig{
+		Board:  dispatch.Config{Term: s.lease(), StatusKept: s.statusKept(), Far: max(1, s.Far)},
+		Writer: w, Fold: h.fold, Workers: h.cfg.Workers, Queues: h.queues, Follow: h.cfg.FollowWorkers,
+		Count: h.metrics.board, Observe: h.metrics.call, Log: h.log,
+	}).Run(ctx)
+}
+
+func (h *Host) queues() []workload.Queue {
+	c := h.config.Load()
+	if c == nil {
+		return nil
+	}
+	return c.Queues()
+}
--- /dev/null
+++ b/fleet/metrics.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"persimmonpick/dispatch"
+	"persimmonpick/fault"
+)
+
+// metrics counts what the host decides.
+type metrics struct {
+	registry *prometheus.Registry
+	answers  *prometheus.HistogramVec
+	calls    *prometheus.HistogramVec
+	events   *prometheus.CounterVec
+
+	mu   sync.Mutex
+	last dispatch.Counts
+}
+
+// latencyBuckets reach from a local answer to the longest deadline of callers, in seconds.
+var latencyBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "persimmonpick_answer_seconds", Help: "Time to answer callers.", Buckets: latencyBuckets,
+		}, []string{"call", "kind"}),
+		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "persimmonpick_worker_call_seconds", Help: "Time until workers answer, without the wait of looks.", Buckets: latencyBuckets,
+		}, []string{"call"}),
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonpick_dispatch_total", Help: "Events of the dispatcher while this host leads.",
+		}, []string{"event"}),
+	}
+	m.registry.MustRegister(m.answers, m.calls, m.events)
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *metrics) answer(what string, k fault.Kind, took time.Duration) {
+	m.answers.WithLabelValues(what, k.String()).Observe(took.Seconds())
+}
+
+func (m *metrics) call(what string, took time.Duration) {
+	m.calls.WithLabelValues(what).Observe(took.Seconds())
+}
+
+// board adds what a board has counted since the last call; a board that counts less than before is a new one.
+func (m *metrics) board(c dispatch.Counts) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.last
+	if c.Starts < before.Starts || c.Ended < before.Ended {
+		before = dispatch.Counts{}
+	}
+	m.last = c
+	for event, n := range map[string]int{
+		"start": c.Starts - before.Starts, "refused": c.Refused - before.Refused, "unknown": c.Unknown - before.Unknown,
+		"ended": c.Ended - before.Ended, "failed": c.Failed - before.Failed, "stalled": c.Stalled - before.Stalled,
+		"moved": c.Moved - before.Moved, "lost": c.Lost - before.Lost, "completed": c.Completed - before.Completed,
+		"cancelled": c.Cancelled - before.Cancelled,
+	} {
+		if n > 0 {
+			m.events.WithLabelValues(event).Add(float64(n))
+		}
+	}
+}
--- /dev/null
+++ b/fleet/settings.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/table"
+)
+
+// Settings is what an entry host is told at its start.
+type Settings struct {
+	Host       string
+	Zone       table.ZoneID
+	Callers    string        // host:port that callers connect to
+	Readiness  string        // host:port of the readiness check
+	Metrics    string        // host:port of the metrics; empty for none
+	Log        string        // host:port of the platform's log
+	Size       float64       // cores of this host
+	StopGrace  time.Duration // between the signal to stop and the kill
+	LeaseMax   time.Duration // longest lease of a worker
+	StatusKept time.Duration // how long callers may ask for a final job
+	Far        float64       // how many times longer a task takes away from its data
+}
+
+// The bounds of settings that a platform may leave out.
+const (
+	leaseLongest  = 6 * time.Second // survives the restart of all hosts and an election
+	statusMargin  = 30 * time.Second
+	statusDefault = 120 * time.Second
+	graceDefault  = 5 * time.Second
+	leaseMargin   = 100 * time.Millisecond
+)
+
+// Check fails with fault.Invalid where s cannot be used.
+func (s Settings) Check() error {
+	for name, v := range map[string]string{"Host": s.Host, "Callers": s.Callers, "Readiness": s.Readiness, "Log": s.Log} {
+		if v == "" {
+			return fault.New(fault.Invalid, "setting %s is missing", name)
+		}
+	}
+	if s.StopGrace < 0 || s.LeaseMax < 0 || s.StatusKept < 0 || s.Size < 0 {
+		return fault.New(fault.Invalid, "a setting is negative")
+	}
+	return nil
+}
+
+// lease returns the term of leases.
+func (s Settings) lease() time.Duration {
+	if s.LeaseMax <= 0 {
+		return leaseLongest
+	}
+	return min(leaseLongest, s.LeaseMax-leaseMargin)
+}
+
+func (s Settings) statusKept() time.Duration {
+	if s.StatusKept <= 0 {
+		return statusDefault + statusMargin
+	}
+	return s.StatusKept + statusMargin
+}
+
+func (s Settings) grace() time.Duration {
+	if s.StopGrace <= 0 {
+		return graceDefault
+	}
+	return s.StopGrace
+}
--- /dev/null
+++ b/intake/doc.go
@@ -0,0 +1,2 @@
+// Package intake decides what callers of the job queues are answered.
+package intake
--- a/journal/capacity_test.go
+++ b/journal/capacity_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"persimmonpick/fault"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -324,7 +324,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			appends, bytes, folded := 0, 0, 0
 			var worst time.Duration
-			w := NewWriter(WriterConfig{Incarnation: "seat-1-ABCDEFGHIJKLMNOP", Log: platform.Log{}})
+			w := NewWriter(WriterConfig{Incarnation: "seat-1-ABCDEFGHIJKLMNOP", Log: provider.Log{}})
 			w.cfg.Log.Append = func(_ context.Context, _ string, data []byte) (table.Offset, error) {
 				time.Sleep(took * time.Millisecond)
 				appends, bytes = appends+1, bytes+len(data)
--- a/journal/fakelog_test.go
+++ b/journal/fakelog_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"persimmonpick/fault"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -25,7 +25,7 @@
 // fakeLog is a log in memory whose appends follow a script and which can be down or truncated.
 type fakeLog struct {
 	mu      sync.Mutex
-	streams map[string][]platform.Entry
+	streams map[string][]provider.Entry
 	oldest  map[string]table.Offset
 	script  []reply // next appends; then all succeed
 	down    bool
@@ -33,11 +33,11 @@
 }
 
 func newFakeLog() *fakeLog {
-	return &fakeLog{streams: map[string][]platform.Entry{}, oldest: map[string]table.Offset{}, changed: make(chan struct{})}
+	return &fakeLog{streams: map[string][]provider.Entry{}, oldest: map[string]table.Offset{}, changed: make(chan struct{})}
 }
 
-func (l *fakeLog) log() platform.Log {
-	return platform.Log{Append: l.append, Read: l.read}
+func (l *fakeLog) log() provider.Log {
+	return provider.Log{Append: l.append, Read: l.read}
 }
 
 func (l *fakeLog) setDown(down bool) {
@@ -85,13 +85,13 @@
 // add appends data; the caller holds mu.
 func (l *fakeLog) add(stream string, data []byte) table.Offset {
 	off := table.Offset(len(l.streams[stream]) + 1)
-	l.streams[stream] = append(l.streams[stream], platform.Entry{Offset: off, Data: data})
+	l.streams[stream] = append(l.streams[stream], provider.Entry{Offset: off, Data: data})
 	close(l.changed)
 	l.changed = make(chan struct{})
 	return off
 }
 
-func (l *fakeLog) read(ctx context.Context, stream string, from table.Offset, n int, wait time.Duration) (platform.Page, error) {
+func (l *fakeLog) read(ctx context.Context, stream string, from table.Offset, n int, wait time.Duration) (provider.Page, error) {
 	deadline := time.After(wait)
 	for {
 		page, changed, err := l.page(stream, from, n)
@@ -103,23 +103,23 @@
 		case <-deadline:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, fault.Wrap(ctx.Err(), fault.LogUnavailable, "read")
+			return provider.Page{}, fault.Wrap(ctx.Err(), fault.LogUnavailable, "read")
 		}
 	}
 }
 
-func (l *fakeLog) page(stream string, from table.Offset, n int) (platform.Page, chan struct{}, error) {
+func (l *fakeLog) page(stream string, from table.Offset, n int) (provider.Page, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Page{}, nil, fault.New(fault.LogUnavailable, "log is down")
+		return provider.Page{}, nil, fault.New(fault.LogUnavailable, "log is down")
 	}
 	oldest := max(l.oldest[stream], 1)
 	if from < oldest {
-		return platform.Page{}, nil, fault.New(fault.NotFound, "offset %d is truncated", from)
+		return provider.Page{}, nil, fault.New(fault.NotFound, "offset %d is truncated", from)
 	}
 	all := l.streams[stream]
-	page := platform.Page{Oldest: oldest, End: table.Offset(len(all) + 1)}
+	page := provider.Page{Oldest: oldest, End: table.Offset(len(all) + 1)}
 	if from < page.End {
 		page.Entries = all[from-1 : min(len(all), int(from)-1+n)]
 	}
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"persimmonpick/fault"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -23,7 +23,7 @@
 
 // ReaderConfig configures a Reader; zero fields but Log and Deliver take defaults.
 type ReaderConfig struct {
-	Log         platform.Log
+	Log         provider.Log
 	Deliver     func(Delivery)                                   // called in order by the goroutine of Run
 	FromPeer    func(ctx context.Context) (*table.Tables, error) // tables of another entry host, if one has any
 	Wait        time.Duration                                    // longest wait of one read for an entry to arrive
@@ -138,14 +138,14 @@
 // read bounds the time of one read.
 func (r *Reader) read(
 	ctx context.Context, stream string, from table.Offset, n int, wait time.Duration,
-) (platform.Page, error) {
+) (provider.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+r.cfg.ReadTimeout)
 	defer cancel()
 	return r.cfg.Log.Read(ctx, stream, from, n, wait)
 }
 
 // decode returns the entries of a page. A gap means that entries were truncated.
-func (r *Reader) decode(raw []platform.Entry) ([]Entry, error) {
+func (r *Reader) decode(raw []provider.Entry) ([]Entry, error) {
 	entries := make([]Entry, 0, len(raw))
 	want := r.next
 	for _, e := range raw {
@@ -161,7 +161,7 @@
 	return entries, nil
 }
 
-func (r *Reader) decodeBatch(e platform.Entry) *Batch {
+func (r *Reader) decodeBatch(e provider.Entry) *Batch {
 	b, err := Decode(e.Data)
 	if err != nil {
 		r.cfg.Logger.Error("entry skipped", slog.Uint64("Offset", uint64(e.Offset)), slog.String("Error", err.Error()))
--- a/journal/reader_test.go
+++ b/journal/reader_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -68,9 +68,9 @@
 	is := is.New(t)
 	r := NewReader(ReaderConfig{})
 	r.next = 5
-	_, err := r.decode([]platform.Entry{{Offset: 5}, {Offset: 7}})
+	_, err := r.decode([]provider.Entry{{Offset: 5}, {Offset: 7}})
 	is.Equal(err, errAhead)
-	entries, err := r.decode([]platform.Entry{{Offset: 4}, {Offset: 5}})
+	entries, err := r.decode([]provider.Entry{{Offset: 4}, {Offset: 5}})
 	is.NoErr(err)
 	is.Equal(len(entries), 1)
 }
@@ -164,13 +164,13 @@
 func TestReaderDoesNotSpin(t *testing.T) {
 	inBubble(t, func(ctx context.Context, _ *fakeLog, is *is.I) {
 		reads := 0
-		read := func(context.Context, string, table.Offset, int, time.Duration) (platform.Page, error) {
+		read := func(context.Context, string, table.Offset, int, time.Duration) (provider.Page, error) {
 			reads++
-			return platform.Page{Oldest: 1, End: 1}, nil
+			return provider.Page{Oldest: 1, End: 1}, nil
 		}
 		short, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
-		r := NewReader(ReaderConfig{Log: platform.Log{Read: read}, Deliver: func(Delivery) {}})
+		r := NewReader(ReaderConfig{Log: provider.Log{Read: read}, Deliver: func(Delivery) {}})
 		r.Run(short)
 		is.True(reads < 500)
 	})
--- a/journal/snapshot_write.go
+++ b/journal/snapshot_write.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"persimmonpick/fault"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -20,7 +20,7 @@
 //
 // It tries a failed chunk a few times, as a chunk that is there twice does no harm. If it gives up, the chunks that it
 // wrote are never used.
-func WriteSnapshot(ctx context.Context, log platform.Log, t *table.Tables) error {
+func WriteSnapshot(ctx context.Context, log provider.Log, t *table.Tables) error {
 	chunks, err := EncodeSnapshot(t)
 	if err != nil {
 		return err
@@ -33,7 +33,7 @@
 	return nil
 }
 
-func writeChunk(ctx context.Context, log platform.Log, data []byte) error {
+func writeChunk(ctx context.Context, log provider.Log, data []byte) error {
 	for attempt := 1; ; attempt++ {
 		err := appendChunk(ctx, log, data)
 		pause := chunkPause
@@ -54,7 +54,7 @@
 	}
 }
 
-func appendChunk(ctx context.Context, log platform.Log, data []byte) error {
+func appendChunk(ctx context.Context, log provider.Log, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
 	defer cancel()
 	_, err := log.Append(ctx, SnapshotStream, data)
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"persimmonpick/fault"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -33,7 +33,7 @@
 
 // WriterConfig configures a Writer; zero fields but Log and Incarnation take defaults.
 type WriterConfig struct {
-	Log            platform.Log
+	Log            provider.Log
 	Incarnation    table.Incarnation
 	Delay          time.Duration // longest wait to fill a batch
 	MaxBatch       int           // bytes at which a batch is sent at once
--- /dev/null
+++ b/ledger/group.go
@@ -0,0 +1,149 @@
+package ledger
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"persimmonpick/fault"
+)
+
+// Bounds of the appends for callers.
+const (
+	refusedFor   = 700 * time.Millisecond  // a store that refuses for this long makes the callers' records fail as not appended
+	unknownFor   = 2200 * time.Millisecond // after this the outcome is reported as unknown, within the usual deadline of callers
+	stuckAfter   = 1200 * time.Millisecond // an append in flight for this long makes new records fail at once
+	maxGroup     = 64                      // records of one append
+	maxGroupWait = 256                     // records that wait for an append; callers beyond it are refused
+)
+
+// GroupConfig configures a Group.
+type GroupConfig struct {
+	Log      Log
+	Producer string       // unique to this process
+	Failing  func() bool  // whether the log is known to be out of reach
+	Logger   *slog.Logger // must not be nil
+}
+
+// Group appends the records of many callers of one host in few calls.
+type Group struct {
+	cfg      GroupConfig
+	producer producer
+	waiting  chan *member
+
+	mu      sync.Mutex
+	started time.Time // of the append in flight; zero if there is none
+}
+
+type member struct {
+	record Record
+	done   chan error // holds one error
+}
+
+// NewGroup returns a group whose Run must be called.
+func NewGroup(cfg GroupConfig) *Group {
+	return &Group{
+		cfg: cfg, producer: producer{log: cfg.Log, name: cfg.Producer, epoch: 1},
+		waiting: make(chan *member, maxGroupWait),
+	}
+}
+
+// Append adds r to the topic; it fails with fault.LogUnavailable if r was not and will not be appended, and with fault.OutcomeUnknown otherwise.
+func (g *Group) Append(ctx context.Context, r Record) error {
+	if g.cfg.Failing() || g.stuck() {
+		return fault.New(fault.LogUnavailable, "the log is out of reach")
+	}
+	m := &member{record: r, done: make(chan error, 1)}
+	select {
+	case g.waiting <- m:
+	default:
+		return fault.New(fault.Overloaded, "%d records wait for the log", maxGroupWait)
+	}
+	select {
+	case err := <-m.done:
+		return err
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "no answer of the log before the deadline")
+	}
+}
+
+func (g *Group) stuck() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.started.IsZero() && time.Since(g.started) > stuckAfter
+}
+
+// Run appends until ctx ends.
+func (g *Group) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-g.waiting:
+			g.flush(ctx, g.gather(m))
+		}
+	}
+}
+
+func (g *Group) gather(first *member) []*member {
+	all := []*member{first}
+	for len(all) < maxGroup {
+		select {
+		case m := <-g.waiting:
+			all = append(all, m)
+		default:
+			return all
+		}
+	}
+	return all
+}
+
+func (g *Group) flush(ctx context.Context, all []*member) {
+	records := make([]Record, len(all))
+	for i, m := range all {
+		records[i] = m.record
+	}
+	g.inFlight(time.Now())
+	err := g.append(ctx, records)
+	g.inFlight(time.Time{})
+	if err != nil {
+		g.cfg.Logger.Warn("append failed", "Records", len(all), "Error", err)
+	}
+	for _, m := range all {
+		m.done <- err
+	}
+}
+
+func (g *Group) inFlight(at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.started = at
+}
+
+// append repeats an append until its outcome is known or too late to be of use.
+func (g *Group) append(ctx context.Context, records []Record) error {
+	began := time.Now()
+	unknown := false
+	for {
+		err := g.producer.try(ctx, records)
+		if err == nil {
+			return nil
+		}
+		unknown = unknown || fault.Of(err) == fault.OutcomeUnknown
+		limit := refusedFor
+		if unknown {
+			limit = unknownFor
+		}
+		if repeatable(err) && time.Since(began) < limit && ctx.Err() == nil {
+			sleep(ctx, appendPause)
+			continue
+		}
+		// A new epoch keeps an attempt that is still on its way from taking effect once the next append has.
+		g.producer.renew()
+		if unknown || !repeatable(err) {
+			return fault.Wrap(err, fault.OutcomeUnknown, "the append may have taken effect")
+		}
+		return fault.Wrap(err, fault.LogUnavailable, "the log refused the append")
+	}
+}
--- /dev/null
+++ b/ledger/reader.go
@@ -0,0 +1,131 @@
+package ledger
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"persimmonpick/fault"
+)
+
+// The timing of the reads of one host.
+const (
+	readWait    = time.Second            // of an idle read; bounds how long a silent connection goes unnoticed
+	retryPause  = 150 * time.Millisecond // after a failed read; the store counts refused calls too
+	leaderPause = 15 * time.Millisecond  // between reads of the leader, so that close records share a call
+)
+
+// ReaderConfig configures a Reader.
+type ReaderConfig struct {
+	Log    Log
+	Fold   *Fold
+	Pause  time.Duration // between reads of a host that does not lead
+	Logger *slog.Logger
+}
+
+// Reader follows the topic into a fold.
+type Reader struct {
+	cfg     ReaderConfig
+	leading atomic.Bool
+	failing atomic.Bool
+}
+
+// NewReader returns a reader that has read nothing yet.
+func NewReader(cfg ReaderConfig) *Reader { return &Reader{cfg: cfg} }
+
+// Lead makes the reader read as often as a leader needs.
+func (r *Reader) Lead(leading bool) { r.leading.Store(leading) }
+
+// Failing says whether the last read failed.
+func (r *Reader) Failing() bool { return r.failing.Load() }
+
+// Run reads until ctx ends.
+func (r *Reader) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		n, err := r.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		r.note(err)
+		switch {
+		case err != nil:
+			sleep(ctx, retryPause)
+		case n == 0:
+		case r.leading.Load():
+			sleep(ctx, leaderPause)
+		default:
+			sleep(ctx, r.cfg.Pause)
+		}
+	}
+}
+
+// Refresh folds all records that were in the topic when it was called.
+func (r *Reader) Refresh(ctx context.Context) error {
+	began := time.Now()
+	for r.cfg.Fold.Confirmed().Before(began) {
+		if err := r.read(ctx, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// note logs the loss and the return of the log once each.
+func (r *Reader) note(err error) {
+	if failing := err != nil; r.failing.Swap(failing) != failing {
+		if failing {
+			r.cfg.Logger.Warn("log lost", "Topic", JobTopic, "Error", err)
+		} else {
+			r.cfg.Logger.Info("log regained", "Topic", JobTopic)
+		}
+	}
+}
+
+func (r *Reader) step(ctx context.Context) (int, error) {
+	before, loaded := r.cfg.Fold.Position()
+	if !loaded {
+		return 1, r.load(ctx)
+	}
+	err := r.read(ctx, readWait)
+	after, _ := r.cfg.Fold.Position()
+	return int(after - before), err
+}
+
+func (r *Reader) read(ctx context.Context, wait time.Duration) error {
+	from, loaded := r.cfg.Fold.Position()
+	if !loaded {
+		return r.load(ctx)
+	}
+	began := time.Now()
+	page, err := r.cfg.Log.Read(ctx, JobTopic, from, wait)
+	if fault.Of(err) == fault.NotFound {
+		r.cfg.Logger.Warn("history of the log dropped, loading the newest records", "Topic", JobTopic, "From", from)
+		return r.load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	r.cfg.Fold.add(from, page, began)
+	return nil
+}
+
+// load replaces the fold by the newest record of each key.
+func (r *Reader) load(ctx context.Context) error {
+	records, end, err := newest(ctx, r.cfg.Log, JobTopic)
+	if err != nil {
+		return err
+	}
+	r.cfg.Fold.load(records, end)
+	r.cfg.Logger.Info("newest records loaded", "Topic", JobTopic, "Records", len(records), "End", end)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/peer/capacity_test.go
+++ b/peer/capacity_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"persimmonpick/burn"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
@@ -117,16 +117,16 @@
 	}
 }
 
-func capacityReport(i int) platform.Report {
-	rep := platform.Report{Worker: table.WorkerID(fmt.Sprintf("worker-%05d", i)), Taken: time.Now()}
+func capacityReport(i int) provider.Report {
+	rep := provider.Report{Worker: table.WorkerID(fmt.Sprintf("worker-%05d", i)), Taken: time.Now()}
 	for k := range 9 {
-		rep.Tasks = append(rep.Tasks, platform.TaskUsage{
+		rep.Tasks = append(rep.Tasks, provider.TaskUsage{
 			Task: table.TaskID(fmt.Sprintf("j-ABCDEFGHIJKLMNOPQR%08d/%d", i, k)), Token: 1 << 40,
 			Used: table.Resources{CPU: 913, Memory: 3_456_789_012}, Progress: 0.1234 * float64(k),
 		})
 	}
 	for k := range 3 {
-		rep.Instances = append(rep.Instances, platform.InstanceUsage{
+		rep.Instances = append(rep.Instances, provider.InstanceUsage{
 			Instance: table.InstanceID(fmt.Sprintf("instance-%05d-%d", i, k)), Load: 0.4321, P99: 12_345_678,
 		})
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -2,7 +2,7 @@
 
 import (
 	"persimmonpick/burn"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/share"
 	"persimmonpick/table"
 )
@@ -48,7 +48,7 @@
 // ReportsReply carries usage reports of the workers that a host watches.
 type ReportsReply struct {
 	Next    uint64 // number to ask for next
-	Reports []platform.Report
+	Reports []provider.Report
 }
 
 // Handlers are the functions that answer calls of peers.
--- a/placement/system.go
+++ b/placement/system.go
@@ -5,7 +5,7 @@
 
 	"persimmonpick/interference"
 	"persimmonpick/journal"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/queue"
 	"persimmonpick/settings"
 	"persimmonpick/table"
@@ -49,7 +49,7 @@
 }
 
 // Report takes in a report of a worker; a report taken no later than the last one of its worker changes little.
-func (s *System) Report(t *table.Tables, now time.Time, rep *platform.Report) {
+func (s *System) Report(t *table.Tables, now time.Time, rep *provider.Report) {
 	if lag := now.Sub(rep.Taken); lag > 0 {
 		s.lag += time.Duration(lagSmoothing * float64(lag-s.lag))
 	}
@@ -61,7 +61,7 @@
 	}
 }
 
-func (s *System) usage(t *table.Tables, now time.Time, u platform.TaskUsage) {
+func (s *System) usage(t *table.Tables, now time.Time, u provider.TaskUsage) {
 	task := t.Tasks[u.Task]
 	if task == nil || task.Lease.Token != u.Token {
 		return
@@ -71,7 +71,7 @@
 	}
 }
 
-func (s *System) latency(t *table.Tables, rep *platform.Report, u platform.InstanceUsage) {
+func (s *System) latency(t *table.Tables, rep *provider.Report, u provider.InstanceUsage) {
 	in := t.Instances[u.Instance]
 	if in == nil || !rep.Taken.After(s.readings[u.Instance].Taken) {
 		return
--- a/standins/experiment/baseline.go
+++ b/standins/experiment/baseline.go
@@ -7,7 +7,7 @@
 
 	"persimmonpick/journal"
 	"persimmonpick/placement"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/queue"
 	"persimmonpick/table"
 )
@@ -38,7 +38,7 @@
 	return c
 }
 
-func (b *baseline) report(w *world, rep *platform.Report) {
+func (b *baseline) report(w *world, rep *provider.Report) {
 	missed := false
 	for _, in := range rep.Instances {
 		ratio := float64(in.P99) / float64(objective)
--- a/standins/experiment/report.go
+++ b/standins/experiment/report.go
@@ -5,14 +5,14 @@
 	"slices"
 	"time"
 
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
 // delayed is a report under way.
 type delayed struct {
 	at  time.Duration
-	rep *platform.Report
+	rep *provider.Report
 }
 
 // send measures and sends the reports that are due.
@@ -27,10 +27,10 @@
 	}
 }
 
-func (w *world) measure(h *host) *platform.Report {
-	rep := &platform.Report{Worker: h.id, Taken: w.now()}
+func (w *world) measure(h *host) *provider.Report {
+	rep := &provider.Report{Worker: h.id, Taken: w.now()}
 	for _, r := range h.runs {
-		rep.Tasks = append(rep.Tasks, platform.TaskUsage{
+		rep.Tasks = append(rep.Tasks, provider.TaskUsage{
 			Task: r.task.ID, Token: r.token, Used: resources(r.used, r.unit.gbs), Progress: r.done / r.unit.work,
 		})
 	}
@@ -39,7 +39,7 @@
 		if w.quiet || w.at < reportWindow {
 			continue
 		}
-		rep.Instances = append(rep.Instances, platform.InstanceUsage{
+		rep.Instances = append(rep.Instances, provider.InstanceUsage{
 			Instance: in.e.ID, Load: in.load, P99: in.measuredP99(noise),
 		})
 	}
--- a/standins/experiment/world.go
+++ b/standins/experiment/world.go
@@ -9,13 +9,13 @@
 
 	"persimmonpick/journal"
 	"persimmonpick/placement"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/table"
 )
 
 // controller decides about the work of a world.
 type controller struct {
-	report func(w *world, rep *platform.Report)
+	report func(w *world, rep *provider.Report)
 	ended  func(w *world, task *table.Task, worker table.WorkerID, ran time.Duration, outcome journal.LeaseOutcome)
 	tick   func(w *world) ([]journal.Record, []placement.Command)
 }
--- a/standins/harness/http.go
+++ b/standins/harness/http.go
@@ -8,7 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"persimmonpick/fault"
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 )
 
 // MaxBody is the largest body of a call, in bytes.
@@ -55,7 +55,7 @@
 	if err != nil {
 		k := fault.Of(err)
 		status = k.Answer().Status
-		v = platform.Refusal{Code: k.String(), Message: err.Error()}
+		v = provider.Refusal{Code: k.String(), Message: err.Error()}
 	}
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/standins/platform/commands.go
+++ b/standins/platform/commands.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"persimmonpick/fault"
-	api "persimmonpick/platform"
+	api "persimmonpick/provider"
 	"persimmonpick/standins/harness"
 	"persimmonpick/table"
 )
--- a/standins/platform/handler.go
+++ b/standins/platform/handler.go
@@ -7,7 +7,7 @@
 	"github.com/gorilla/mux"
 
 	"persimmonpick/fault"
-	api "persimmonpick/platform"
+	api "persimmonpick/provider"
 	"persimmonpick/standins/harness"
 	"persimmonpick/table"
 )
--- a/standins/platform/hosts.go
+++ b/standins/platform/hosts.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	api "persimmonpick/platform"
+	api "persimmonpick/provider"
 	"persimmonpick/standins/harness"
 	"persimmonpick/table"
 )
--- a/standins/platform/ledger.go
+++ b/standins/platform/ledger.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	api "persimmonpick/platform"
+	api "persimmonpick/provider"
 	"persimmonpick/table"
 )
 
--- a/standins/platform/log.go
+++ b/standins/platform/log.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"persimmonpick/fault"
-	api "persimmonpick/platform"
+	api "persimmonpick/provider"
 	"persimmonpick/table"
 )
 
--- a/standins/platform/platform_test.go
+++ b/standins/platform/platform_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 
 	"persimmonpick/fault"
-	api "persimmonpick/platform"
+	api "persimmonpick/provider"
 	"persimmonpick/standins/harness"
 	"persimmonpick/table"
 )
--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"persimmonpick/fault"
-	api "persimmonpick/platform"
+	api "persimmonpick/provider"
 	"persimmonpick/standins/harness"
 	"persimmonpick/table"
 )
--- a/standins/site/site.go
+++ b/standins/site/site.go
@@ -9,7 +9,7 @@
 	"path/filepath"
 	"time"
 
-	"persimmonpick/platform"
+	"persimmonpick/provider"
 	"persimmonpick/settings"
 	standin "persimmonpick/standins/platform"
 	"persimmonpick/table"
@@ -120,7 +120,7 @@
 func (s *Site) startPlatform(instances []table.Instance) error {
 	cfg := standin.Config{Instances: instances, ListLag: 500, UsageLag: 500}
 	for i := range s.cfg.Workers {
-		cfg.Workers = append(cfg.Workers, platform.WorkerInfo{
+		cfg.Workers = append(cfg.Workers, provider.WorkerInfo{
 			ID: s.workerID(i), Rack: table.RackID(fmt.Sprintf("r%d", i/8)), Zone: s.zone(i), Capacity: s.cfg.Resources,
 		})
 	}
