Learn which images disturb which, and slow only those

Change: the board learns a factor for each pair of images, places by it, slows what presses most and moves what would stay slow.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -6,81 +6,166 @@
 
 // How tasks that fill are slowed down for the sake of tasks that serve beside them.
 const (
-	paceEvery   = 350 * time.Millisecond // between changes at one worker; tails are measured over half a second
-	paceCalm    = 1500 * time.Millisecond
-	paceStep    = 25  // percent that is given back at a time
-	paceDown    = 2   // the pace is divided by this
-	paceLeast   = 15  // percent; below it the tasks stand still
-	tailHigh    = 0.9 // share of the target from which tasks that fill slow down
-	tailLow     = 0.7 // share of the target below which they may work faster
-	impactGain  = 0.3 // weight of a new observation of an image
-	impactDecay = 0.02
+	paceEvery    = 300 * time.Millisecond // between changes at one worker; tails are measured over half a second
+	paceCalm     = 1200 * time.Millisecond
+	paceDown     = 3    // the pace of what disturbs is divided by this
+	paceLeast    = 12   // percent; below it the tasks stand still
+	paceUp       = 30   // percent that is given back at a time
+	tailHigh     = 0.95 // share of the target from which tasks that fill slow down
+	tailLow      = 0.7  // share of the target below which they may work faster
+	pressurePart = 0.4  // of the largest pressure; images with at least this much slow down
+	pressurePlan = 0.6  // up to which tasks are placed beside each other
+	leaveAfter   = 500 * time.Millisecond
 )
 
-// impact is how much tasks that fill disturb those that serve, by image; 0 for none to 1.
-type impact struct {
-	byImage map[string]float64
+// level is the pace of the tasks of one image on one worker.
+type level struct {
+	percent int
+	since   time.Time
 }
 
-func newImpact() *impact { return &impact{byImage: map[string]float64{}} }
+// paceOf returns the pace of the tasks of image on w.
+func (w *worker) paceOf(image string) int {
+	if l, ok := w.levels[image]; ok {
+		return l.percent
+	}
+	return fullPace
+}
 
-func (i *impact) weight(image string) float64 { return i.byImage[image] }
+// shares returns the processors that tasks that fill use on w, by image, as shares of its capacity.
+func (w *worker) shares() map[string]float64 {
+	return w.sharesOf(func(t *task) float64 { return float64(t.cpu) })
+}
 
-func (i *impact) blame(image string) {
-	i.byImage[image] += impactGain * (1 - i.byImage[image])
+// plannedShares returns what they would use at full pace.
+func (w *worker) plannedShares() map[string]float64 {
+	return w.sharesOf(func(t *task) float64 { return float64(t.group.step.Need.CPU) })
 }
 
-func (i *impact) acquit(image string) {
-	i.byImage[image] -= impactDecay * i.byImage[image]
+func (w *worker) sharesOf(use func(*task) float64) map[string]float64 {
+	s := map[string]float64{}
+	for _, t := range w.tasks {
+		if t.group.step.Fills {
+			s[t.group.step.Image] += use(t) / float64(max(1, w.info.Capacity.CPU))
+		}
+	}
+	return s
 }
 
 // steer changes the pace of the tasks that fill on w by the tails of the tasks that serve there.
 func (b *Board) steer(w *worker, now time.Time) {
-	worst := 0.0
+	if w.serves == 0 || w.fills == 0 {
+		w.levels = nil
+		return
+	}
+	shares := w.shares()
+	highest, missed := 0.0, map[string]bool{}
 	for _, t := range w.tasks {
-		if t.phase == running && t.group.step.Serves() {
-			target := time.Duration(t.group.step.LatencyTarget) * time.Millisecond
-			worst = max(worst, float64(t.tail)/float64(target))
+		if t.phase != running || !t.group.step.Serves() || t.tail <= 0 {
+			continue
+		}
+		tail := float64(t.tail) / float64(time.Duration(t.group.step.LatencyTarget)*time.Millisecond)
+		highest = max(highest, tail)
+		b.images.learn(shares, t.group.step.Image, tail)
+		if tail > tailHigh {
+			missed[t.group.step.Image] = true
 		}
 	}
-	if worst > tailLow {
+	if highest > tailLow {
 		w.calmSince = now
 	}
 	switch {
-	case w.fills == 0 && worst <= tailHigh:
-		w.level = fullPace
-	case worst > tailHigh && now.Sub(w.leveled) >= paceEvery && w.level > 0 && w.fills > 0:
-		b.slowDown(w, worst, now)
-	case worst <= tailLow && w.level < fullPace && now.Sub(w.calmSince) > paceCalm && now.Sub(w.leveled) > paceCalm:
-		w.level = min(fullPace, w.level+paceStep)
+	case len(missed) > 0 && now.Sub(w.leveled) >= paceEvery:
+		b.slowDown(w, shares, missed, highest, now)
+	case now.Sub(w.calmSince) > paceCalm && now.Sub(w.leveled) > paceCalm:
+		w.speedUp(now)
+	}
+	b.sendAway(w, now)
+}
+
+// slowDown slows the images that press most on the tasks that miss their targets.
+func (b *Board) slowDown(w *worker, shares map[string]float64, missed map[string]bool, highest float64, now time.Time) {
+	most := 0.0
+	pressures := map[string]float64{}
+	for fill, x := range shares {
+		for serve := range missed {
+			pressures[fill] = max(pressures[fill], b.images.factor(fill, serve)*x)
+		}
+		most = max(most, pressures[fill])
+	}
+	for fill, p := range pressures {
+		if p < pressurePart*most || p == 0 || w.paceOf(fill) == 0 {
+			continue
+		}
+		l := w.paceOf(fill) / paceDown
+		if l < paceLeast {
+			l = 0
+		}
+		if w.levels == nil {
+			w.levels = map[string]level{}
+		}
+		w.levels[fill] = level{l, now}
 		w.leveled = now
+		b.cfg.Log.Info("tasks that fill slow down", "Worker", w.info.ID, "Image", fill, "Percent", l, "Pressure", p, "TailByTarget", highest)
 	}
-	if worst <= tailLow && w.serves > 0 && w.level == fullPace {
-		for _, t := range w.tasks {
-			if t.group.step.Fills && t.phase == running {
-				b.images.acquit(t.group.step.Image)
-			}
+}
+
+func (w *worker) speedUp(now time.Time) {
+	for fill, l := range w.levels {
+		l.percent += paceUp
+		if l.percent >= fullPace {
+			delete(w.levels, fill)
+			continue
 		}
+		w.levels[fill] = level{l.percent, now}
+	}
+	if len(w.levels) > 0 {
+		w.leveled = now
 	}
 }
 
-func (b *Board) slowDown(w *worker, worst float64, now time.Time) {
-	if w.level == fullPace {
-		for _, t := range w.tasks {
-			if t.group.step.Fills && t.phase == running {
-				b.images.blame(t.group.step.Image)
-			}
+// sendAway moves tasks that would stay slow where they are, if they keep their progress.
+func (b *Board) sendAway(w *worker, now time.Time) {
+	if len(w.levels) == 0 {
+		return
+	}
+	for _, t := range w.tasks {
+		s := t.group.step
+		l, slow := w.levels[s.Image]
+		if !slow || !s.Fills || !s.Checkpoints || t.phase != running || t.stopWhy != "" || now.Sub(l.since) < leaveAfter {
+			continue
+		}
+		if !b.bearable(w, nil) {
+			t.stopWhy = whyDisturbs
+			b.counts.Moved++
 		}
 	}
-	w.level /= paceDown
-	if w.level < paceLeast {
-		w.level = 0
+}
+
+// bearable says whether the tasks that serve on w bear the tasks that fill there at full pace, with t besides.
+func (b *Board) bearable(w *worker, t *task) bool {
+	if w.serves == 0 {
+		return true
+	}
+	shares := w.plannedShares()
+	if t != nil {
+		shares[t.group.step.Image] += float64(t.group.step.Need.CPU) / float64(max(1, w.info.Capacity.CPU))
+	}
+	seen := map[string]bool{}
+	for _, o := range w.tasks {
+		image := o.group.step.Image
+		if !o.group.step.Serves() || seen[image] {
+			continue
+		}
+		seen[image] = true
+		if b.images.pressure(shares, image) > pressurePlan {
+			return false
+		}
 	}
-	w.leveled = now
-	b.cfg.Log.Info("tasks that fill slow down", "Worker", w.info.ID, "Percent", w.level, "TailByTarget", worst)
+	return true
 }
 
-// Paces returns the orders that bring the pace of tasks to the level of their worker.
+// Paces returns the orders that bring the pace of tasks to the level of their image on their worker.
 func (b *Board) Paces(_ time.Time) []PaceOrder {
 	var orders []PaceOrder
 	for _, w := range b.workers {
@@ -88,12 +173,13 @@
 			continue
 		}
 		for _, t := range w.tasks {
-			if t.phase != running || !t.group.step.Fills || t.pacing || t.pace == w.level {
+			want := w.paceOf(t.group.step.Image)
+			if t.phase != running || !t.group.step.Fills || t.pacing || t.pace == want {
 				continue
 			}
 			t.pacing = true
 			orders = append(orders, PaceOrder{
-				Worker: w.info.ID, Address: w.info.Address, Task: t.key, Run: t.run, Percent: w.level, Token: w.token,
+				Worker: w.info.ID, Address: w.info.Address, Task: t.key, Run: t.run, Percent: want, Token: w.token,
 			})
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -11,8 +11,9 @@
 // The weights of the score of a place; one unit is a worker that is used in full.
 const (
 	weightFar      = 4.0 // away from the data or from the rack of the gang
-	weightMixed    = 1.5 // a task that fills beside tasks that serve, or the other way round
-	weightHeavy    = 4.0 // more, by what is known of the image
+	weightMixed    = 1.5 // a task that serves beside tasks that fill
+	weightImage    = 1.0 // tasks that serve of one image beside each other, since images bear different neighbours
+	weightPressure = 1.0 // on tasks that serve
 	weightRetry    = 3.0 // the worker that failed the task before
 	weightUnproven = 1.0 // a task that has failed goes to workers that have finished something lately
 	provenFor      = 10 * time.Second
@@ -194,7 +195,7 @@
 		return true
 	}
 	room := fillTo*float64(w.info.Capacity.CPU) - w.counted() - float64(w.fills)
-	return w.level == fullPace && (room >= float64(g.step.Need.CPU) || w.fills == 0 && room > 0)
+	return w.paceOf(g.step.Image) == fullPace && (room >= float64(g.step.Need.CPU) || w.fills == 0 && room > 0) && b.bearable(w, t)
 }
 
 // score rates a place for t; lower is better.
@@ -206,10 +207,15 @@
 		// Packing tasks that serve leaves whole workers to those that fill.
 		s = -float64(w.serving) / float64(max(1, w.info.Capacity.CPU))
 		s += weightMixed * float64(w.fills) / float64(max(1, w.info.Capacity.CPU))
+		if w.serves > 0 {
+			s += weightImage * (1 - float64(w.byImage[g.step.Image])/float64(w.serves))
+		}
 	case g.step.Fills:
 		s = w.pressure()
-		if w.serves > 0 {
-			s += weightMixed + weightHeavy*b.images.weight(g.step.Image)
+		for image, n := range w.byImage {
+			if n > 0 {
+				s += weightPressure * b.images.factor(g.step.Image, image) * float64(g.step.Need.CPU) / float64(max(1, w.info.Capacity.CPU))
+			}
 		}
 	default:
 		s = w.pressure()
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -44,6 +44,8 @@
 	whyStalled = "no progress"
 	whySlow    = "slower than its peers"
 	whyLeaves  = "worker leaves"
+
+	whyDisturbs = "disturbs tasks that serve"
 )
 
 func (b *Board) trouble(w *worker, t *task, now time.Time) string {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -43,13 +43,14 @@
 	badUntil   time.Time
 	badWhy     string
 	lastDone   time.Time
-	level      int // pace of the tasks that fill, percent
+	levels     map[string]level // pace of the tasks that fill, by image; full for the others
+	byImage    map[string]int   // tasks that serve, by image
 	leveled    time.Time
 	calmSince  time.Time
 }
 
 func newWorker(info WorkerInfo, token FenceToken) *worker {
-	return &worker{info: info, token: token, tasks: map[workload.TaskKey]*task{}, level: fullPace}
+	return &worker{info: info, token: token, tasks: map[workload.TaskKey]*task{}, byImage: map[string]int{}}
 }
 
 // hold assigns t to w.
@@ -86,6 +87,7 @@
 	if s.Serves() {
 		w.serving += s.Need.CPU * table.Millicores(sign)
 		w.serves += sign
+		w.byImage[s.Image] += sign
 	}
 }
 
