--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -14,7 +14,7 @@
 	tailHigh     = 0.95 // share of the target from which tasks that fill slow down
 	tailLow      = 0.7  // share of the target below which they may work faster
 	pressurePart = 0.4  // of the largest pressure; images with at least this much slow down
-	pressurePlan = 0.6  // up to which tasks are placed beside each other
+	pressurePlan = 0.5  // up to which tasks are placed beside each other
 	leaveAfter   = 500 * time.Millisecond
 )
 
@@ -54,7 +54,7 @@
 
 // steer changes the pace of the tasks that fill on w by the tails of the tasks that serve there.
 func (b *Board) steer(w *worker, now time.Time) {
-	if w.serves == 0 || w.fills == 0 {
+	if w.serves == 0 {
 		w.levels = nil
 		return
 	}
@@ -66,7 +66,7 @@
 		}
 		tail := float64(t.tail) / float64(time.Duration(t.group.step.LatencyTarget)*time.Millisecond)
 		highest = max(highest, tail)
-		b.images.learn(shares, t.group.step.Image, tail)
+		b.images.learn(shares, t.group.step.Image, tail, now)
 		if tail > tailHigh {
 			missed[t.group.step.Image] = true
 		}
@@ -74,6 +74,10 @@
 	if highest > tailLow {
 		w.calmSince = now
 	}
+	if w.fills == 0 {
+		w.levels = nil
+		return
+	}
 	switch {
 	case len(missed) > 0 && now.Sub(w.leveled) >= paceEvery:
 		b.slowDown(w, shares, missed, highest, now)
