Free the tasks of replaced workers, and let the leases of silent ones end

A test then showed that the bound for an earlier leader's lease outlived the first contact. Change: a refusal as another life frees the tasks; a silent worker is not asked to extend its lease; the first contact bounds what earlier leaders gave.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -114,7 +114,7 @@
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id}, b.firstToken())
 		// An earlier leader may have extended the lease until it noticed that it was displaced.
-		w.leaseUntil = now.Add(orphanLease + time.Duration(float64(b.cfg.Term)*(1+clockDrift)) + leaseSlack)
+		w.leaseUntil = now.Add(orphanLease + longestLease(b.cfg.Term))
 		w.missing = now
 		b.workers[id] = w
 	}
--- a/dispatch/look.go
+++ b/dispatch/look.go
@@ -26,7 +26,8 @@
 
 func (b *Board) look(w *worker, now time.Time, extend bool) LookOrder {
 	o := LookOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Acked: w.acked}
-	if extend {
+	// Whether a silent worker got an extension is unknown, so asking for more would put off the time when its tasks are safe to start elsewhere.
+	if extend && w.silentBy == 0 {
 		o.Until = w.until(now, b.cfg.Term)
 	}
 	switch {
@@ -71,7 +72,13 @@
 	}
 	w.silentBy, w.heard, w.lookSent = 0, now, sent
 	w.clock, w.clockAt = l.Clock, now
-	w.contacted = true
+	if !w.contacted {
+		// Earlier leaders cannot extend the lease any more.
+		if bound := now.Add(longestLease(b.cfg.Term)); bound.Before(w.leaseUntil) {
+			w.leaseUntil = bound
+		}
+		w.contacted = true
+	}
 	w.nextLook = now.Add(lookPause)
 	for _, e := range l.Ended {
 		if e.Number > w.seen {
@@ -90,12 +97,29 @@
 	if w.silentBy == 0 {
 		b.cfg.Log.Info("worker does not answer", "Worker", w.info.ID, "Kind", fault.Of(err), "Error", err, "Tasks", len(w.tasks))
 	}
+	if fault.Of(err) == fault.NotCurrent {
+		b.replaced(w, now)
+	}
 	w.silentBy++
 	w.nextLook = now.Add(min(lookRetryMax, lookRetry<<min(w.silentBy-1, 4)))
 	w.urgent = true
 }
 
-// listed counts on a list of ended runs being cut at this length.
+// replaced drops all that ran on w, since another life answers at its address.
+func (b *Board) replaced(w *worker, now time.Time) {
+	b.cfg.Log.Info("another worker answers at the address", "Worker", w.info.ID, "Tasks", len(w.tasks))
+	if w.missing.IsZero() {
+		w.missing = now
+	}
+	w.listed, w.leaseUntil = false, now
+	for _, t := range w.tasks {
+		if t.phase != reserved {
+			b.lost(t, now, "worker replaced")
+		}
+	}
+}
+
+// endedPage is the length at which workers cut the list of ended runs.
 const endedPage = 500
 
 // reconcile compares what the board believes to run on w with what w listed.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -98,13 +98,18 @@
 	}
 	ahead := now.Sub(w.clockAt) + term
 	// The worker's clock may run slow, so what runs there may outlast the term on ours.
-	end := w.clockAt.Add(time.Duration(float64(ahead)*(1+clockDrift)) + leaseSlack)
+	end := w.clockAt.Add(longestLease(ahead))
 	if end.After(w.leaseUntil) {
 		w.leaseUntil = end
 	}
 	return w.clock + WorkerClock(ahead/time.Millisecond)
 }
 
+// longestLease returns how long a lease of the given term may last on our clock.
+func longestLease(term time.Duration) time.Duration {
+	return time.Duration(float64(term)*(1+clockDrift)) + leaseSlack
+}
+
 // usable says whether w may get new work.
 func (w *worker) usable(now time.Time) bool {
 	return w.listed && !w.info.Draining && w.contacted && w.silentBy == 0 && !now.Before(w.badUntil) &&
