Place waiting tasks by prospect and by value for the work

Change: jobs that still meet their objective come first, within that the best value for the work that is left; the board logs what runs and waits every two seconds.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -32,12 +32,15 @@
 	workers map[table.WorkerID]*worker
 	queues  map[workload.QueueID]workload.Queue
 	images  *impact
+	sizes   sizes
 
 	placed []*task // reserved, and not yet in the records
 	intent []*task // reserved, in the records that are being written
 	acks   map[*worker]EndingNumber
 	drops  []ledger.Record
 	counts Counts
+
+	surveyed time.Time
 }
 
 // Counts counts what a board has decided, for metrics.
@@ -50,7 +53,7 @@
 	return &Board{
 		cfg: cfg, jobs: map[table.JobID]*job{}, final: map[table.JobID]time.Time{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
-		images: newImpact(), acks: map[*worker]EndingNumber{},
+		images: newImpact(), sizes: sizes{}, acks: map[*worker]EndingNumber{},
 	}
 }
 
@@ -95,6 +98,7 @@
 	}
 	j.state = e.Status.State
 	b.jobs[e.ID] = j
+	b.sizes.learn(j)
 	if e.Progress != nil {
 		p, err := ledger.DecodeProgress(e.Progress)
 		if err != nil {
@@ -243,6 +247,7 @@
 	for _, j := range b.jobs {
 		b.openDue(j, now)
 	}
+	b.survey(now)
 }
 
 // openDue makes the tasks of the occurrences that are due.
--- /dev/null
+++ b/dispatch/order.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonpick/table"
+	"persimmonpick/workload"
+)
+
+// How jobs are rated when more work waits than fits. Callers gain most per core if short jobs that still meet their objective come first; jobs that cannot meet it any more must not hold those up.
+const (
+	lateFactor   = 3.0 // a job that takes this many times its objective is of little use to its caller
+	valueBase    = 0.3 // of a job's value that does not depend on its size
+	valueMost    = 4.0 // a large job is worth at most this many usual ones
+	usualWeight  = 0.1 // of a new job in the usual size of its queue
+	promptChance = 0.9 // share of the time left that the remaining chain may take, since estimates are rough
+)
+
+// prospect says what a job can still achieve.
+type prospect uint8
+
+const (
+	onTime prospect = iota
+	late
+	hopelessLate
+)
+
+// rating is the place of a job in the queue.
+type rating struct {
+	prospect prospect
+	density  float64 // value by the work that is left
+}
+
+// sizes learns the usual size of the jobs of each queue.
+type sizes map[workload.QueueID]float64
+
+func (s sizes) learn(j *job) {
+	w := j.work()
+	if usual, ok := s[j.queue.ID]; ok {
+		w = usual + usualWeight*(w-usual)
+	}
+	s[j.queue.ID] = w
+}
+
+// work returns the declared core-milliseconds of one occurrence.
+func (j *job) work() float64 {
+	sum := 0.0
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		sum += float64(s.Count) * cost(s)
+	}
+	return sum
+}
+
+// cost returns the declared core-milliseconds of one task.
+func cost(s *workload.Step) float64 { return float64(max(1, s.Need.CPU)) * float64(max(1, s.Estimate)) }
+
+// rate rates the occurrence that g belongs to.
+func (b *Board) rate(g *group, now time.Time) rating {
+	j := g.job
+	gs := j.groups[g.occurrence]
+	left, ends := 0.0, make([]table.Millis, len(gs))
+	var chain table.Millis
+	for i, o := range gs {
+		var start table.Millis
+		for _, a := range o.step.After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start
+		if o.left > 0 {
+			ends[i] += o.step.Estimate
+			left += float64(o.left) * cost(o.step)
+		}
+		chain = max(chain, ends[i])
+	}
+	value := 1.0
+	if usual := b.sizes[j.queue.ID]; usual > 0 {
+		value = min(valueMost, valueBase+(1-valueBase)*j.work()/usual)
+	}
+	r := rating{density: value / max(1, left)}
+	need := time.Duration(float64(chain) * float64(time.Millisecond) * promptChance)
+	due := g.due()
+	switch end := now.Add(need); {
+	case !end.After(due):
+	case !end.After(due.Add(time.Duration((lateFactor - 1) * float64(j.deadline.Sub(j.submitted))))):
+		r.prospect = late
+	default:
+		r.prospect = hopelessLate
+	}
+	return r
+}
+
+// order sorts the steps with tasks to place: by priority, then by what their jobs can still achieve, then by value for the work.
+func (b *Board) order(gs []*group, now time.Time) {
+	type place struct {
+		job        table.JobID
+		occurrence int
+	}
+	ratings := make(map[place]rating, len(gs))
+	of := func(g *group) rating { return ratings[place{g.job.id, g.occurrence}] }
+	for _, g := range gs {
+		p := place{g.job.id, g.occurrence}
+		if _, rated := ratings[p]; !rated {
+			ratings[p] = b.rate(g, now)
+		}
+	}
+	slices.SortFunc(gs, func(a, c *group) int {
+		ra, rc := of(a), of(c)
+		return cmp.Or(cmp.Compare(a.job.queue.Priority, c.job.queue.Priority), cmp.Compare(ra.prospect, rc.prospect),
+			cmp.Compare(rc.density, ra.density), cmp.Compare(a.job.id, c.job.id),
+			cmp.Compare(a.occurrence, c.occurrence), cmp.Compare(a.index, c.index))
+	})
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -58,7 +57,7 @@
 	return false
 }
 
-// waitingGroups returns the steps with tasks to place, by priority and then by the objective of the job.
+// waitingGroups returns the steps with tasks to place, in the order in which they are placed.
 func (b *Board) waitingGroups(now time.Time) []*group {
 	var gs []*group
 	for _, j := range b.jobs {
@@ -73,10 +72,7 @@
 			}
 		}
 	}
-	slices.SortFunc(gs, func(a, c *group) int {
-		return cmp.Or(cmp.Compare(a.job.queue.Priority, c.job.queue.Priority), a.due().Compare(c.due()),
-			cmp.Compare(a.job.id, c.job.id), cmp.Compare(a.occurrence, c.occurrence), cmp.Compare(a.index, c.index))
-	})
+	b.order(gs, now)
 	return gs
 }
 
--- /dev/null
+++ b/dispatch/survey.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"time"
+
+	"persimmonpick/table"
+)
+
+// surveyEvery is how often the state of the board is logged.
+const surveyEvery = 2 * time.Second
+
+// survey logs what runs and what waits, by kind of task.
+func (b *Board) survey(now time.Time) {
+	if now.Sub(b.surveyed) < surveyEvery {
+		return
+	}
+	b.surveyed = now
+	var capacity, counted, serving, fills, slowed, waitFills, waitOthers table.Millicores
+	usable, mixed, waits := 0, 0, 0
+	for _, w := range b.workers {
+		if !w.usable(now) {
+			continue
+		}
+		usable++
+		capacity += w.info.Capacity.CPU
+		counted += w.used.CPU
+		serving += w.serving
+		fills += w.fills
+		if w.serves > 0 && w.fills > 0 {
+			mixed++
+		}
+		for _, t := range w.tasks {
+			if t.group.step.Fills {
+				slowed += t.group.step.Need.CPU * table.Millicores(fullPace-t.pace) / fullPace
+			}
+		}
+	}
+	for _, g := range b.waitingGroups(now) {
+		for _, t := range g.tasks {
+			if t.phase != waiting {
+				continue
+			}
+			waits++
+			if g.step.Fills {
+				waitFills += g.step.Need.CPU
+			} else {
+				waitOthers += g.step.Need.CPU
+			}
+		}
+	}
+	b.cfg.Log.Info("board", "Jobs", len(b.jobs), "Workers", len(b.workers), "Usable", usable, "Mixed", mixed,
+		"Capacity", capacity, "Counted", counted, "Serving", serving, "Fills", fills, "Slowed", slowed,
+		"Waiting", waits, "WaitingFills", waitFills, "WaitingOthers", waitOthers)
+}
