Hand on what was learned about images to the next leader, leave room for peaks

Change: the factors are written with other records every two seconds and read at a takeover; tasks are placed up to 0.3 of the pressure.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -41,6 +41,7 @@
 	counts Counts
 
 	surveyed time.Time
+	handedOn time.Time // when what was learned was last written
 }
 
 // Counts counts what a board has decided, for metrics.
--- a/dispatch/impact.go
+++ b/dispatch/impact.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
 
 // The learning of how much images disturb each other.
 //
@@ -158,3 +162,42 @@
 		s.variance[a][a] = min(factorSpread, s.variance[a][a]+by)
 	}
 }
+
+// learnedImage is what a leader hands on about the tasks of one image that serves.
+type learnedImage struct {
+	Alone    float64            `cbor:"1,keyasint"`
+	Factors  map[string]float64 `cbor:"2,keyasint"`
+	Variance map[string]float64 `cbor:"3,keyasint"`
+}
+
+// encode returns what the next leader needs; covariances are left out and learned anew.
+func (i *impact) encode() ([]byte, error) {
+	all := make(map[string]learnedImage, len(i.serving))
+	for serve, s := range i.serving {
+		l := learnedImage{Alone: s.alone, Factors: map[string]float64{}, Variance: map[string]float64{}}
+		for fill, n := range s.index {
+			l.Factors[fill], l.Variance[fill] = s.mean[n], s.variance[n][n]
+		}
+		all[serve] = l
+	}
+	return cbor.Marshal(all)
+}
+
+// restore takes what an earlier leader has learned.
+func (i *impact) restore(data []byte) error {
+	var all map[string]learnedImage
+	if err := cbor.Unmarshal(data, &all); err != nil {
+		return err
+	}
+	for serve, l := range all {
+		s := i.of(serve)
+		s.alone = l.Alone
+		for fill, f := range l.Factors {
+			s.add(fill)
+			if n, ok := s.index[fill]; ok {
+				s.mean[n], s.variance[n][n] = f, l.Variance[fill]
+			}
+		}
+	}
+	return nil
+}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -36,5 +36,7 @@
 	missingGrace = 2500 * time.Millisecond // a worker that left the list for less may be back after an outage of the store
 	drainMargin  = 600 * time.Millisecond  // a draining worker is empty this long before it leaves
 
+	learnedEvery = 2 * time.Second // factors change within seconds
+
 	orphanLease = 4 * time.Second // a displaced leader extends leases no longer than this after its last append
 )
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -14,7 +14,7 @@
 	tailHigh     = 0.95 // share of the target from which tasks that fill slow down
 	tailLow      = 0.7  // share of the target below which they may work faster
 	pressurePart = 0.4  // of the largest pressure; images with at least this much slow down
-	pressurePlan = 0.5  // up to which tasks are placed beside each other
+	pressurePlan = 0.3  // up to which tasks are placed beside each other
 	leaveAfter   = 500 * time.Millisecond
 )
 
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -34,6 +34,7 @@
 	confirmed  time.Time // start of the last read that reached the end
 	quietReads int       // reads that reached the end since leaderSign
 	changed    func(Entry)
+	learned    []byte
 }
 
 // NewFold returns an empty fold.
@@ -145,9 +146,13 @@
 		return
 	}
 	kind, id := rune(r.Key[0]), table.JobID(r.Key[1:])
-	if kind == kindLeader {
+	switch r.Key {
+	case leaderKey:
 		f.applyLeader(r, now)
 		return
+	case learnedKey:
+		f.learned = r.Value
+		return
 	}
 	e := f.entries[id]
 	if e == nil {
@@ -256,3 +261,10 @@
 	defer f.mu.Unlock()
 	return f.leaderSign, f.quietReads
 }
+
+// Learned returns what the last leader has learned, or nil.
+func (f *Fold) Learned() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.learned
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -18,6 +18,12 @@
 	kindProgress   = 'P'
 )
 
+// learnedKey is the key of what leaders have learned.
+const learnedKey = "M"
+
+// LearnedRecord returns the record of what a leader has learned, in an encoding of its own.
+func LearnedRecord(data []byte) Record { return Record{Key: learnedKey, Value: data} }
+
 // leaderKey is the key of the record that names the leader.
 const leaderKey = string(rune(kindLeader))
 
