Hand on the list of workers, place counted tasks where they just fit

Besides, 94% of the capacity was reserved in pieces too small for large tasks, and endless tasks took all room that life-checks left. Ruled out: processor time of the leader (0.38 of 0.8 cores). Change: leaders hand on addresses of workers with what they learned; counted tasks go where they just fit as the capacity fills up; new endless tasks come behind jobs that still meet their objective, restarted ones first.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -38,7 +38,10 @@
 	intent []*task // reserved, in the records that are being written
 	acks   map[*worker]EndingNumber
 	drops  []ledger.Record
+	fresh  []*worker        // to be handed on to the next leader
+	gone   []table.WorkerID // not to be handed on any more
 	counts Counts
+	crowd  float64 // how much of the capacity is taken, see crowded
 
 	surveyed time.Time
 	handedOn time.Time // when what was learned was last written
@@ -141,10 +144,12 @@
 		w.drained = now.Add(info.LeavesIn)
 		b.cfg.Log.Info("worker drains", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
 	}
-	if w.info.Capacity == (table.Resources{}) {
+	if !w.listed {
 		b.cfg.Log.Info("worker listed", "Worker", info.ID, "Rack", info.Rack, "Zone", info.Zone)
 	}
+	before := w.info
 	w.info, w.listed, w.missing = info, true, time.Time{}
+	b.noteWorkerChange(w, before)
 }
 
 // RemoveWorker takes a worker off the list.
@@ -227,6 +232,7 @@
 		if len(w.tasks) == 0 && w.looks == 0 && now.Sub(w.heard) > freshLook {
 			delete(b.workers, id)
 			delete(b.acks, w)
+			b.gone = append(b.gone, id)
 		}
 	}
 	for _, w := range b.workers {
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -210,3 +211,30 @@
 	is.Equal(len(again), 1)
 	is.Equal(again[0].Worker, table.WorkerID("b"))
 }
+
+func TestNextLeaderReachesWorkersWithoutTheList(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("w")
+	r.submit("j", step(1))
+	r.Decide(r.now)
+	f := r.Flush(r.now)
+	o := r.Flushed(f, r.now, true)[0]
+	notes := map[string][]byte{}
+	for _, rec := range f.records {
+		if name, ok := strings.CutPrefix(rec.Key, "N"); ok {
+			notes[name] = rec.Value
+		}
+	}
+
+	next := newRig()
+	next.cfg.Epoch = 2
+	next.SetNotes(notes, next.now)
+	next.submit("j", step(1))
+	looks := next.Looks(next.now, true)
+	is.Equal(len(looks), 0) // nothing runs there as far as this board knows, and nothing may start before it is listed
+	next.ghost("w", next.now).hold(next.task(o.Task), running)
+	looks = next.Looks(next.now, true)
+	is.Equal(len(looks), 1)
+	is.Equal(looks[0].Address, "w:1")
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -64,7 +64,7 @@
 	d.ctx = ctx
 	now := time.Now()
 	d.board.SetQueues(d.cfg.Queues())
-	d.board.SetLearned(d.cfg.Fold.Learned())
+	d.board.SetNotes(d.cfg.Fold.Notes(), now)
 	for _, e := range d.cfg.Fold.Watch(func(e ledger.Entry) {
 		d.post(func(now time.Time) { d.board.SetEntry(e, now) })
 	}) {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -57,9 +58,22 @@
 // cost returns the declared core-milliseconds of one task.
 func cost(s *workload.Step) float64 { return float64(max(1, s.Need.CPU)) * float64(max(1, s.Estimate)) }
 
+// rateEndless puts tasks that were running first, and new ones behind the jobs that still meet their objective, since they hold what they get.
+func rateEndless(g *group) rating {
+	for _, t := range g.tasks {
+		if t.phase == waiting && t.wasRunning {
+			return rating{density: math.Inf(1)}
+		}
+	}
+	return rating{prospect: late, density: 1 / cost(g.step)}
+}
+
 // rate rates the occurrence that g belongs to.
 func (b *Board) rate(g *group, now time.Time) rating {
 	j := g.job
+	if g.step.Endless {
+		return rateEndless(g)
+	}
 	gs := j.groups[g.occurrence]
 	left, ends := 0.0, make([]table.Millis, len(gs))
 	var chain table.Millis
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,6 +17,9 @@
 	weightUnproven = 1.0 // a task that has failed goes to workers that have finished something lately
 	provenFor      = 10 * time.Second
 	fillTo         = 1.0 // share of the capacity up to which tasks that fill are placed
+	weightFit      = 2.0 // places that a task just fits in, when the capacity is nearly taken
+	crowdedFrom    = 0.7 // share of the capacity from which places that just fit count
+	crowdedFull    = 0.9 // share from which they count in full
 	maxPlaced      = 96  // tasks placed in one round, so that a round stays short
 )
 
@@ -30,6 +33,7 @@
 // Decide places waiting tasks; they are started once their records are in the log.
 func (b *Board) Decide(now time.Time) {
 	b.supervise(now)
+	b.crowd = b.crowded(now)
 	var refused []shape
 	placed := 0
 	for _, g := range b.waitingGroups(now) {
@@ -216,6 +220,11 @@
 	default:
 		s = w.pressure()
 	}
+	if !g.step.Fills && b.crowd > 0 {
+		// Room in pieces is of no use to large tasks.
+		left := w.free().CPU - g.step.Need.CPU
+		s += b.crowd * weightFit * float64(left) / float64(max(1, w.info.Capacity.CPU))
+	}
 	if g.step.DataRack != "" && g.step.DataRack != w.info.Rack {
 		s += weightFar * (b.cfg.Far - 1)
 	}
@@ -233,3 +242,16 @@
 	}
 	return s
 }
+
+// crowded returns how much of the capacity is taken, from 0 for little to 1 for nearly all.
+func (b *Board) crowded(now time.Time) float64 {
+	var capacity, used table.Millicores
+	for _, w := range b.workers {
+		if w.usable(now) {
+			capacity += w.info.Capacity.CPU
+			used += w.used.CPU
+		}
+	}
+	share := float64(used) / float64(max(1, capacity))
+	return min(1, max(0, (share-crowdedFrom)/(crowdedFull-crowdedFrom)))
+}
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -36,8 +36,9 @@
 	f.records = append(f.records, b.drops...)
 	if len(f.records) > 0 && now.Sub(b.handedOn) > learnedEvery && len(b.images.serving) > 0 {
 		b.handedOn = now
-		f.records = append(f.records, b.learnedRecords()...)
+		f.records = append(f.records, b.learnedNote()...)
 	}
+	f.records = append(f.records, b.rosterNotes()...)
 	b.drops = nil
 	b.acks = map[*worker]EndingNumber{}
 	if len(f.records) == 0 && len(f.acks) == 0 {
@@ -102,23 +103,3 @@
 	}
 	return orders
 }
-
-// learnedRecords returns the record with which the next leader need not learn anew.
-func (b *Board) learnedRecords() []ledger.Record {
-	data, err := b.images.encode()
-	if err != nil {
-		b.cfg.Log.Error("what was learned is not handed on", "Error", err)
-		return nil
-	}
-	return []ledger.Record{ledger.LearnedRecord(data)}
-}
-
-// SetLearned takes what the last leader has learned.
-func (b *Board) SetLearned(data []byte) {
-	if data == nil {
-		return
-	}
-	if err := b.images.restore(data); err != nil {
-		b.cfg.Log.Error("what was learned cannot be read and is learned anew", "Error", err)
-	}
-}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -12,6 +12,7 @@
 	info    WorkerInfo
 	listed  bool // in the list of workers
 	missing time.Time
+	noted   bool      // handed on to the next leader
 	drained time.Time // when a draining worker leaves at the earliest
 
 	token     FenceToken
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -34,13 +35,14 @@
 	confirmed  time.Time // start of the last read that reached the end
 	quietReads int       // reads that reached the end since leaderSign
 	changed    func(Entry)
-	learned    []byte
+	notes      map[string][]byte
 }
 
 // NewFold returns an empty fold.
 func NewFold(log *slog.Logger) *Fold {
 	return &Fold{
 		log: log, entries: map[table.JobID]*Entry{}, pending: map[workload.QueueID]int{}, newest: map[string]Position{},
+		notes: map[string][]byte{},
 	}
 }
 
@@ -94,6 +96,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.entries, f.pending, f.newest = map[table.JobID]*Entry{}, map[workload.QueueID]int{}, map[string]Position{}
+	f.notes = map[string][]byte{}
 	for _, r := range records {
 		f.apply(r, now)
 		if r.Position >= end {
@@ -146,12 +149,12 @@
 		return
 	}
 	kind, id := rune(r.Key[0]), table.JobID(r.Key[1:])
-	switch r.Key {
-	case leaderKey:
+	switch kind {
+	case kindLeader:
 		f.applyLeader(r, now)
 		return
-	case learnedKey:
-		f.learned = r.Value
+	case kindNote:
+		f.applyNote(string(id), r.Value)
 		return
 	}
 	e := f.entries[id]
@@ -262,9 +265,17 @@
 	return f.leaderSign, f.quietReads
 }
 
-// Learned returns what the last leader has learned, or nil.
-func (f *Fold) Learned() []byte {
+// Notes returns what leaders have handed on, by name; the map is the caller's.
+func (f *Fold) Notes() map[string][]byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.learned
+	return maps.Clone(f.notes)
+}
+
+func (f *Fold) applyNote(name string, data []byte) {
+	if data == nil {
+		delete(f.notes, name)
+		return
+	}
+	f.notes[name] = data
 }
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -16,14 +16,9 @@
 	kindCancel     = 'C'
 	kindStatus     = 'S'
 	kindProgress   = 'P'
+	kindNote       = 'N' // followed by a name that the leader chose
 )
 
-// learnedKey is the key of what leaders have learned.
-const learnedKey = "M"
-
-// LearnedRecord returns the record of what a leader has learned, in an encoding of its own.
-func LearnedRecord(data []byte) Record { return Record{Key: learnedKey, Value: data} }
-
 // leaderKey is the key of the record that names the leader.
 const leaderKey = string(rune(kindLeader))
 
@@ -36,6 +31,11 @@
 
 func jobKey(kind rune, id table.JobID) string { return string(kind) + string(id) }
 
+// NoteRecord returns the record with which a leader hands something on to the next one; nil data drops the note.
+func NoteRecord(name string, data []byte) Record {
+	return Record{Key: string(kindNote) + name, Value: data}
+}
+
 // SubmissionRecord returns the record of an accepted job.
 func SubmissionRecord(id table.JobID, s *workload.Submission) (Record, error) {
 	return encode(jobKey(kindSubmission, id), s)
