--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -78,12 +78,19 @@
 	return workload.Step{Count: n, Need: table.Resources{CPU: 1000, Memory: 1 << 30}, Estimate: 1000}
 }
 
-func (r *rig) submit(id string, steps ...workload.Step) {
-	r.SetEntry(ledger.Entry{ID: table.JobID(id), Submission: &workload.Submission{
+// entryOf returns the entry of an accepted job without steps.
+func entryOf(r *rig, id string) ledger.Entry {
+	return ledger.Entry{ID: table.JobID(id), Submission: &workload.Submission{
 		Queue:     workload.Queue{ID: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Allowance: 1000},
-		Spec:      workload.Spec{Payload: "p", Steps: steps},
+		Spec:      workload.Spec{Payload: "p"},
 		Submitted: table.UnixMillis(r.now.UnixMilli()),
-	}}, r.now)
+	}}
+}
+
+func (r *rig) submit(id string, steps ...workload.Step) {
+	e := entryOf(r, id)
+	e.Submission.Spec.Steps = steps
+	r.SetEntry(e, r.now)
 }
 
 // round places tasks and returns the orders whose records are in the log.
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,365 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/fault"
+	"persimmonpick/table"
+	"persimmonpick/workload"
+)
+
+// memoryLog is a log in memory whose calls can be made to fail.
+type memoryLog struct {
+	mu        sync.Mutex
+	records   []Record
+	first     Position
+	epochs    map[string]Epoch
+	next      map[string]int64
+	appendErr error // returned instead of appending
+	loseErr   error // returned after appending
+	readErr   error
+	appends   int
+	changed   chan struct{}
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{epochs: map[string]Epoch{}, next: map[string]int64{}, changed: make(chan struct{})}
+}
+
+func (m *memoryLog) log() Log { return Log{Append: m.append, Read: m.read, Newest: m.newest} }
+
+func (m *memoryLog) set(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f()
+}
+
+func (m *memoryLog) end() Position { return m.first + Position(len(m.records)) }
+
+func (m *memoryLog) append(_ context.Context, a Append) error {
+	time.Sleep(time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.appends++
+	switch {
+	case m.appendErr != nil:
+		return m.appendErr
+	case a.HasAt && a.At != m.end():
+		return fault.New(fault.Conflict, "ends at %d", m.end())
+	case a.Epoch < m.epochs[a.Producer]:
+		return fault.New(fault.Stale, "fenced")
+	case a.Epoch > m.epochs[a.Producer]:
+		m.epochs[a.Producer], m.next[a.Producer] = a.Epoch, a.Sequence
+	case a.Sequence < m.next[a.Producer]:
+		return nil // a repeat
+	}
+	for _, r := range a.Records {
+		r.Position = m.end()
+		m.records = append(m.records, r)
+	}
+	m.next[a.Producer] = a.Sequence + 1
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return m.loseErr
+}
+
+func (m *memoryLog) read(ctx context.Context, _ Topic, from Position, wait time.Duration) (Page, error) {
+	end := time.After(wait)
+	for {
+		m.mu.Lock()
+		changed, err := m.changed, m.readErr
+		gone := from < m.first
+		var rs []Record
+		if !gone {
+			rs = append(rs, m.records[from-m.first:]...)
+		}
+		p := Page{Records: rs, Next: m.end(), End: m.end()}
+		m.mu.Unlock()
+		switch {
+		case err != nil:
+			return Page{}, err
+		case gone:
+			return Page{}, fault.New(fault.NotFound, "gone")
+		case len(rs) > 0 || wait == 0:
+			return p, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			wait = 0
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+}
+
+func (m *memoryLog) newest(_ context.Context, _ Topic, _ string) (Snapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.readErr != nil {
+		return Snapshot{}, m.readErr
+	}
+	byKey := map[string]Record{}
+	for _, r := range m.records {
+		byKey[r.Key] = r
+	}
+	s := Snapshot{End: m.end()}
+	for _, r := range byKey {
+		if r.Value != nil {
+			s.Records = append(s.Records, r)
+		}
+	}
+	return s, nil
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func submission(is *is.I, id table.JobID) Record {
+	r, err := SubmissionRecord(id, &workload.Submission{Queue: workload.Queue{ID: "q"}, Spec: workload.Spec{Payload: string(id)}})
+	is.NoErr(err)
+	return r
+}
+
+// host is a fold with its reader.
+type host struct {
+	fold   *Fold
+	reader *Reader
+}
+
+func newHost(m *memoryLog) host {
+	f := NewFold(quiet)
+	return host{f, NewReader(ReaderConfig{Log: m.log(), Fold: f, Pause: 50 * time.Millisecond, Logger: quiet})}
+}
+
+func TestGroupTellsUnknownFromRefused(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		appendErr  error
+		loseErr    error
+		want       fault.Kind
+		within     time.Duration
+		mayBeThere bool
+	}{
+		{name: "sound", want: fault.None, within: 100 * time.Millisecond, mayBeThere: true},
+		{name: "refusing", appendErr: fault.New(fault.LogUnavailable, "no"), want: fault.LogUnavailable, within: time.Second},
+		{name: "losing", loseErr: fault.New(fault.OutcomeUnknown, "lost"), want: fault.None, within: time.Second, mayBeThere: true},
+		{name: "silent", appendErr: fault.New(fault.OutcomeUnknown, "?"), want: fault.OutcomeUnknown, within: 3 * time.Second, mayBeThere: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m := newMemoryLog()
+				m.appendErr, m.loseErr = c.appendErr, c.loseErr
+				ctx, cancel := context.WithCancel(t.Context())
+				g := NewGroup(GroupConfig{Log: m.log(), Producer: "p", Failing: func() bool { return false }, Logger: quiet})
+				go g.Run(ctx)
+				began := time.Now()
+				err := g.Append(ctx, submission(is, "a"))
+				is.Equal(fault.Of(err), c.want)
+				is.True(time.Since(began) <= c.within)
+				is.True(c.mayBeThere || len(m.records) == 0)
+				is.True(len(m.records) <= 1)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func TestGroupSharesAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		ctx, cancel := context.WithCancel(t.Context())
+		g := NewGroup(GroupConfig{Log: m.log(), Producer: "p", Failing: func() bool { return false }, Logger: quiet})
+		go g.Run(ctx)
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() { is.NoErr(g.Append(ctx, submission(is, table.JobID(fmt.Sprint(i))))) })
+		}
+		wg.Wait()
+		is.Equal(len(m.records), 40)
+		is.True(m.appends < 10)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestFoldIsTheSameByRecordsAndBySnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		ctx, cancel := context.WithCancel(t.Context())
+		early := newHost(m)
+		go early.reader.Run(ctx)
+		status, err := StatusRecord("b", workload.Status{State: workload.Running})
+		is.NoErr(err)
+		cancelled, err := CancelRecord("c", 1)
+		is.NoErr(err)
+		all := []Record{submission(is, "a"), submission(is, "b"), submission(is, "c"), submission(is, "d"), status, cancelled}
+		all = append(all, DropJob("d")...)
+		is.NoErr(m.append(ctx, Append{Producer: "p", Epoch: 1, Records: all}))
+		time.Sleep(2 * readWait)
+		m.set(func() { m.first, m.records = m.end(), m.records[:len(m.records):len(m.records)] })
+		m.set(func() { m.first = 0 })
+		late := newHost(m)
+		is.NoErr(late.reader.Refresh(ctx))
+		for _, f := range []*Fold{early.fold, late.fold} {
+			is.Equal(f.Pending("q"), 1) // a alone: b runs, c is cancelled, d is gone
+			b, ok := f.Job("b")
+			is.True(ok)
+			is.Equal(b.Status.State, workload.Running)
+			c, ok := f.Job("c")
+			is.True(ok)
+			is.True(c.Cancelled)
+			_, ok = f.Job("d")
+			is.True(!ok)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestUnreadableRecordsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	f := NewFold(quiet)
+	f.load(nil, 0)
+	f.add(0, Page{Records: []Record{{}, {Key: "Jx", Value: []byte{0xff}}, {Key: "L", Value: []byte("?")}, {Key: "Zy", Value: []byte("?")}}, Next: 4, End: 4}, time.Now())
+	_, ok := f.Job("x")
+	is.True(!ok)
+	is.Equal(f.Leader(), Leader{})
+}
+
+// candidate is an elector that notes when it leads.
+type candidate struct {
+	host
+	mu      sync.Mutex
+	leading bool
+	writer  *Writer
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func (c *candidate) leads() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leading
+}
+
+func stand(t *testing.T, m *memoryLog, name string) *candidate {
+	ctx, cancel := context.WithCancel(t.Context())
+	c := &candidate{host: newHost(m), stop: cancel, done: make(chan struct{})}
+	e := NewElector(ElectorConfig{
+		Log: m.log(), Fold: c.fold, Reader: c.reader, Host: name, Process: name + "-1", Size: 1, Logger: quiet,
+		Lead: func(ctx context.Context, w *Writer) {
+			c.mu.Lock()
+			c.leading, c.writer = true, w
+			c.mu.Unlock()
+			<-ctx.Done()
+			c.mu.Lock()
+			c.leading = false
+			c.mu.Unlock()
+		},
+	})
+	go c.reader.Run(ctx)
+	go func() {
+		defer close(c.done)
+		e.Run(ctx)
+	}()
+	return c
+}
+
+// end stops the candidates and waits until they have resigned.
+func end(cs ...*candidate) {
+	for _, c := range cs {
+		c.stop()
+	}
+	for _, c := range cs {
+		<-c.done
+	}
+	synctest.Wait()
+}
+
+func leaders(cs ...*candidate) int {
+	n := 0
+	for _, c := range cs {
+		if c.leads() {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOneLeaderAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		a, b, c := stand(t, m, "a"), stand(t, m, "b"), stand(t, m, "c")
+		time.Sleep(2 * time.Second)
+		is.Equal(leaders(a, b, c), 1)
+		first := a
+		for _, x := range []*candidate{b, c} {
+			if x.leads() {
+				first = x
+			}
+		}
+		epoch := first.writer.Epoch()
+		first.stop() // it resigns
+		<-first.done
+		time.Sleep(time.Second)
+		is.Equal(leaders(a, b, c), 1)
+		is.True(!first.leads())
+		is.True(first.fold.Leader().Epoch >= epoch)
+		end(a, b, c)
+	})
+}
+
+func TestDisplacedLeaderCannotWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		a := stand(t, m, "a")
+		time.Sleep(2 * time.Second)
+		is.True(a.leads())
+		w := a.writer
+		r, err := encode(leaderKey, Leader{Host: "b", Process: "b-1", Epoch: w.Epoch() + 1})
+		is.NoErr(err)
+		is.NoErr(m.append(t.Context(), Append{Producer: leaderProducer, Epoch: w.Epoch() + 1, Records: []Record{r}}))
+		written := false
+		w.Append([]Record{submission(is, "x")}, func() { written = true })
+		time.Sleep(time.Second)
+		is.True(!written)
+		is.True(w.Displaced())
+		is.True(!a.leads())
+		end(a)
+	})
+}
+
+func TestOutageOfTheLogElectsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		a, b := stand(t, m, "a"), stand(t, m, "b")
+		time.Sleep(2 * time.Second)
+		was := a.leads()
+		m.set(func() {
+			m.appendErr = fault.New(fault.LogUnavailable, "down")
+			m.readErr = m.appendErr
+		})
+		time.Sleep(8 * time.Second)
+		m.set(func() { m.appendErr, m.readErr = nil, nil })
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(a.leads(), was) // nobody could know better
+		is.Equal(leaders(a, b), 1)
+		end(a, b)
+	})
+}
