Soak entry hosts under random faults

Change: standins/soak starts persimmonpickd as processes behind loopback proxies against the emulated platform, injects kills, pauses, cuts, outages, late orders and restarts, and judges what callers and workers see.

--- /dev/null
+++ b/standins/soak/callers.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"persimmonpick/platform/emulator"
+)
+
+const (
+	callTimeout = 3500 * time.Millisecond
+	attempts    = 5
+	retryWait   = time.Second
+)
+
+// caller submits jobs, asks for their states and cancels some.
+type caller struct {
+	hosts  []*host
+	judge  *judge
+	client *http.Client // keeps its connections open until they break
+	rnd    *rand.Rand
+}
+
+func newCaller(hosts []*host, j *judge, seed, n uint64) *caller {
+	return &caller{hosts: hosts, judge: j, client: &http.Client{Timeout: callTimeout}, rnd: rand.New(rand.NewPCG(seed, n))}
+}
+
+// call returns the status, 0 for no answer, and the state that the body names.
+func (c *caller) call(method, id string, body any) (int, string) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, ""
+	}
+	h := c.hosts[c.rnd.IntN(len(c.hosts))]
+	req, err := http.NewRequest(method, "http://"+h.callers+emulator.RoutePrefix+id, bytes.NewReader(data))
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = emulator.RouteHost
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, emulator.StateIn(text)
+}
+
+// run works until ctx ends.
+func (c *caller) run(ctx context.Context) {
+	var mine []string
+	for ctx.Err() == nil {
+		id := fmt.Sprintf("%016x", c.rnd.Uint64())
+		width := 1 + c.rnd.IntN(6)
+		for range attempts {
+			status, _ := c.call(http.MethodPost, id, emulator.Job(width))
+			c.judge.attempted(id, 2*width, status)
+			if status == http.StatusOK {
+				mine = append(mine, id)
+				break
+			}
+			pause(ctx, retryWait)
+		}
+		for range min(3, len(mine)) {
+			c.look(mine[c.rnd.IntN(len(mine))])
+		}
+		if c.rnd.IntN(10) == 0 && len(mine) > 0 {
+			id := mine[c.rnd.IntN(len(mine))]
+			if status, _ := c.call(http.MethodDelete, id, nil); status == http.StatusOK {
+				c.judge.cancelled(id)
+			}
+		}
+		pause(ctx, time.Duration(100+c.rnd.IntN(400))*time.Millisecond)
+	}
+}
+
+func (c *caller) look(id string) {
+	status, state := c.call(http.MethodGet, id, nil)
+	c.judge.shown(id, status, state)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/standins/soak/faults.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"persimmonpick/platform/emulator"
+	"persimmonpick/standins/faultproxy"
+	"persimmonpick/table"
+)
+
+// The longest times of faults; some outlast the leases of workers.
+const (
+	faultLongest = 5 * time.Second
+	faultPause   = 900 * time.Millisecond // mean between faults, so that they overlap
+)
+
+// trouble injects faults until its context ends, and undoes all of them then.
+type trouble struct {
+	hosts   []*host
+	site    *emulator.Site
+	workers []*faultproxy.Proxy
+	rnd     *rand.Rand
+	began   time.Time
+	version int
+	say     func(format string, args ...any)
+
+	wg sync.WaitGroup
+}
+
+// run injects faults one after the other, each for a while of its own.
+func (t *trouble) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(t.rnd.ExpFloat64()*float64(faultPause)))
+		if ctx.Err() != nil {
+			break
+		}
+		name, undo := t.inject()
+		d := time.Duration(t.rnd.Int64N(int64(faultLongest)))
+		t.say("%6.2f s %s for %v", time.Since(t.began).Seconds(), name, d.Round(time.Millisecond))
+		t.wg.Go(func() {
+			pause(ctx, d)
+			undo()
+		})
+	}
+	t.wg.Wait()
+}
+
+func nothing() {}
+
+func (t *trouble) inject() (name string, undo func()) {
+	h := t.hosts[t.rnd.IntN(len(t.hosts))]
+	n := t.rnd.IntN(len(t.workers))
+	w := t.site.Workers[n]
+	switch t.rnd.IntN(14) {
+	case 0:
+		h.signal(syscall.SIGKILL)
+		return "kill " + h.name, nothing
+	case 1:
+		h.signal(syscall.SIGTERM)
+		return "terminate " + h.name, nothing
+	case 2:
+		h.signal(syscall.SIGSTOP)
+		return "pause " + h.name, func() { h.signal(syscall.SIGCONT) }
+	case 3:
+		h.signal(syscall.SIGHUP)
+		return "hang up " + h.name, nothing
+	case 4:
+		for _, h := range t.hosts {
+			h.signal(syscall.SIGKILL)
+		}
+		return "kill all hosts", nothing
+	case 5, 6:
+		s := t.setting()
+		return fmt.Sprintf("%s between %s and the log", s.Mode, h.name), setProxy(h.log, s)
+	case 7, 8:
+		s := t.setting()
+		return fmt.Sprintf("%s before worker %d", s.Mode, n), setProxy(t.workers[n], s)
+	case 9:
+		all := []emulator.Trouble{emulator.Refusing, emulator.Silent, emulator.Losing, emulator.Late}
+		kind := all[t.rnd.IntN(len(all))]
+		t.site.Log.SetTrouble(kind)
+		return "log " + string(kind), func() { t.site.Log.SetTrouble(emulator.Sound) }
+	case 10:
+		t.site.Log.Forget()
+		return "log forgets its history", nothing
+	case 11:
+		w.Crash()
+		t.site.List(n, "ready")
+		return fmt.Sprintf("worker %d restarts", n), nothing
+	case 12:
+		w.Delay(time.Duration(500+t.rnd.IntN(4000)) * time.Millisecond)
+		return fmt.Sprintf("worker %d starts late", n), func() { w.Delay(0) }
+	default:
+		t.version += 1 + t.rnd.IntN(3)
+		t.site.Configure(t.version, service)
+		w.Hang(true)
+		return fmt.Sprintf("configuration %d, worker %d hangs", t.version, n), func() { w.Hang(false) }
+	}
+}
+
+func (t *trouble) setting() faultproxy.Setting {
+	modes := []faultproxy.Mode{
+		faultproxy.Delay, faultproxy.Cut, faultproxy.HalfOpen, faultproxy.Freeze, faultproxy.DropReplies, faultproxy.Truncate,
+	}
+	return faultproxy.Setting{Mode: modes[t.rnd.IntN(len(modes))], Delay: table.Millis(t.rnd.IntN(400)), Bytes: t.rnd.IntN(2000)}
+}
+
+func setProxy(p *faultproxy.Proxy, s faultproxy.Setting) func() {
+	if err := p.Set(s); err != nil {
+		return nothing // it is closed already
+	}
+	return func() {
+		_ = p.Set(faultproxy.Setting{Mode: faultproxy.Pass}) // it may be closed already
+	}
+}
--- /dev/null
+++ b/standins/soak/main.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v2"
+)
+
+func main() {
+	app := &cli.App{
+		Name: "soak", Usage: "run entry hosts under random faults and check what callers and workers see",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "play `SEED` first"},
+			&cli.IntFlag{Name: "runs", Value: 1, Usage: "play `N` seeds in a row"},
+			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "inject faults for `TIME`"},
+			&cli.IntFlag{Name: "hosts", Value: 3, Usage: "run `N` entry hosts"},
+			&cli.IntFlag{Name: "workers", Value: 6, Usage: "emulate `N` workers"},
+			&cli.IntFlag{Name: "callers", Value: 4, Usage: "have `N` callers"},
+			&cli.StringFlag{Name: "keep", Usage: "keep settings and logs in `DIR`"},
+			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
+		},
+		Action: soak,
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// build builds persimmonpickd into dir.
+func build(dir string) (string, error) {
+	binary := filepath.Join(dir, "persimmonpickd")
+	cmd := exec.Command("go", "build", "-o", binary, "persimmonpick/cmd/persimmonpickd")
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return binary, cmd.Run()
+}
+
+func soak(c *cli.Context) error {
+	dir := c.String("keep")
+	if dir == "" {
+		tmp, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(tmp)
+		dir = tmp
+	}
+	binary, err := build(dir)
+	if err != nil {
+		return err
+	}
+	say := func(string, ...any) {}
+	if c.Bool("verbose") {
+		say = sayTo(os.Stdout)
+	}
+	broken := 0
+	for i := range c.Int("runs") {
+		seed := c.Uint64("seed") + uint64(i)
+		runDir := filepath.Join(dir, fmt.Sprint(seed))
+		if err := os.MkdirAll(runDir, 0o700); err != nil {
+			return err
+		}
+		res, err := run(runConfig{
+			Binary: binary, Dir: runDir, Seed: seed, Length: c.Duration("length"),
+			Hosts: c.Int("hosts"), Workers: c.Int("workers"), Callers: c.Int("callers"), Say: say,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d jobs, %d starts, %d promises broken\n", seed, res.Jobs, res.Starts, len(res.Verdicts))
+		for _, v := range res.Verdicts {
+			broken++
+			fmt.Println("  " + v)
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d promises broken", broken)
+	}
+	return nil
+}
