Believe only its lists about what a restarted worker runs

A worker that restarts under its id may have answered a start in its new life before the list of workers names that life; the board gave such runs up and started them again (runs twice, runs after done). A note of an earlier life made the next leader do the same. Change: a restart raises the token and has the worker looked at; only what the list leaves out is lost. Notes count for addresses only. States older than 2.5 s are not shown.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -137,7 +137,7 @@
 	if w.info.Born != 0 && info.Born < w.info.Born {
 		return // an entry of an earlier life
 	}
-	if info.Born > w.info.Born && w.info.Born != 0 {
+	if info.Born > w.info.Born && w.contacted {
 		b.reborn(w, info.Born, now)
 	}
 	if info.Draining && !w.info.Draining {
@@ -162,7 +162,7 @@
 	b.cfg.Log.Info("worker left the list", "Worker", id, "Tasks", len(w.tasks))
 }
 
-// reborn drops what belonged to an earlier life of w. Unanswered orders may still reach the new life, so they stay until a look under a higher token.
+// reborn has w looked at as if by a new leader. Starts may have been answered by the new life already, and unanswered ones may still reach it, so only a list under a higher token says what was lost.
 func (b *Board) reborn(w *worker, born table.UnixMillis, now time.Time) {
 	b.cfg.Log.Info("worker restarted", "Worker", w.info.ID, "Born", born, "Before", w.info.Born, "Tasks", len(w.tasks))
 	w.info.Born = born
@@ -172,12 +172,6 @@
 	w.failStreak = 0
 	delete(b.acks, w)
 	w.hurry(now)
-	for _, t := range w.tasks {
-		if t.phase == reserved || t.phase == starting {
-			continue
-		}
-		b.lost(t, now, "worker restarted")
-	}
 }
 
 func (w *worker) hurry(now time.Time) {
@@ -237,7 +231,7 @@
 	}
 	for _, w := range b.workers {
 		// A silent worker whose lease has ended runs nothing, listed or not.
-		if w.silentBy > 0 && w.contacted && now.After(w.leaseUntil) {
+		if w.silentBy > 0 && now.After(w.leaseUntil) {
 			for _, t := range w.tasks {
 				if t.phase != starting {
 					b.lost(t, now, "worker silent, lease ended")
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -245,3 +245,47 @@
 	is.Equal(len(looks), 1)
 	is.Equal(looks[0].Address, "w:1")
 }
+
+// A start may have been answered by the new life before the list of workers names it.
+func TestRestartedWorkerKeepsWhatItsNewLifeRuns(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("a")
+	r.submit("j", step(2))
+	r.start()
+	info := r.worker("a")
+	info.Born = 2
+	r.SetWorker(info, r.now)
+	r.list("b")
+	is.Equal(len(r.start()), 0) // what the new life runs is not known before it was asked
+	r.now = r.now.Add(lookPause)
+	for _, o := range r.Looks(r.now, true) {
+		if o.Worker != "a" {
+			r.LookDone(o, r.now, r.listing(o.Worker), nil, r.now)
+			continue
+		}
+		is.True(o.Token > r.firstToken())
+		r.LookDone(o, r.now, Look{Born: 2, Running: []RunningTask{{Task: key("j", 0, 1), Run: 1}}}, nil, r.now)
+	}
+	again := r.start()
+	is.Equal(len(again), 1) // the other one ended with the old life
+	is.Equal(again[0].Task, key("j", 0, 0))
+}
+
+func TestNextLeaderDoesNotTakeARestartForNews(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.SetNotes(map[string][]byte{noteWorker + "a": workerNoteOf(r, "a")}, r.now)
+	r.submit("j", step(1))
+	r.ghost("a", r.now).hold(r.task(key("j", 0, 0)), running) // started in a life after the note
+	info := r.worker("a")
+	info.Born = 5
+	r.SetWorker(info, r.now)
+	is.Equal(r.task(key("j", 0, 0)).phase, running)
+}
+
+func workerNoteOf(r *rig, id string) []byte {
+	w := newWorker(r.worker(id), 1)
+	r.fresh = append(r.fresh, w)
+	return r.rosterNotes()[0].Value
+}
--- a/dispatch/look.go
+++ b/dispatch/look.go
@@ -62,7 +62,7 @@
 	if l.Born != 0 && l.Born < w.info.Born || sent.Before(w.lookSent) {
 		return // overtaken by a newer answer or life
 	}
-	if l.Born > w.info.Born && w.info.Born != 0 {
+	if l.Born > w.info.Born && w.contacted {
 		b.reborn(w, l.Born, now)
 		return
 	}
@@ -78,6 +78,7 @@
 			w.leaseUntil = bound
 		}
 		w.contacted = true
+		w.info.Born = max(w.info.Born, l.Born)
 	}
 	w.nextLook = now.Add(lookPause)
 	for _, e := range l.Ended {
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -11,6 +11,13 @@
 	"persimmonpick/workload"
 )
 
+// How old the view of the log may be for the state of a job that is not final.
+const (
+	viewRefresh = 1500 * time.Millisecond // older views are brought up to date first; an idle host reads every second
+	viewOldest  = 2500 * time.Millisecond // older views are not shown
+	refreshMost = 700 * time.Millisecond
+)
+
 // Config configures a Desk.
 type Config struct {
 	Fold    *ledger.Fold
@@ -74,12 +81,36 @@
 		d.cfg.Log.Info("job not shown", "Job", id, "Queue", q, "ViewAge", time.Since(d.cfg.Fold.Confirmed()).Round(time.Millisecond), "Error", err)
 		return workload.Queued, err
 	}
+	if !e.Status.State.Final() && !e.Cancelled {
+		if e, err = d.current(ctx, e); err != nil {
+			return workload.Queued, err
+		}
+	}
 	if e.Cancelled && !e.Status.State.Final() {
 		return workload.Cancelled, nil
 	}
 	return e.Status.State, nil
 }
 
+// current brings an old view of a job up to date; a host that was paused or cut off would otherwise show it as running after others showed its end.
+func (d *Desk) current(ctx context.Context, e ledger.Entry) (ledger.Entry, error) {
+	age := time.Since(d.cfg.Fold.Confirmed())
+	if age < viewRefresh {
+		return e, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshMost)
+	defer cancel()
+	err := d.cfg.Refresh(ctx)
+	if err != nil && age > viewOldest {
+		d.cfg.Log.Info("job not shown", "Job", e.ID, "ViewAge", age.Round(time.Millisecond), "Error", err)
+		return e, fault.Wrap(err, fault.LogUnavailable, "the state of the job is %v old", age.Round(time.Millisecond))
+	}
+	if fresh, known := d.cfg.Fold.Job(e.ID); known {
+		return fresh, nil
+	}
+	return e, nil
+}
+
 // Pending returns how many jobs of a queue are accepted and have not begun.
 func (d *Desk) Pending(q workload.QueueID) int { return d.cfg.Fold.Pending(q) }
 
