--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -50,6 +50,11 @@
 	round   time.Time
 	decided time.Time
 	ticked  time.Time
+
+	told    time.Time // when the rounds were last logged
+	rounds  int
+	busy    time.Duration
+	longest time.Duration
 }
 
 // NewDispatcher returns a dispatcher whose Run must be called.
@@ -88,6 +93,7 @@
 		if now := time.Now(); now.Sub(d.round) >= roundEvery {
 			d.round = now
 			d.act(now)
+			d.timed(time.Since(now))
 		}
 	}
 }
@@ -131,6 +137,18 @@
 	}
 }
 
+// timed logs how long rounds take, since everything that the leader does waits for them.
+func (d *Dispatcher) timed(took time.Duration) {
+	d.rounds++
+	d.busy += took
+	d.longest = max(d.longest, took)
+	if d.round.Sub(d.told) < surveyEvery {
+		return
+	}
+	d.cfg.Log.Info("rounds", "Rounds", d.rounds, "Busy", d.busy.Round(time.Millisecond), "Longest", d.longest.Round(100*time.Microsecond), "Events", len(d.events))
+	d.told, d.rounds, d.busy, d.longest = d.round, 0, 0, 0
+}
+
 func (d *Dispatcher) act(now time.Time) {
 	if now.Sub(d.ticked) >= tickEvery {
 		d.ticked = now
