--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -188,7 +188,7 @@
 
 // unplace returns t to the queue.
 func (b *Board) unplace(t *task, now time.Time, wait time.Duration) {
-	t.worker.release(t, waiting)
+	t.worker.release(t)
 	t.notBefore = now.Add(wait)
 	if t.group.step.Endless && t.wasRunning {
 		t.downSince = now
@@ -204,7 +204,7 @@
 	j.each(func(t *task) {
 		switch t.phase {
 		case reserved:
-			t.worker.release(t, waiting)
+			t.worker.release(t)
 		case starting, running:
 			t.stopWhy = "job final"
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 const (
 	roundEvery  = 15 * time.Millisecond  // shortest time between rounds
 	decideEvery = 200 * time.Millisecond // a round decides at least this often, for what depends on time alone
+	decideRest  = 4                      // a decision may take a quarter of the time, so that answers of workers are not kept waiting
 	tickEvery   = 100 * time.Millisecond
 	extendFor   = orphanLease // without a confirmed append for this long, leases are not extended any more
 	maxEvents   = 4096
@@ -41,15 +42,16 @@
 
 // Dispatcher owns a board while this host leads.
 type Dispatcher struct {
-	cfg     DispatcherConfig
-	ctx     context.Context
-	board   *Board
-	events  chan func(now time.Time)
-	writing bool
-	changed bool
-	round   time.Time
-	decided time.Time
-	ticked  time.Time
+	cfg      DispatcherConfig
+	ctx      context.Context
+	board    *Board
+	events   chan func(now time.Time)
+	writing  bool
+	changed  bool
+	round    time.Time
+	decided  time.Time
+	deciding time.Duration // how long the last decision took
+	ticked   time.Time
 
 	told    time.Time // when the rounds were last logged
 	rounds  int
@@ -160,9 +162,10 @@
 	for _, o := range d.board.Looks(now, extend) {
 		go d.look(o, now)
 	}
-	if d.changed || now.Sub(d.decided) >= decideEvery {
+	if since := now.Sub(d.decided); since >= decideEvery || d.changed && since >= decideRest*d.deciding {
 		d.changed, d.decided = false, now
 		d.board.Decide(now)
+		d.deciding = time.Since(now)
 	}
 	for _, o := range d.board.Stops(now) {
 		go d.stop(o)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -59,6 +59,7 @@
 	step       *workload.Step
 	tasks      []*task
 	left       int // tasks that are not done
+	idle       int // tasks that wait
 	perWorker  map[table.WorkerID]int
 	durations  []time.Duration // of runs that ended as done
 	rack       table.RackID    // of its first placed task
@@ -113,7 +114,7 @@
 	gs := make([]*group, len(j.spec.Steps))
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
-		g := &group{job: j, occurrence: occurrence, index: i, step: s, left: s.Count, perWorker: map[table.WorkerID]int{}}
+		g := &group{job: j, occurrence: occurrence, index: i, step: s, left: s.Count, idle: s.Count, perWorker: map[table.WorkerID]int{}}
 		g.tasks = make([]*task, s.Count)
 		for n := range g.tasks {
 			g.tasks[n] = &task{
@@ -207,7 +208,7 @@
 			for _, t := range g.tasks {
 				t.phase = done
 			}
-			g.left = 0
+			g.left, g.idle = 0, 0
 			continue
 		}
 		t := g.tasks[m.Index]
@@ -216,6 +217,7 @@
 		case workload.Done:
 			t.phase = done
 			g.left--
+			g.idle--
 		case workload.Assigned:
 			find(m.Worker).hold(t, running)
 			t.wasRunning = true
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -10,6 +10,7 @@
 	leaseSlack = 100 * time.Millisecond // for rounding to milliseconds
 
 	lookPause    = 80 * time.Millisecond  // between looks at a worker, so that close endings share a look
+	lookSpread   = 350 * time.Microsecond // more between looks for each worker, so that looks cost no more than a part of one core
 	lookBusy     = 400 * time.Millisecond // longest wait of a look where tasks that serve and tasks that fill share a worker
 	lookRunning  = 700 * time.Millisecond // longest wait of a look where tasks run; bounds how late a stalled task shows
 	lookIdle     = 2 * time.Second        // longest wait of a look at an idle worker
--- a/dispatch/look.go
+++ b/dispatch/look.go
@@ -80,7 +80,7 @@
 		w.contacted = true
 		w.info.Born = max(w.info.Born, l.Born)
 	}
-	w.nextLook = now.Add(lookPause)
+	w.nextLook = now.Add(max(lookPause, lookSpread*time.Duration(len(b.workers))))
 	for _, e := range l.Ended {
 		if e.Number > w.seen {
 			w.seen = e.Number
@@ -324,13 +324,13 @@
 	if t.group.step.Gang {
 		for _, o := range t.group.tasks {
 			if o.phase.held() {
-				o.worker.release(o, waiting)
+				o.worker.release(o)
 			}
 			b.taskDone(o, now)
 		}
 		return
 	}
-	w.release(t, waiting)
+	w.release(t)
 	b.taskDone(t, now)
 }
 
@@ -343,6 +343,7 @@
 	g := t.group
 	j := g.job
 	g.left--
+	g.idle--
 	j.dirty = true
 	if j.state.Final() || g.left > 0 {
 		return
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -34,19 +34,10 @@
 
 // shares returns the processors that tasks that fill use on w, by image, as shares of its capacity.
 func (w *worker) shares() map[string]float64 {
-	return w.sharesOf(func(t *task) float64 { return float64(t.cpu) })
-}
-
-// plannedShares returns what they would use at full pace.
-func (w *worker) plannedShares() map[string]float64 {
-	return w.sharesOf(func(t *task) float64 { return float64(t.group.step.Need.CPU) })
-}
-
-func (w *worker) sharesOf(use func(*task) float64) map[string]float64 {
 	s := map[string]float64{}
 	for _, t := range w.tasks {
 		if t.group.step.Fills {
-			s[t.group.step.Image] += use(t) / float64(max(1, w.info.Capacity.CPU))
+			s[t.group.step.Image] += float64(t.cpu) / float64(max(1, w.info.Capacity.CPU))
 		}
 	}
 	return s
@@ -130,7 +121,7 @@
 
 // sendAway moves tasks that would stay slow where they are, if they keep their progress.
 func (b *Board) sendAway(w *worker, now time.Time) {
-	if len(w.levels) == 0 {
+	if len(w.levels) == 0 || b.bearable(w, nil) {
 		return
 	}
 	for _, t := range w.tasks {
@@ -139,30 +130,23 @@
 		if !slow || !s.Fills || !s.Checkpoints || t.phase != running || t.stopWhy != "" || now.Sub(l.since) < leaveAfter {
 			continue
 		}
-		if !b.bearable(w, nil) {
-			t.stopWhy = whyDisturbs
-			b.counts.Moved++
-		}
+		t.stopWhy = whyDisturbs
+		b.counts.Moved++
 	}
 }
 
 // bearable says whether the tasks that serve on w bear the tasks that fill there at full pace, with t besides.
 func (b *Board) bearable(w *worker, t *task) bool {
-	if w.serves == 0 {
-		return true
-	}
-	shares := w.plannedShares()
-	if t != nil {
-		shares[t.group.step.Image] += float64(t.group.step.Need.CPU) / float64(max(1, w.info.Capacity.CPU))
-	}
-	seen := map[string]bool{}
-	for _, o := range w.tasks {
-		image := o.group.step.Image
-		if !o.group.step.Serves() || seen[image] {
-			continue
+	capacity := float64(max(1, w.info.Capacity.CPU))
+	for serve := range w.byImage {
+		p := 0.0
+		for fill, cpu := range w.planned {
+			p += b.images.factor(fill, serve) * float64(cpu) / capacity
+		}
+		if t != nil {
+			p += b.images.factor(t.group.step.Image, serve) * float64(t.group.step.Need.CPU) / capacity
 		}
-		seen[image] = true
-		if b.images.pressure(shares, image) > pressurePlan {
+		if p > pressurePlan {
 			return false
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -70,7 +70,7 @@
 		}
 		for _, occurrence := range j.groups {
 			for _, g := range occurrence {
-				if g.left > 0 && g.ready() && g.waits(now) {
+				if g.idle > 0 && g.ready() && g.waits(now) {
 					gs = append(gs, g)
 				}
 			}
@@ -103,11 +103,20 @@
 		return b.placeGang(g, now)
 	}
 	n := 0
+	var places []place
 	for _, t := range g.tasks {
 		if t.phase != waiting || now.Before(t.notBefore) {
 			continue
 		}
-		w := b.choose(t, now)
+		var w *worker
+		if t.failures > 0 {
+			w = b.choose(t, now) // its own history counts
+		} else {
+			if places == nil {
+				places = b.places(t, now)
+			}
+			w = b.takeBest(places, t, now)
+		}
 		if w == nil {
 			return n, false
 		}
@@ -117,6 +126,48 @@
 	return n, true
 }
 
+// place is a worker that fits the tasks of a step, with its score.
+type place struct {
+	w     *worker
+	score float64
+}
+
+// places rates the workers for the tasks of one step, which differ in nothing else that counts.
+func (b *Board) places(t *task, now time.Time) []place {
+	ps := make([]place, 0, len(b.workers))
+	for _, w := range b.workers {
+		if w.usable(now) && b.fits(t, w, now) {
+			ps = append(ps, place{w, b.score(t, w, now)})
+		}
+	}
+	return ps
+}
+
+// takeBest returns the best place for t and rates it anew for the next task, or returns nil if none is left.
+func (b *Board) takeBest(ps []place, t *task, now time.Time) *worker {
+	for {
+		best := -1
+		for i, p := range ps {
+			if p.w != nil && (best < 0 || p.score < ps[best].score || p.score == ps[best].score && p.w.info.ID < ps[best].w.info.ID) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		w := ps[best].w
+		if !b.fits(t, w, now) {
+			ps[best].w = nil
+			continue
+		}
+		if s := b.score(t, w, now); s > ps[best].score {
+			ps[best].score = s // it was taken by the task before
+			continue
+		}
+		return w
+	}
+}
+
 // placeGang places all tasks of a gang under one run number.
 func (b *Board) placeGang(g *group, now time.Time) (int, bool) {
 	top := g.tasks[0].run
@@ -132,7 +183,7 @@
 		w := b.choose(t, now)
 		if w == nil {
 			for _, o := range g.tasks[:i] {
-				o.worker.release(o, waiting)
+				o.worker.release(o)
 			}
 			b.placed = b.placed[:len(b.placed)-i]
 			return 0, false
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -44,18 +44,23 @@
 	badUntil   time.Time
 	badWhy     string
 	lastDone   time.Time
-	levels     map[string]level // pace of the tasks that fill, by image; full for the others
-	byImage    map[string]int   // tasks that serve, by image
+	levels     map[string]level            // pace of the tasks that fill, by image; full for the others
+	byImage    map[string]int              // tasks that serve, by image
+	planned    map[string]table.Millicores // of tasks that fill, by image
 	leveled    time.Time
 	calmSince  time.Time
 }
 
 func newWorker(info WorkerInfo, token FenceToken) *worker {
-	return &worker{info: info, token: token, tasks: map[workload.TaskKey]*task{}, byImage: map[string]int{}}
+	return &worker{
+		info: info, token: token, tasks: map[workload.TaskKey]*task{}, byImage: map[string]int{},
+		planned: map[string]table.Millicores{},
+	}
 }
 
 // hold assigns t to w.
 func (w *worker) hold(t *task, p phase) {
+	t.group.idle--
 	t.worker, t.phase = w, p
 	w.tasks[t.key] = t
 	w.charge(t, 1)
@@ -65,12 +70,13 @@
 	}
 }
 
-// release takes t off its worker; it waits or is done afterwards.
-func (w *worker) release(t *task, p phase) {
+// release takes t off its worker; it waits afterwards.
+func (w *worker) release(t *task) {
 	delete(w.tasks, t.key)
 	w.charge(t, -1)
 	t.group.perWorker[w.info.ID]--
-	t.worker, t.phase, t.uncertain = nil, p, false
+	t.worker, t.phase, t.uncertain = nil, waiting, false
+	t.group.idle++
 	t.pace, t.percent, t.stopSent, t.stopWhy = fullPace, 0, time.Time{}, ""
 	t.tail, t.cpu, t.pacing = 0, 0, false
 }
@@ -84,11 +90,18 @@
 	w.used = w.used.Plus(n)
 	if s.Fills {
 		w.fills += s.Need.CPU * table.Millicores(sign)
+		w.planned[s.Image] += s.Need.CPU * table.Millicores(sign)
+		if w.planned[s.Image] == 0 {
+			delete(w.planned, s.Image)
+		}
 	}
 	if s.Serves() {
 		w.serving += s.Need.CPU * table.Millicores(sign)
 		w.serves += sign
 		w.byImage[s.Image] += sign
+		if w.byImage[s.Image] == 0 {
+			delete(w.byImage, s.Image)
+		}
 	}
 }
 
