--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -2,19 +2,22 @@
 
 import (
 	"time"
+
+	"persimmonpick/table"
 )
 
 // How tasks that fill are slowed down for the sake of tasks that serve beside them.
 const (
 	paceEvery    = 300 * time.Millisecond // between changes at one worker; tails are measured over half a second
 	paceCalm     = 1200 * time.Millisecond
-	paceDown     = 3    // the pace of what disturbs is divided by this
-	paceLeast    = 12   // percent; below it the tasks stand still
-	paceUp       = 30   // percent that is given back at a time
-	tailHigh     = 0.95 // share of the target from which tasks that fill slow down
-	tailLow      = 0.7  // share of the target below which they may work faster
-	pressurePart = 0.4  // of the largest pressure; images with at least this much slow down
-	pressurePlan = 0.3  // up to which tasks are placed beside each other
+	paceDown     = 3                      // the pace of what disturbs is divided by this
+	paceLeast    = 12                     // percent; below it the tasks stand still
+	paceUp       = 30                     // percent that is given back at a time
+	tailHigh     = 0.95                   // share of the target from which tasks that fill slow down
+	tailLow      = 0.7                    // share of the target below which they may work faster
+	pressurePart = 0.4                    // of the largest pressure; images with at least this much slow down
+	pressurePlan = 0.3                    // up to which tasks are placed beside each other
+	usageAge     = 700 * time.Millisecond // usage is reported for the last half second
 	leaveAfter   = 500 * time.Millisecond
 )
 
@@ -33,23 +36,31 @@
 }
 
 // shares returns the processors that tasks that fill use on w, by image, as shares of its capacity.
-func (w *worker) shares() map[string]float64 {
+func (w *worker) shares(now time.Time) map[string]float64 {
 	s := map[string]float64{}
 	for _, t := range w.tasks {
 		if t.group.step.Fills {
-			s[t.group.step.Image] += float64(t.cpu) / float64(max(1, w.info.Capacity.CPU))
+			s[t.group.step.Image] += float64(t.uses(now)) / float64(max(1, w.info.Capacity.CPU))
 		}
 	}
 	return s
 }
 
+// uses returns the processors that a task that fills uses; for a run too young to be measured it is what its pace allows.
+func (t *task) uses(now time.Time) table.Millicores {
+	if t.cpu == 0 || now.Sub(t.began) < usageAge {
+		return t.group.step.Need.CPU * table.Millicores(t.pace) / fullPace
+	}
+	return t.cpu
+}
+
 // steer changes the pace of the tasks that fill on w by the tails of the tasks that serve there.
 func (b *Board) steer(w *worker, now time.Time) {
 	if w.serves == 0 {
-		w.levels = nil
+		w.levels, w.highest = nil, 0
 		return
 	}
-	shares := w.shares()
+	shares := w.shares(now)
 	highest, missed := 0.0, map[string]bool{}
 	for _, t := range w.tasks {
 		if t.phase != running || !t.group.step.Serves() || t.tail <= 0 {
@@ -62,6 +73,7 @@
 			missed[t.group.step.Image] = true
 		}
 	}
+	w.highest = highest
 	if highest > tailLow {
 		w.calmSince = now
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -246,7 +246,7 @@
 		return true
 	}
 	room := fillTo*float64(w.info.Capacity.CPU) - w.counted() - float64(w.fills)
-	return w.paceOf(g.step.Image) == fullPace && (room >= float64(g.step.Need.CPU) || w.fills == 0 && room > 0) && b.bearable(w, t)
+	return w.highest <= tailHigh && w.paceOf(g.step.Image) == fullPace && (room >= float64(g.step.Need.CPU) || w.fills == 0 && room > 0) && b.bearable(w, t)
 }
 
 // score rates a place for t; lower is better.
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -249,3 +249,26 @@
 	r.answer(map[string]Look{"a": {Ended: []Ending{{Number: 2, Task: second[0].Task, Run: 1}}}})
 	is.Equal(r.jobs["j"].state, workload.Completed)
 }
+
+// TestYoungRunsGiveWayToo plays runs that end before their usage is ever reported.
+func TestYoungRunsGiveWayToo(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("a")
+	serve := step(1)
+	serve.Endless, serve.Image, serve.LatencyTarget = true, "serve", 18
+	r.submit("s", serve)
+	r.start()
+	fill := step(2)
+	fill.Fills, fill.Image = true, "fill"
+	r.submit("f", fill)
+	is.Equal(len(r.start()), 2)
+	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 100 * time.Millisecond}}}
+	for i := range 2 {
+		look.Running = append(look.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10})
+	}
+	r.answer(map[string]Look{"a": look})
+	is.Equal(len(r.Paces(r.now)), 2)
+	r.submit("more", fill)
+	is.Equal(len(r.start()), 0) // nothing is added where a target is missed
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -49,6 +49,7 @@
 	planned    map[string]table.Millicores // of tasks that fill, by image
 	leveled    time.Time
 	calmSince  time.Time
+	highest    float64 // newest tail of the tasks that serve, as a share of their target
 }
 
 func newWorker(info WorkerInfo, token FenceToken) *worker {
