--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -43,6 +43,8 @@
 	counts Counts
 	crowd  float64 // how much of the capacity is taken, see crowded
 
+	displaced bool // a worker has seen the token of another leader
+
 	surveyed time.Time
 	handedOn time.Time // when what was learned was last written
 }
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -289,3 +289,20 @@
 	r.fresh = append(r.fresh, w)
 	return r.rosterNotes()[0].Value
 }
+
+func TestFencedLeaderGivesNoMoreOrders(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("a")
+	r.submit("j", step(1))
+	r.start()
+	is.True(!r.Displaced())
+	r.now = r.now.Add(lookPause)
+	o := r.Looks(r.now, true)[0]
+	old := o
+	old.Token--
+	r.LookDone(old, r.now, Look{}, fault.New(fault.Stale, "fence"), r.now)
+	is.True(!r.Displaced()) // the worker has seen a later token of this leader
+	r.LookDone(o, r.now, Look{}, fault.New(fault.Stale, "fence"), r.now)
+	is.True(r.Displaced())
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -97,6 +97,9 @@
 			d.act(now)
 			d.timed(time.Since(now))
 		}
+		if d.board.Displaced() {
+			return
+		}
 	}
 }
 
--- a/dispatch/look.go
+++ b/dispatch/look.go
@@ -53,6 +53,7 @@
 	}
 	w.looks--
 	if err != nil {
+		b.fenced(w, o.Token, fault.Of(err) == fault.Stale)
 		b.lookFailed(w, err, now)
 		return
 	}
@@ -254,6 +255,8 @@
 		}
 		w.hurry(now)
 		return
+	case RefusedFence:
+		b.fenced(w, o.Token, true)
 	case RefusedRoom:
 		w.fullUntil = now.Add(refusedWait)
 	case RefusedUnhealthy, NotSent:
@@ -266,6 +269,18 @@
 	b.breakGang(t, "member refused")
 }
 
+// fenced notes that w refused an order because it has seen a higher token, which only another leader can have used if ours is the newest of this one.
+func (b *Board) fenced(w *worker, token FenceToken, refused bool) {
+	if !refused || token < w.token || b.displaced {
+		return
+	}
+	b.displaced = true
+	b.cfg.Log.Warn("another leader gives orders", "Worker", w.info.ID, "Token", token, "Epoch", b.cfg.Epoch)
+}
+
+// Displaced says whether a worker has refused this leader for another one.
+func (b *Board) Displaced() bool { return b.displaced }
+
 // breakGang stops the members of a gang that cannot be whole.
 func (b *Board) breakGang(t *task, why string) {
 	if !t.group.step.Gang {
@@ -393,6 +408,7 @@
 		return
 	}
 	if err != nil {
+		b.fenced(w, o.Token, fault.Of(err) == fault.Stale)
 		b.cfg.Log.Info("stop not confirmed", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Error", err)
 		return
 	}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonpick/fault"
 	"persimmonpick/table"
 )
 
@@ -194,6 +195,7 @@
 	}
 	t.pacing = false
 	if err != nil {
+		b.fenced(t.worker, o.Token, fault.Of(err) == fault.Stale)
 		b.cfg.Log.Info("pace not confirmed", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Error", err)
 		return
 	}
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -154,6 +154,7 @@
 		f.applyLeader(r, now)
 		return
 	case kindNote:
+		f.leaderSign = now
 		f.applyNote(string(id), r.Value)
 		return
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -363,3 +363,28 @@
 		end(a, b)
 	})
 }
+
+// A leader that hands on workers writes nothing else for a while; that must not pass for silence.
+func TestNotesAreASignOfTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		a, b := stand(t, m, "a"), stand(t, m, "b")
+		time.Sleep(2 * time.Second)
+		was := a.leads()
+		w := a.writer
+		if !was {
+			w = b.writer
+		}
+		for range 20 {
+			if w.Displaced() {
+				break
+			}
+			w.Append([]Record{NoteRecord("worker/w", []byte("x"))}, func() {})
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.Equal(a.leads(), was)
+		is.Equal(leaders(a, b), 1)
+		end(a, b)
+	})
+}
