--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -93,10 +93,6 @@
 	if usual := b.sizes[j.queue.ID]; usual > 0 {
 		value = min(valueMost, valueBase+(1-valueBase)*j.work()/usual)
 	}
-	if b.crowd > 0 && !g.step.Fills {
-		// Small tasks would take the pieces that large ones need.
-		left /= math.Pow(float64(max(1, g.step.Need.CPU)), b.crowd)
-	}
 	r := rating{density: value / max(1, left)}
 	need := time.Duration(float64(chain) * float64(time.Millisecond) * promptChance)
 	due := g.due()
