--- /dev/null
+++ b/commands/fleet.go
@@ -0,0 +1,65 @@
+package commands
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/urfave/cli/v2"
+
+	"persimmonpick/fault"
+	"persimmonpick/fleet"
+)
+
+// maxStatus bounds the status of one host, in bytes.
+const maxStatus = 4 << 20
+
+// fleet shows entry hosts that run on the users' platform, by the addresses of their metrics.
+func (p *program) fleet() *cli.Command {
+	return &cli.Command{
+		Name: "fleet", Usage: "show entry hosts on the users' platform", ArgsUsage: "METRICS-ADDRESS...",
+		Action: p.runFleet,
+	}
+}
+
+func (p *program) runFleet(c *cli.Context) error {
+	if c.NArg() == 0 {
+		return fault.New(fault.Invalid, "no address is named; use persimmonpick fleet HOST:PORT...")
+	}
+	client := &http.Client{Timeout: c.Duration(flagTimeout)}
+	var all []fleet.Status
+	for _, address := range c.Args().Slice() {
+		s, err := fetchStatus(client, address)
+		if err != nil {
+			return err
+		}
+		all = append(all, s)
+	}
+	return p.show(c, all, func(w io.Writer) error {
+		g := newGrid(w, "HOST", "ZONE", "READY", "LEADER", "EPOCH", "VIEW AGE", "CONFIGURATION", "PENDING")
+		for _, s := range all {
+			pending := 0
+			for _, q := range s.Queues {
+				pending += q.Pending
+			}
+			g.row(s.Host, s.Zone, yes(s.Ready), s.Leader, s.Epoch, s.ViewAge, s.Version, pending)
+		}
+		return g.w.Flush()
+	})
+}
+
+func fetchStatus(client *http.Client, address string) (fleet.Status, error) {
+	var s fleet.Status
+	resp, err := client.Get("http://" + address + fleet.PathStatus)
+	if err != nil {
+		return s, fault.Wrap(err, fault.NotReady, "host %s does not answer", address)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, fault.New(fault.NotReady, "host %s answered with status %d", address, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s); err != nil {
+		return s, fault.Wrap(err, fault.BadAnswer, "status of host %s cannot be decoded", address)
+	}
+	return s, nil
+}
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -14,7 +14,6 @@
 	Epoch      ledger.Epoch
 	Term       time.Duration // of leases
 	StatusKept time.Duration // how long the state of a final job is kept
-	StopWithin time.Duration // a stop takes at most this long
 	Far        float64       // how many times longer a task takes away from its data
 	Log        *slog.Logger
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -201,7 +201,7 @@
 	})
 }
 
-func (d *Dispatcher) flushed(f *flush, now time.Time) {
+func (d *Dispatcher) flushed(f *Batch, now time.Time) {
 	extend := now.Sub(d.cfg.Writer.Confirmed()) < extendFor
 	for _, o := range d.board.Flushed(f, now, extend) {
 		go d.start(o)
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -19,18 +19,16 @@
 
 // WorkerInfo is what a worker says of itself in the list of workers.
 type WorkerInfo struct {
-	ID        table.WorkerID
-	Service   table.ServiceID
-	Address   string // host:port
-	Zone      table.ZoneID
-	Rack      table.RackID
-	Labels    []string
-	Capacity  table.Resources
-	Born      table.UnixMillis // start of this life
-	Draining  bool
-	LeavesIn  time.Duration // at least this long until a draining worker leaves
-	ColdFor   time.Duration // how long it stays slow after its start
-	Unguarded bool          // it starts also what does not fit
+	ID       table.WorkerID
+	Service  table.ServiceID
+	Address  string // host:port
+	Zone     table.ZoneID
+	Rack     table.RackID
+	Labels   []string
+	Capacity table.Resources
+	Born     table.UnixMillis // start of this life
+	Draining bool
+	LeavesIn time.Duration // at least this long until a draining worker leaves
 }
 
 // StartOrder asks a worker to start a run of a task.
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -8,8 +8,8 @@
 	"persimmonpick/workload"
 )
 
-// flush is a set of records that is being written, and what follows once it is.
-type flush struct {
+// Batch is a set of records that is being written, and what follows once it is.
+type Batch struct {
 	records []ledger.Record
 	intents []*task
 	runs    []workload.RunNumber
@@ -17,8 +17,8 @@
 }
 
 // Flush returns the records of all changes since the last call, or nil if there are none; Flushed must be called once they are in the log.
-func (b *Board) Flush(now time.Time) *flush { //nolint:revive // the type is opaque to the dispatcher
-	f := &flush{intents: b.placed, acks: b.acks}
+func (b *Board) Flush(now time.Time) *Batch {
+	f := &Batch{intents: b.placed, acks: b.acks}
 	for _, t := range f.intents {
 		f.runs = append(f.runs, t.run)
 	}
@@ -77,7 +77,7 @@
 }
 
 // Flushed returns the start orders whose intents are in the log now.
-func (b *Board) Flushed(f *flush, now time.Time, extend bool) []StartOrder {
+func (b *Board) Flushed(f *Batch, now time.Time, extend bool) []StartOrder {
 	for w, n := range f.acks {
 		if n > w.acked && n <= w.seen {
 			w.acked = n
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -112,7 +112,7 @@
 	servers := []*http.Server{h.server(h.cfg.Callers(h)), h.server(h.cfg.Readiness(h))}
 	addresses := []string{s.Callers, s.Readiness}
 	if s.Metrics != "" {
-		servers, addresses = append(servers, h.server(h.metrics.handler())), append(addresses, s.Metrics)
+		servers, addresses = append(servers, h.server(h.pages())), append(addresses, s.Metrics)
 	}
 	failed := make(chan error, len(servers))
 	for i, srv := range servers {
--- /dev/null
+++ b/fleet/logging_test.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stuckWriter is a standard output that nobody reads.
+type stuckWriter struct{ release chan struct{} }
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+func TestLogNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	stuck := stuckWriter{make(chan struct{})}
+	defer close(stuck.release)
+	l := NewLineWriter(stuck)
+	began := time.Now()
+	for range 10 * logLines {
+		n, err := l.Write([]byte("line\n"))
+		is.NoErr(err)
+		is.Equal(n, 5)
+	}
+	is.True(time.Since(began) < time.Second)
+	is.True(l.dropped.Load() > 0)
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	is := is.New(t)
+	c := Configuration{Routes: []Route{{Host: "h", Prefix: "/a/"}, {Host: "h", Prefix: "/a/b/"}, {Host: "other", Prefix: "/a/b/c/"}}}
+	r, rest, ok := c.Find("H", "/a/b/c/x")
+	is.True(ok)
+	is.Equal(r.Prefix, "/a/b/")
+	is.Equal(rest, "c/x")
+	_, _, ok = c.Find("h", "/b")
+	is.True(!ok)
+}
--- /dev/null
+++ b/intake/desk_test.go
@@ -0,0 +1,118 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/fault"
+	"persimmonpick/ledger"
+	"persimmonpick/table"
+	"persimmonpick/workload"
+)
+
+// rig is a desk in front of a log in memory.
+type rig struct {
+	*Desk
+	fold      *ledger.Fold
+	log       ledger.Log
+	appended  []ledger.Record
+	appendErr error
+	readErr   error
+}
+
+func newRig() *rig {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	r := &rig{fold: ledger.NewFold(quiet)}
+	r.log = ledger.Log{
+		Newest: func(context.Context, ledger.Topic, string) (ledger.Snapshot, error) {
+			return ledger.Snapshot{Records: r.appended, End: ledger.Position(len(r.appended))}, r.readErr
+		},
+	}
+	r.Desk = New(Config{
+		Fold: r.fold, Log: quiet,
+		Refresh: func(ctx context.Context) error {
+			if r.readErr != nil {
+				return r.readErr
+			}
+			// A new reader loads the newest records into the fold.
+			return ledger.NewReader(ledger.ReaderConfig{Log: ledger.Log{Newest: r.log.Newest, Read: r.read}, Fold: r.fold, Logger: quiet}).Refresh(ctx)
+		},
+		Append: func(_ context.Context, rec ledger.Record) error {
+			if r.appendErr != nil {
+				return r.appendErr
+			}
+			rec.Position = ledger.Position(len(r.appended))
+			r.appended = append(r.appended, rec)
+			return nil
+		},
+	})
+	return r
+}
+
+func (r *rig) read(_ context.Context, _ ledger.Topic, from ledger.Position, _ time.Duration) (ledger.Page, error) {
+	end := ledger.Position(len(r.appended))
+	return ledger.Page{Records: r.appended[from:], Next: end, End: end}, r.readErr
+}
+
+var queue = workload.Queue{ID: "q", Service: "s"}
+
+func spec() workload.Spec {
+	return workload.Spec{Payload: "p", Steps: []workload.Step{{Count: 1, Need: table.Resources{CPU: 100}}}}
+}
+
+func TestAcceptedJobIsShownAndRepeatedOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+	s, err := r.State(t.Context(), "q", "aa")
+	is.NoErr(err)
+	is.Equal(s, workload.Queued)
+	is.Equal(r.Pending("q"), 1)
+	is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+	is.Equal(len(r.appended), 1)
+}
+
+func TestJobsThatDoNotExist(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	_, err := r.State(t.Context(), "q", "aa")
+	is.Equal(fault.Of(err), fault.NotFound)
+	is.Equal(fault.Of(r.Cancel(t.Context(), "q", "aa")), fault.NotFound)
+	is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+	_, err = r.State(t.Context(), "another", "aa")
+	is.Equal(fault.Of(err), fault.NotFound) // the job is of another queue
+	r.readErr = fault.New(fault.LogUnavailable, "down")
+	_, err = r.State(t.Context(), "q", "bb")
+	is.Equal(fault.Of(err), fault.LogUnavailable) // nobody can say that it does not exist
+}
+
+func TestCancelledJobIsShownAsSuch(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+	is.NoErr(r.Cancel(t.Context(), "q", "aa"))
+	is.NoErr(r.cfg.Refresh(t.Context()))
+	s, err := r.State(t.Context(), "q", "aa")
+	is.NoErr(err)
+	is.Equal(s, workload.Cancelled)
+	is.Equal(r.Pending("q"), 0)
+	is.NoErr(r.Cancel(t.Context(), "q", "aa"))
+	is.Equal(len(r.appended), 2)
+}
+
+func TestWhatCannotBeServedIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	is.Equal(fault.Of(r.Submit(t.Context(), queue, "aa", workload.Spec{})), fault.Invalid)
+	advised := queue
+	advised.Advised = true
+	is.Equal(fault.Of(r.Submit(t.Context(), advised, "aa", spec())), fault.Overloaded)
+	is.Equal(len(r.appended), 0)
+	r.appendErr = fault.New(fault.LogUnavailable, "down")
+	is.Equal(fault.Of(r.Submit(t.Context(), queue, "aa", spec())), fault.LogUnavailable)
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -62,8 +62,10 @@
 // DropJob returns the records that drop all keys of a job.
 func DropJob(id table.JobID) []Record {
 	return []Record{
-		{Key: jobKey(kindSubmission, id)}, {Key: jobKey(kindCancel, id)},
-		{Key: jobKey(kindStatus, id)}, {Key: jobKey(kindProgress, id)},
+		{Key: jobKey(kindSubmission, id)},
+		{Key: jobKey(kindCancel, id)},
+		{Key: jobKey(kindStatus, id)},
+		{Key: jobKey(kindProgress, id)},
 	}
 }
 
