Keep the metrics of the new path on its own page

TestAlertRulesNameExportedMetrics holds every metric that OPERATIONS.md names against the collector of the product's own path; the names now stand on platform.md with a test of their own. TestNotesAreASignOfTheLeader read a field without its lock.

--- /dev/null
+++ b/fleet/metrics_test.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"os"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/dispatch"
+	"persimmonpick/fault"
+)
+
+func TestMetricsStandOnThePage(t *testing.T) {
+	is := is.New(t)
+	m := newMetrics()
+	m.answer("POST", fault.None, time.Millisecond)
+	m.call("Look", time.Millisecond)
+	m.board(dispatch.Counts{Starts: 2})
+	families, err := m.registry.Gather()
+	is.NoErr(err)
+	page, err := os.ReadFile("../docs/platform.md")
+	is.NoErr(err)
+	named := map[string]bool{}
+	for _, name := range regexp.MustCompile(`persimmonpick_\w+`).FindAllString(string(page), -1) {
+		named[name] = true
+	}
+	is.Equal(len(families), len(named))
+	for _, f := range families {
+		is.True(named[f.GetName()])
+	}
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -255,6 +255,13 @@
 	return c.leading
 }
 
+// writes returns the writer of the newest lead.
+func (c *candidate) writes() *Writer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writer
+}
+
 func stand(t *testing.T, m *memoryLog, name string) *candidate {
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &candidate{host: newHost(m), stop: cancel, done: make(chan struct{})}
@@ -312,7 +319,7 @@
 				first = x
 			}
 		}
-		epoch := first.writer.Epoch()
+		epoch := first.writes().Epoch()
 		first.stop() // it resigns
 		<-first.done
 		time.Sleep(time.Second)
@@ -330,7 +337,7 @@
 		a := stand(t, m, "a")
 		time.Sleep(2 * time.Second)
 		is.True(a.leads())
-		w := a.writer
+		w := a.writes()
 		r, err := encode(leaderKey, Leader{Host: "b", Process: "b-1", Epoch: w.Epoch() + 1})
 		is.NoErr(err)
 		is.NoErr(m.append(t.Context(), Append{Producer: leaderProducer, Epoch: w.Epoch() + 1, Records: []Record{r}}))
@@ -372,9 +379,9 @@
 		a, b := stand(t, m, "a"), stand(t, m, "b")
 		time.Sleep(2 * time.Second)
 		was := a.leads()
-		w := a.writer
+		w := a.writes()
 		if !was {
-			w = b.writer
+			w = b.writes()
 		}
 		for range 20 {
 			if w.Displaced() {
