Slow what fills also where no image is known to disturb

Ruled out: a busy leader (Longest 32 ms) and dropped log lines (none in that time). Change: where no image is known to disturb, the shares of the worker stand in for the pressures.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -101,6 +101,13 @@
 		}
 		most = max(most, pressures[fill])
 	}
+	if most == 0 {
+		// None is known to disturb, and yet a target is missed: the largest share is the best guess.
+		for fill, x := range shares {
+			pressures[fill] = x
+			most = max(most, x)
+		}
+	}
 	for fill, p := range pressures {
 		if p < pressurePart*most || p == 0 || w.paceOf(fill) == 0 {
 			continue
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -272,3 +272,26 @@
 	r.submit("more", fill)
 	is.Equal(len(r.start()), 0) // nothing is added where a target is missed
 }
+
+// TestHarmlessImagesGiveWayWhenNothingElseExplainsAMiss plays an image that has never disturbed anything.
+func TestHarmlessImagesGiveWayWhenNothingElseExplainsAMiss(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("a")
+	serve := step(1)
+	serve.Endless, serve.Image, serve.LatencyTarget = true, "serve", 18
+	r.submit("s", serve)
+	r.start()
+	fill := step(2)
+	fill.Fills, fill.Image = true, "fill"
+	r.submit("f", fill)
+	is.Equal(len(r.start()), 2)
+	r.images.of("serve").add("fill")
+	r.images.of("serve").mean[0] = -5 // far below zero after a calm time
+	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 40 * time.Millisecond}}}
+	for i := range 2 {
+		look.Running = append(look.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10, CPU: 1000})
+	}
+	r.answer(map[string]Look{"a": look})
+	is.Equal(len(r.Paces(r.now)), 2)
+}
