Make the test of unblamed images fail without its fix

With an estimate far below zero it fails on the code before (0 paces of 2) and passes after; run both ways now.

--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -287,7 +287,7 @@
 	r.submit("f", fill)
 	is.Equal(len(r.start()), 2)
 	r.images.of("serve").add("fill")
-	r.images.of("serve").mean[0] = -5 // far below zero after a calm time
+	r.images.of("serve").mean[0] = -50 // far below zero after a calm time
 	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 40 * time.Millisecond}}}
 	for i := range 2 {
 		look.Running = append(look.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10, CPU: 1000})
