Drop a field that nothing reads, share the set-up of two tests

Cause: the last read of the change. task.downSince was written and never read; TestYoungRunsGiveWayToo and the test after it built the same rig line by line; a doc comment named another function. Behaviour and assertions are unchanged.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -191,9 +191,6 @@
 func (b *Board) unplace(t *task, now time.Time, wait time.Duration) {
 	t.worker.release(t)
 	t.notBefore = now.Add(wait)
-	if t.group.step.Endless && t.wasRunning {
-		t.downSince = now
-	}
 	t.group.job.dirty = true
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -46,8 +46,7 @@
 	stopWhy    string
 	notBefore  time.Time
 	failedOn   table.WorkerID
-	moves      int       // away from workers where it was slow
-	downSince  time.Time // of an endless task that is not at work
+	moves      int // away from workers where it was slow
 	wasRunning bool
 }
 
@@ -149,7 +148,7 @@
 	return n
 }
 
-// tasks calls f for each task of j.
+// each calls f for each task of j.
 func (j *job) each(f func(*task)) {
 	for _, gs := range j.groups {
 		for _, g := range gs {
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -250,9 +250,8 @@
 	is.Equal(r.jobs["j"].state, workload.Completed)
 }
 
-// TestYoungRunsGiveWayToo plays runs that end before their usage is ever reported.
-func TestYoungRunsGiveWayToo(t *testing.T) {
-	is := is.New(t)
+// newMixedRig returns a rig whose one worker runs a task that serves beside two that fill, and the step of the latter.
+func newMixedRig(is *is.I) (*rig, workload.Step) {
 	r := newRig()
 	r.list("a")
 	serve := step(1)
@@ -263,6 +262,13 @@
 	fill.Fills, fill.Image = true, "fill"
 	r.submit("f", fill)
 	is.Equal(len(r.start()), 2)
+	return r, fill
+}
+
+// TestYoungRunsGiveWayToo plays runs that end before their usage is ever reported.
+func TestYoungRunsGiveWayToo(t *testing.T) {
+	is := is.New(t)
+	r, fill := newMixedRig(is)
 	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 100 * time.Millisecond}}}
 	for i := range 2 {
 		look.Running = append(look.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10})
@@ -276,16 +282,7 @@
 // TestHarmlessImagesGiveWayWhenNothingElseExplainsAMiss plays an image that has never disturbed anything.
 func TestHarmlessImagesGiveWayWhenNothingElseExplainsAMiss(t *testing.T) {
 	is := is.New(t)
-	r := newRig()
-	r.list("a")
-	serve := step(1)
-	serve.Endless, serve.Image, serve.LatencyTarget = true, "serve", 18
-	r.submit("s", serve)
-	r.start()
-	fill := step(2)
-	fill.Fills, fill.Image = true, "fill"
-	r.submit("f", fill)
-	is.Equal(len(r.start()), 2)
+	r, _ := newMixedRig(is)
 	r.images.of("serve").add("fill")
 	r.images.of("serve").mean[0] = -50 // far below zero after a calm time
 	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 40 * time.Millisecond}}}
