Tell the load of users from the impact of neighbors

The filter took the swing of the users for impact, so its estimates wandered. Change: a load for each step that serves, estimated by all its tasks, beside the factors of images; readings count for both only when nothing began or ended in the last 0.7 s. Pace and places go by the leeway that the highest recent load leaves.

--- a/dispatch/impact.go
+++ b/dispatch/impact.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -8,30 +9,56 @@
 
 // The learning of how much images disturb each other.
 //
-// Tails follow those of a queue: t = s / (1 - load), where work beside a task raises its load in proportion. Readings are turned into that raise, and a Kalman filter for each image that serves splits it among the images beside it.
+// Tails follow those of a queue: t = s / (1 - load), where work beside a task adds to its load in proportion. A Kalman filter for each image that serves splits the load that a reading shows into the load of the task's own users and what each image beside it adds.
 const (
-	usualLoad    = 0.45 // assumed load of a task that serves when nothing disturbs it
-	raiseMost    = 1.1  // readings say no more about a queue that is full
-	raiseLeast   = -0.6
-	raiseNoise   = 0.15 // variance of a reading, mostly by the task's own load
-	factorPrior  = 1.5  // raise by a whole worker of an image that was never seen beside another
-	factorSpread = 25.0 // variance of the prior
-	factorDrift  = 0.4  // variance that a second adds, since factors change
-	aloneWeight  = 0.05 // of a new reading of a tail without work beside it
-	aloneShare   = 0.01 // share of a worker; less work counts as none
-	maxImages    = 64   // of tasks that fill which are told apart
+	usualLoad   = 0.42 // assumed load of a task that serves by its own users
+	usualPeak   = 0.65 // assumed highest load by its own users, until a task was seen for a while
+	loadFull    = 0.97 // readings say no more about a queue that is full
+	loadNoise   = 0.002
+	loadSpread  = 0.04  // variance of the load of tasks that were not seen yet
+	loadDrift   = 0.01  // variance that a second adds, since users come and go
+	peakFall    = 0.01  // by which the highest load falls in a second
+	factorPrior = 0.7   // load that a whole worker of an image adds that was never seen beside another
+	factorVar   = 1.5   // variance of the prior
+	factorDrift = 0.002 // variance that a second adds, in case factors change
+	factorLeast = -0.2  // estimates below zero are noise, and must not take long to rise again
+	outlier     = 3.0   // standard deviations at which a reading is cut, since sick workers report anything
+	aloneMemory = 20 * time.Second
+	aloneMost   = 0.05 // largest weight of one reading of a tail without work beside it
+	aloneUsual  = 0.4  // tail, as a share of the target, that is assumed before a task was seen alone
+	aloneShare  = 0.01 // share of a worker; less work counts as none
+	maxImages   = 64   // of tasks that fill which are told apart
 )
 
+// load is what is known of the load that users put on the tasks of one step that serves. These tasks share their users, so their load rises and falls together, which tells it from the impact of neighbors.
+type load struct {
+	mean, variance float64
+	peak           float64 // highest recent mean
+	at             time.Time
+}
+
+func (l *load) drift(now time.Time) {
+	if l.at.IsZero() {
+		l.mean, l.variance, l.peak, l.at = usualLoad, loadSpread, usualPeak, now
+		return
+	}
+	dt := now.Sub(l.at).Seconds()
+	l.variance = min(loadSpread, l.variance+loadDrift*dt)
+	l.peak = max(l.mean, l.peak-peakFall*dt)
+	l.at = now
+}
+
 // sensitivity is what is known of the tasks of one image that serves.
 type sensitivity struct {
-	alone    float64 // usual tail without work beside it, as a share of the target; 0 if never seen
+	alone    float64 // usual tail without work beside it, as a share of the target
+	aloneAt  time.Time
 	index    map[string]int
-	mean     []float64
+	mean     []float64 // load that a whole worker of an image adds
 	variance [][]float64
 	at       time.Time
 }
 
-// impact estimates how much tasks that fill raise the tails of tasks that serve, by image.
+// impact estimates how much tasks that fill add to the load of tasks that serve, by image.
 type impact struct {
 	serving map[string]*sensitivity
 }
@@ -41,102 +68,99 @@
 func (i *impact) of(serve string) *sensitivity {
 	s := i.serving[serve]
 	if s == nil {
-		s = &sensitivity{index: map[string]int{}}
+		s = &sensitivity{index: map[string]int{}, alone: aloneUsual}
 		i.serving[serve] = s
 	}
 	return s
 }
 
-// factor returns the raise that a whole worker of fill would cause, relative to the raise at which the target is missed.
+// factor returns the load that a whole worker of fill adds.
 func (i *impact) factor(fill, serve string) float64 {
 	s := i.of(serve)
-	f := factorPrior
 	if n, ok := s.index[fill]; ok {
-		f = max(0, s.mean[n])
+		return max(0, s.mean[n])
 	}
-	return f / s.bearable()
+	return factorPrior
 }
 
-// pressure returns the pressure of the given shares of a worker, by image, on tasks of image serve; 1 is where they begin to miss their target at their usual load.
-func (i *impact) pressure(shares map[string]float64, serve string) float64 {
-	p := 0.0
+// added returns the load that the given shares of a worker, by image, add to tasks of image serve.
+func (i *impact) added(shares map[string]float64, serve string) float64 {
+	sum := 0.0
 	for fill, x := range shares {
-		p += i.factor(fill, serve) * x
+		sum += i.factor(fill, serve) * x
 	}
-	return p
+	return sum
 }
 
-// learn takes in the tail of a task of image serve, as a share of its target, beside the given shares of work.
-func (i *impact) learn(shares map[string]float64, serve string, tail float64, now time.Time) {
+// learn takes in the tail of a task of image serve, as a share of its target, beside the given shares of work; l is the load of its users.
+func (i *impact) learn(l *load, shares map[string]float64, serve string, tail float64, now time.Time) {
 	s := i.of(serve)
 	sum := 0.0
 	for _, x := range shares {
 		sum += x
 	}
 	if sum < aloneShare {
-		s.learnAlone(tail)
-		return
+		s.learnAlone(tail, now)
 	}
-	s.learnRaise(shares, s.raise(tail), now)
+	s.split(l, shares, s.loadAt(tail), now)
 }
 
-func (s *sensitivity) learnAlone(tail float64) {
-	if s.alone == 0 {
-		s.alone = min(tail, aloneDefault)
-		return
+func (s *sensitivity) learnAlone(tail float64, now time.Time) {
+	if !s.aloneAt.IsZero() {
+		weight := min(aloneMost, now.Sub(s.aloneAt).Seconds()/aloneMemory.Seconds())
+		s.alone += weight * (min(tail, 1) - s.alone)
 	}
-	s.alone += aloneWeight * (min(tail, 1) - s.alone)
+	s.aloneAt = now
 }
 
-// aloneDefault is the tail, as a share of the target, that is assumed before a task was seen alone.
-const aloneDefault = 0.4
-
-// raise turns a tail into the raise of the load over the usual one.
-func (s *sensitivity) raise(tail float64) float64 {
-	alone := s.alone
-	if alone == 0 {
-		alone = aloneDefault
-	}
-	load := 1 - (1-usualLoad)*alone/max(tail, 1e-3)
-	return min(raiseMost, max(raiseLeast, load/usualLoad-1))
+// loadAt returns the load at which a tail, as a share of the target, is as given.
+func (s *sensitivity) loadAt(tail float64) float64 {
+	return min(loadFull, max(0, 1-(1-usualLoad)*s.alone/max(tail, 1e-3)))
 }
 
-// bearable returns the raise at which the target is missed.
-func (s *sensitivity) bearable() float64 { return max(0.1, s.raise(1)) }
-
-// learnRaise is one step of the filter.
-func (s *sensitivity) learnRaise(shares map[string]float64, raise float64, now time.Time) {
+// split is one step of the filter.
+func (s *sensitivity) split(l *load, shares map[string]float64, reading float64, now time.Time) {
 	for fill := range shares {
 		s.add(fill)
 	}
 	s.drift(now)
+	l.drift(now)
 	n := len(s.mean)
-	x := make([]float64, n)
-	expected := 0.0
-	for fill, share := range shares {
-		if k, ok := s.index[fill]; ok {
-			x[k] = share
-			expected += max(0, s.mean[k]) * share
+	gain := make([]float64, n)
+	expected := l.mean
+	scale := loadNoise + l.variance
+	for fill, x := range shares {
+		k, ok := s.index[fill]
+		if !ok {
+			continue
+		}
+		expected += s.mean[k] * x
+		for a := range n {
+			gain[a] += s.variance[a][k] * x
 		}
 	}
-	if raise >= raiseMost && expected >= raise {
+	if reading >= loadFull && expected >= reading {
 		return // a full queue does not say by how much it is over
 	}
-	gain := make([]float64, n)
-	scale := raiseNoise
-	for a := range n {
-		for b := range n {
-			gain[a] += s.variance[a][b] * x[b]
+	for fill, x := range shares {
+		if k, ok := s.index[fill]; ok {
+			scale += x * gain[k]
 		}
-		scale += x[a] * gain[a]
 	}
-	miss := raise - expected
+	most := outlier * math.Sqrt(scale)
+	miss := min(most, max(-most, reading-expected))
 	for a := range n {
-		s.mean[a] += gain[a] / scale * miss
+		if gain[a] == 0 {
+			continue
+		}
+		s.mean[a] = max(factorLeast, s.mean[a]+gain[a]/scale*miss)
 		for b := range n {
 			s.variance[a][b] -= gain[a] * gain[b] / scale
 		}
 	}
+	l.mean = max(0, l.mean+l.variance/scale*miss)
+	l.variance -= l.variance * l.variance / scale
+	l.peak = max(l.peak, l.mean)
 }
 
 func (s *sensitivity) add(fill string) {
@@ -149,7 +173,7 @@
 		s.variance[a] = append(s.variance[a], 0)
 	}
 	s.variance = append(s.variance, make([]float64, len(s.mean)))
-	s.variance[len(s.mean)-1][len(s.mean)-1] = factorSpread
+	s.variance[len(s.mean)-1][len(s.mean)-1] = factorVar
 }
 
 func (s *sensitivity) drift(now time.Time) {
@@ -159,7 +183,7 @@
 	by := factorDrift * now.Sub(s.at).Seconds()
 	s.at = now
 	for a := range s.variance {
-		s.variance[a][a] = min(factorSpread, s.variance[a][a]+by)
+		s.variance[a][a] = min(factorVar, s.variance[a][a]+by)
 	}
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,6 +62,7 @@
 	perWorker  map[table.WorkerID]int
 	durations  []time.Duration // of runs that ended as done
 	rack       table.RackID    // of its first placed task
+	load       load            // by its users, of tasks that serve
 }
 
 // job is a job that is not final.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -10,15 +10,17 @@
 // How tasks that fill are slowed down for the sake of tasks that serve beside them.
 const (
 	paceEvery    = 300 * time.Millisecond // between changes at one worker; tails are measured over half a second
-	paceCalm     = 1200 * time.Millisecond
-	paceDown     = 3                      // the pace of what disturbs is divided by this
+	paceCalm     = 700 * time.Millisecond
+	paceDown     = 0.5                    // what disturbs is slowed at least by this
 	paceLeast    = 12                     // percent; below it the tasks stand still
 	paceUp       = 30                     // percent that is given back at a time
 	tailHigh     = 0.95                   // share of the target from which tasks that fill slow down
 	tailLow      = 0.7                    // share of the target below which they may work faster
+	tailPlan     = 0.9                    // share of the target up to which tasks are placed beside each other
 	pressurePart = 0.4                    // of the largest pressure; images with at least this much slow down
-	pressurePlan = 0.3                    // up to which tasks are placed beside each other
-	usageAge     = 700 * time.Millisecond // usage is reported for the last half second
+	pressureNone = 0.02                   // load; less pressure than this explains nothing
+	leewayKept   = 0.05                   // load that is kept free when tasks speed up, since readings are old
+	usageAge     = 700 * time.Millisecond // usage and tails are reported for the last half second
 	leaveAfter   = 500 * time.Millisecond
 )
 
@@ -55,23 +57,38 @@
 	return t.cpu
 }
 
-// steer changes the pace of the tasks that fill on w by the tails of the tasks that serve there.
+// leeway is the load that the tasks that serve on a worker can still bear.
+type leeway struct {
+	current float64 // at the newest load by their own users
+	lasting float64 // at the highest recent one
+}
+
+// steer learns from the tails of the tasks that serve on w, and changes the pace of those that fill beside them.
 func (b *Board) steer(w *worker, now time.Time) {
+	w.leeways = nil
 	if w.serves == 0 {
 		w.levels, w.highest = nil, 0
 		return
 	}
 	shares := w.shares(now)
-	highest, missed := 0.0, map[string]bool{}
+	steady := now.Sub(w.changed) > usageAge
+	highest, missed := 0.0, map[string]*load{}
+	w.leeways = make(map[string]leeway, len(w.byImage))
 	for _, t := range w.tasks {
-		if t.phase != running || !t.group.step.Serves() || t.tail <= 0 {
+		if t.phase != running || !t.group.step.Serves() || t.tail <= 0 || t.percent != fullPace {
 			continue
 		}
+		image, l := t.group.step.Image, &t.group.load
 		tail := float64(t.tail) / float64(time.Duration(t.group.step.LatencyTarget)*time.Millisecond)
 		highest = max(highest, tail)
-		b.images.learn(shares, t.group.step.Image, tail, now)
-		if tail > tailHigh {
-			missed[t.group.step.Image] = true
+		if steady {
+			b.images.learn(l, shares, image, tail, now)
+		} else {
+			l.drift(now)
+		}
+		w.noteLeeway(image, b.images.of(image).loadAt(tailPlan), l)
+		if tail > tailHigh && (missed[image] == nil || missed[image].mean < l.mean) {
+			missed[image] = l
 		}
 	}
 	w.highest = highest
@@ -86,33 +103,62 @@
 	case len(missed) > 0 && now.Sub(w.leveled) >= paceEvery:
 		b.slowDown(w, shares, missed, highest, now)
 	case now.Sub(w.calmSince) > paceCalm && now.Sub(w.leveled) > paceCalm:
-		w.speedUp(now)
+		b.speedUp(w, now)
 	}
 	b.sendAway(w, now)
 }
 
-// slowDown slows the images that press most on the tasks that miss their targets.
-func (b *Board) slowDown(w *worker, shares map[string]float64, missed map[string]bool, highest float64, now time.Time) {
-	most := 0.0
+// noteLeeway takes the leeway of tasks of one image under a load by their users; the least of the worker counts.
+func (w *worker) noteLeeway(image string, most float64, l *load) {
+	y := leeway{current: most - l.mean, lasting: most - l.peak}
+	if before, ok := w.leeways[image]; ok {
+		y.current, y.lasting = min(y.current, before.current), min(y.lasting, before.lasting)
+	}
+	w.leeways[image] = y
+}
+
+// leewayOf returns the leeway of the tasks of image on w, or the usual one where they have not been seen.
+func (b *Board) leewayOf(w *worker, image string) leeway {
+	if y, ok := w.leeways[image]; ok {
+		return y
+	}
+	most := b.images.of(image).loadAt(tailPlan)
+	return leeway{current: most - usualPeak, lasting: most - usualPeak}
+}
+
+// slowDown slows the images that add most to the load of the tasks that miss their targets, to what these can bear.
+func (b *Board) slowDown(w *worker, shares map[string]float64, missed map[string]*load, highest float64, now time.Time) {
+	most, over := 0.0, 0.0
 	pressures := map[string]float64{}
-	for fill, x := range shares {
-		for serve := range missed {
+	for serve, l := range missed {
+		for fill, x := range shares {
 			pressures[fill] = max(pressures[fill], b.images.factor(fill, serve)*x)
+			most = max(most, pressures[fill])
 		}
-		most = max(most, pressures[fill])
+		over = max(over, l.mean+b.images.added(shares, serve)-b.images.of(serve).loadAt(tailLow))
 	}
-	if most == 0 {
+	if most < pressureNone {
+		if explained(b.images, missed) {
+			return
+		}
 		// None is known to disturb, and yet a target is missed: the largest share is the best guess.
 		for fill, x := range shares {
 			pressures[fill] = x
 			most = max(most, x)
 		}
 	}
+	slowed := 0.0
+	for _, p := range pressures {
+		if p >= pressurePart*most {
+			slowed += p
+		}
+	}
+	keep := min(paceDown, max(0, 1-over/max(slowed, pressureNone)))
 	for fill, p := range pressures {
 		if p < pressurePart*most || p == 0 || w.paceOf(fill) == 0 {
 			continue
 		}
-		l := w.paceOf(fill) / paceDown
+		l := int(keep * float64(w.paceOf(fill)))
 		if l < paceLeast {
 			l = 0
 		}
@@ -125,20 +171,48 @@
 	}
 }
 
-func (w *worker) speedUp(now time.Time) {
+// explained says whether the load by their own users is enough for tasks to miss their targets.
+func explained(images *impact, missed map[string]*load) bool {
+	for serve, l := range missed {
+		if l.mean < images.of(serve).loadAt(tailHigh) {
+			return false
+		}
+	}
+	return true
+}
+
+// speedUp gives back pace: all of it where the tasks that serve bear that at their highest load, else in steps up to what they bear now.
+func (b *Board) speedUp(w *worker, now time.Time) {
+	if b.bearable(w, nil) {
+		w.levels = nil
+		return
+	}
+	most := int(fullPace * b.bornePart(w))
 	for fill, l := range w.levels {
-		l.percent += paceUp
+		l.percent = max(l.percent, min(l.percent+paceUp, most))
 		if l.percent >= fullPace {
 			delete(w.levels, fill)
 			continue
 		}
-		w.levels[fill] = level{l.percent, now}
+		w.levels[fill] = level{l.percent, l.since}
 	}
 	if len(w.levels) > 0 {
 		w.leveled = now
 	}
 }
 
+// bornePart returns the share of the full pace of the tasks that fill which those that serve on w bear now.
+func (b *Board) bornePart(w *worker) float64 {
+	part := 1.0
+	shares := w.plannedShares()
+	for serve := range w.byImage {
+		if added := b.images.added(shares, serve); added > 0 {
+			part = min(part, max(0, b.leewayOf(w, serve).current-leewayKept)/added)
+		}
+	}
+	return part
+}
+
 // sendAway moves tasks that would stay slow where they are, if they keep their progress.
 func (b *Board) sendAway(w *worker, now time.Time) {
 	if len(w.levels) == 0 || b.bearable(w, nil) {
@@ -155,7 +229,16 @@
 	}
 }
 
-// bearable says whether the tasks that serve on w bear the tasks that fill there at full pace, with t besides.
+// plannedShares returns the processors that tasks that fill ask for on w, by image, as shares of its capacity.
+func (w *worker) plannedShares() map[string]float64 {
+	s := make(map[string]float64, len(w.planned))
+	for fill, cpu := range w.planned {
+		s[fill] = float64(cpu) / float64(max(1, w.info.Capacity.CPU))
+	}
+	return s
+}
+
+// bearable says whether the tasks that serve on w bear the tasks that fill there at full pace and at their own highest load, with t besides.
 func (b *Board) bearable(w *worker, t *task) bool {
 	capacity := float64(max(1, w.info.Capacity.CPU))
 	for serve := range w.byImage {
@@ -166,7 +249,7 @@
 		if t != nil {
 			p += b.images.factor(t.group.step.Image, serve) * float64(t.group.step.Need.CPU) / capacity
 		}
-		if p > pressurePlan {
+		if p > max(pressureNone, b.leewayOf(w, serve).lasting) {
 			return false
 		}
 	}
@@ -210,4 +293,5 @@
 		t.moved = now
 	}
 	t.pace = o.Percent
+	t.worker.changed = now
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -10,9 +10,8 @@
 // The weights of the score of a place; one unit is a worker that is used in full.
 const (
 	weightFar      = 4.0 // away from the data or from the rack of the gang
-	weightMixed    = 1.5 // a task that serves beside tasks that fill
 	weightImage    = 1.0 // tasks that serve of one image beside each other, since images bear different neighbours
-	weightPressure = 1.0 // on tasks that serve
+	weightPressure = 3.0 // load that tasks that fill add to tasks that serve
 	weightRetry    = 3.0 // the worker that failed the task before
 	weightUnproven = 1.0 // a task that has failed goes to workers that have finished something lately
 	provenFor      = 10 * time.Second
@@ -257,7 +256,7 @@
 	case g.step.Serves():
 		// Packing tasks that serve leaves whole workers to those that fill.
 		s = -float64(w.serving) / float64(max(1, w.info.Capacity.CPU))
-		s += weightMixed * float64(w.fills) / float64(max(1, w.info.Capacity.CPU))
+		s += weightPressure * b.images.added(w.plannedShares(), g.step.Image)
 		if w.serves > 0 {
 			s += weightImage * (1 - float64(w.byImage[g.step.Image])/float64(w.serves))
 		}
