Learn from all readings, by the measured use of processors

Change: every reading counts, beside the measured use of what fills; a load explains a miss only once it is known well.

--- a/dispatch/ending.go
+++ b/dispatch/ending.go
@@ -19,7 +19,6 @@
 		return
 	}
 	b.counts.Ended++
-	w.changed = now
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/dispatch/impact.go
+++ b/dispatch/impact.go
@@ -16,6 +16,7 @@
 	loadFull    = 0.97 // readings say no more about a queue that is full
 	loadNoise   = 0.002
 	loadSpread  = 0.04  // variance of the load of tasks that were not seen yet
+	loadKnown   = 0.002 // variance up to which a load counts as known
 	loadDrift   = 0.01  // variance that a second adds, since users come and go
 	peakFall    = 0.01  // by which the highest load falls in a second
 	factorPrior = 0.7   // load that a whole worker of an image adds that was never seen beside another
--- a/dispatch/look.go
+++ b/dispatch/look.go
@@ -209,7 +209,6 @@
 func (b *Board) began(t *task, now time.Time) {
 	t.phase, t.uncertain, t.answered = running, false, now
 	t.began, t.moved, t.percent = now, now, 0
-	t.worker.changed = now
 	t.wasRunning = true
 	j := t.group.job
 	if j.state == workload.Queued {
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -49,6 +49,17 @@
 	return s
 }
 
+// measured returns the processors that tasks that fill were last seen to use on w, by image, as shares of its capacity; a run that has not begun to work uses none.
+func (w *worker) measured() map[string]float64 {
+	s := map[string]float64{}
+	for _, t := range w.tasks {
+		if t.group.step.Fills && t.cpu > 0 {
+			s[t.group.step.Image] += float64(t.cpu) / float64(max(1, w.info.Capacity.CPU))
+		}
+	}
+	return s
+}
+
 // uses returns the processors that a task that fills uses; for a run too young to be measured it is what its pace allows.
 func (t *task) uses(now time.Time) table.Millicores {
 	if t.cpu == 0 || now.Sub(t.began) < usageAge {
@@ -70,8 +81,7 @@
 		w.levels, w.highest = nil, 0
 		return
 	}
-	shares := w.shares(now)
-	steady := now.Sub(w.changed) > usageAge
+	shares, measured := w.shares(now), w.measured()
 	highest, missed := 0.0, map[string]*load{}
 	w.leeways = make(map[string]leeway, len(w.byImage))
 	for _, t := range w.tasks {
@@ -81,11 +91,7 @@
 		image, l := t.group.step.Image, &t.group.load
 		tail := float64(t.tail) / float64(time.Duration(t.group.step.LatencyTarget)*time.Millisecond)
 		highest = max(highest, tail)
-		if steady {
-			b.images.learn(l, shares, image, tail, now)
-		} else {
-			l.drift(now)
-		}
+		b.images.learn(l, measured, image, tail, now)
 		w.noteLeeway(image, b.images.of(image).loadAt(tailPlan), l)
 		if tail > tailHigh && (missed[image] == nil || missed[image].mean < l.mean) {
 			missed[image] = l
@@ -171,10 +177,10 @@
 	}
 }
 
-// explained says whether the load by their own users is enough for tasks to miss their targets.
+// explained says whether the load by their own users is known to be enough for tasks to miss their targets.
 func explained(images *impact, missed map[string]*load) bool {
 	for serve, l := range missed {
-		if l.mean < images.of(serve).loadAt(tailHigh) {
+		if l.mean < images.of(serve).loadAt(tailHigh) || l.variance > loadKnown {
 			return false
 		}
 	}
@@ -293,5 +299,4 @@
 		t.moved = now
 	}
 	t.pace = o.Percent
-	t.worker.changed = now
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -48,7 +48,6 @@
 	byImage    map[string]int              // tasks that serve, by image
 	planned    map[string]table.Millicores // of tasks that fill, by image
 	leveled    time.Time
-	changed    time.Time         // when a run last began, ended or changed its pace
 	leeways    map[string]leeway // by image that serves
 	calmSince  time.Time
 	highest    float64 // newest tail of the tasks that serve, as a share of their target
