Let an image that nobody bears hold up no other

A step that finds no place makes later steps of the same or larger needs be passed over in that round; for tasks that fill this was by size alone, though which workers bear a task depends on its image. Change: the size of a refused step counts for tasks of its image only. A trial with the reasons of waiting printed says what binds now: two thirds of the workers do not bear the waiting images at the highest load of their users (leeway 0.05), though their present load leaves 0.17.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmonpick/table"
+	"persimmonpick/workload"
 )
 
 // The weights of the score of a place; one unit is a worker that is used in full.
@@ -26,7 +27,8 @@
 type shape struct {
 	need  table.Resources
 	fills bool
-	plain bool // no constraint that other steps may not share
+	image string // of tasks that fill, since workers bear some images and not others
+	plain bool   // no constraint that other steps may not share
 }
 
 // Decide places waiting tasks; they are started once their records are in the log.
@@ -39,7 +41,7 @@
 		if placed >= maxPlaced {
 			return
 		}
-		sh := shape{need: g.step.Need, fills: g.step.Fills, plain: g.step.Label == "" && g.step.MaxPerWorker == 0 && !g.step.Gang}
+		sh := shapeOf(g.step)
 		if hopeless(refused, sh) {
 			continue
 		}
@@ -51,9 +53,17 @@
 	}
 }
 
+func shapeOf(s *workload.Step) shape {
+	sh := shape{need: s.Need, fills: s.Fills, plain: s.Label == "" && s.MaxPerWorker == 0 && !s.Gang}
+	if s.Fills {
+		sh.image = s.Image
+	}
+	return sh
+}
+
 func hopeless(refused []shape, s shape) bool {
 	for _, r := range refused {
-		if r.fills == s.fills && r.need.Fits(s.need) {
+		if r.fills == s.fills && r.image == s.image && r.need.Fits(s.need) {
 			return true
 		}
 	}
