Leave tolerant workers to images that few others bear

Change: the score of a place for tasks that fill counts the share of the known images that its worker bears.

--- a/dispatch/impact.go
+++ b/dispatch/impact.go
@@ -22,6 +22,7 @@
 	factorPrior = 0.7   // load that a whole worker of an image adds that was never seen beside another
 	factorVar   = 1.5   // variance of the prior
 	factorDrift = 0.002 // variance that a second adds, in case factors change
+	factorMild  = 0.5   // up to which an image hardly disturbs
 	factorLeast = -0.2  // estimates below zero are noise, and must not take long to rise again
 	outlier     = 3.0   // standard deviations at which a reading is cut, since sick workers report anything
 	aloneMemory = 20 * time.Second
@@ -62,9 +63,12 @@
 // impact estimates how much tasks that fill add to the load of tasks that serve, by image.
 type impact struct {
 	serving map[string]*sensitivity
+	fills   map[string]bool // images that were ever seen beside tasks that serve
 }
 
-func newImpact() *impact { return &impact{serving: map[string]*sensitivity{}} }
+func newImpact() *impact {
+	return &impact{serving: map[string]*sensitivity{}, fills: map[string]bool{}}
+}
 
 func (i *impact) of(serve string) *sensitivity {
 	s := i.serving[serve]
@@ -93,6 +97,25 @@
 	return sum
 }
 
+// tolerance returns the share of the known images that fill which hardly disturb any of the given images that serve.
+func (i *impact) tolerance(serving map[string]int) float64 {
+	known, borne := 0, 0
+	for fill := range i.fills {
+		known++
+		bears := true
+		for serve := range serving {
+			bears = bears && i.factor(fill, serve) < factorMild
+		}
+		if bears {
+			borne++
+		}
+	}
+	if known == 0 {
+		return 1
+	}
+	return float64(borne) / float64(known)
+}
+
 // learn takes in the tail of a task of image serve, as a share of its target, beside the given shares of work; l is the load of its users.
 func (i *impact) learn(l *load, shares map[string]float64, serve string, tail float64, now time.Time) {
 	s := i.of(serve)
@@ -103,6 +126,11 @@
 	if sum < aloneShare {
 		s.learnAlone(tail, now)
 	}
+	for fill := range shares {
+		if s.add(fill) {
+			i.fills[fill] = true
+		}
+	}
 	s.split(l, shares, s.loadAt(tail), now)
 }
 
@@ -121,9 +149,6 @@
 
 // split is one step of the filter.
 func (s *sensitivity) split(l *load, shares map[string]float64, reading float64, now time.Time) {
-	for fill := range shares {
-		s.add(fill)
-	}
 	s.drift(now)
 	l.drift(now)
 	n := len(s.mean)
@@ -164,9 +189,10 @@
 	l.peak = max(l.peak, l.mean)
 }
 
-func (s *sensitivity) add(fill string) {
+// add makes room for an image that was not seen beside s before; it says whether it was new.
+func (s *sensitivity) add(fill string) bool {
 	if _, known := s.index[fill]; known || len(s.mean) >= maxImages {
-		return
+		return false
 	}
 	s.index[fill] = len(s.mean)
 	s.mean = append(s.mean, factorPrior)
@@ -175,6 +201,7 @@
 	}
 	s.variance = append(s.variance, make([]float64, len(s.mean)))
 	s.variance[len(s.mean)-1][len(s.mean)-1] = factorVar
+	return true
 }
 
 func (s *sensitivity) drift(now time.Time) {
@@ -218,6 +245,7 @@
 		s := i.of(serve)
 		s.alone = l.Alone
 		for fill, f := range l.Factors {
+			i.fills[fill] = true
 			s.add(fill)
 			if n, ok := s.index[fill]; ok {
 				s.mean[n], s.variance[n][n] = f, l.Variance[fill]
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -76,7 +76,7 @@
 
 // steer learns from the tails of the tasks that serve on w, and changes the pace of those that fill beside them.
 func (b *Board) steer(w *worker, now time.Time) {
-	w.leeways = nil
+	w.leeways, w.tolerance = nil, b.images.tolerance(w.byImage)
 	if w.serves == 0 {
 		w.levels, w.highest = nil, 0
 		return
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -10,17 +10,18 @@
 
 // The weights of the score of a place; one unit is a worker that is used in full.
 const (
-	weightFar      = 4.0 // away from the data or from the rack of the gang
-	weightImage    = 1.0 // tasks that serve of one image beside each other, since images bear different neighbours
-	weightPressure = 3.0 // load that tasks that fill add to tasks that serve
-	weightRetry    = 3.0 // the worker that failed the task before
-	weightUnproven = 1.0 // a task that has failed goes to workers that have finished something lately
-	provenFor      = 10 * time.Second
-	fillTo         = 1.0 // share of the capacity up to which tasks that fill are placed
-	weightFit      = 2.0 // places that a task just fits in, when the capacity is nearly taken
-	crowdedFrom    = 0.7 // share of the capacity from which places that just fit count
-	crowdedFull    = 0.9 // share from which they count in full
-	maxPlaced      = 96  // tasks placed in one round, so that a round stays short
+	weightFar       = 4.0 // away from the data or from the rack of the gang
+	weightImage     = 1.0 // tasks that serve of one image beside each other, since images bear different neighbours
+	weightPressure  = 3.0 // load that tasks that fill add to tasks that serve
+	weightTolerance = 2.0 // share of the images that a worker bears
+	weightRetry     = 3.0 // the worker that failed the task before
+	weightUnproven  = 1.0 // a task that has failed goes to workers that have finished something lately
+	provenFor       = 10 * time.Second
+	fillTo          = 1.0 // share of the capacity up to which tasks that fill are placed
+	weightFit       = 2.0 // places that a task just fits in, when the capacity is nearly taken
+	crowdedFrom     = 0.7 // share of the capacity from which places that just fit count
+	crowdedFull     = 0.9 // share from which they count in full
+	maxPlaced       = 96  // tasks placed in one round, so that a round stays short
 )
 
 // shape is a need that found no place in this round.
@@ -271,7 +272,8 @@
 			s += weightImage * (1 - float64(w.byImage[g.step.Image])/float64(w.serves))
 		}
 	case g.step.Fills:
-		s = w.pressure()
+		// Workers that bear most images are left to those that few others bear.
+		s = w.pressure() + weightTolerance*w.tolerance
 		for image, n := range w.byImage {
 			if n > 0 {
 				s += weightPressure * b.images.factor(g.step.Image, image) * float64(g.step.Need.CPU) / float64(max(1, w.info.Capacity.CPU))
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -49,6 +49,7 @@
 	planned    map[string]table.Millicores // of tasks that fill, by image
 	leveled    time.Time
 	leeways    map[string]leeway // by image that serves
+	tolerance  float64           // share of the known images that fill which hardly disturb what serves here
 	calmSince  time.Time
 	highest    float64 // newest tail of the tasks that serve, as a share of their target
 }
