--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -395,3 +396,34 @@
 		end(a, b)
 	})
 }
+
+// TestReturnOfTheLogIsNoticedSoon plays a log whose reads hang while it is away, as those on silent connections do, and an idle topic.
+func TestReturnOfTheLogIsNoticedSoon(t *testing.T) {
+	const grace = 700 * time.Millisecond // of an answer beyond the wait
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		var away atomic.Bool
+		log := m.log()
+		log.Read = func(ctx context.Context, topic Topic, from Position, wait time.Duration) (Page, error) {
+			if away.Load() {
+				time.Sleep(wait + grace)
+				return Page{}, fault.New(fault.LogUnavailable, "silence")
+			}
+			return m.read(ctx, topic, from, wait)
+		}
+		logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+		r := NewReader(ReaderConfig{Log: log, Fold: NewFold(logger), Logger: logger})
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		time.Sleep(300 * time.Millisecond)
+		away.Store(true)
+		time.Sleep(4200 * time.Millisecond)
+		is.True(r.Failing())
+		away.Store(false)
+		time.Sleep(grace + retryPause + 10*time.Millisecond)
+		is.True(!r.Failing())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -87,7 +87,11 @@
 	if !loaded {
 		return 1, r.load(ctx)
 	}
-	err := r.read(ctx, readWait)
+	wait := readWait
+	if r.failing.Load() {
+		wait = 0 // a read that waits for records would tell late that the log is back
+	}
+	err := r.read(ctx, wait)
 	after, _ := r.cfg.Fold.Position()
 	return int(after - before), err
 }
