Hand the records of callers to the leader, whose appends carry them all

Weighed: several partitions for submissions (each host would read them all, three times the calls), longer waits of the hosts (their callers' deadlines pass), the leader's appends for all (chosen). Change: net/rpc from each host to the leader on the last internal port; a leader that does not answer is left alone for 3 s and the host appends itself, as before. A job whose relay has no answer may be appended twice, and its first record counts; it is never refused as not accepted.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -28,6 +28,9 @@
 	keepOpen      = 75 * time.Second // of idle connections of callers
 )
 
+// answerRelay is what the metrics call the appends that the leader makes for this host.
+const answerRelay = "Relay"
+
 // Config configures a Host.
 type Config struct {
 	Settings            Settings
@@ -37,6 +40,7 @@
 	FollowConfiguration func(ctx context.Context, apply func(Configuration), age func(func() time.Duration))
 	Callers             func(h *Host) http.Handler // what callers speak
 	Readiness           func(h *Host) http.Handler
+	Dial                func(ctx context.Context, network, address string) (net.Conn, error) // to other hosts; nil for plain TCP
 	Logger              *slog.Logger
 }
 
@@ -46,7 +50,8 @@
 	log       *slog.Logger
 	fold      *ledger.Fold
 	reader    *ledger.Reader
-	group     *ledger.Group
+	group     *ledger.Group // of the callers of this host
+	relayed   *ledger.Group // of other hosts, while this one leads
 	elector   *ledger.Elector
 	desk      *intake.Desk
 	metrics   *metrics
@@ -61,12 +66,21 @@
 	process := cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	h.fold = ledger.NewFold(h.log)
 	h.reader = ledger.NewReader(ledger.ReaderConfig{Log: cfg.Log, Fold: h.fold, Pause: followPause, Logger: h.log})
-	h.group = ledger.NewGroup(ledger.GroupConfig{Log: cfg.Log, Producer: process, Failing: h.reader.Failing, Logger: h.log})
+	relay := ledger.NewRelay(ledger.RelayConfig{
+		Host: cfg.Settings.Host, Leader: h.fold.Leader, Dial: cfg.Dial,
+		Observe: func(err error, took time.Duration) { h.metrics.answer(answerRelay, fault.Of(err), took) }, Logger: h.log,
+	})
+	h.group = ledger.NewGroup(ledger.GroupConfig{
+		Log: cfg.Log, Producer: process, Failing: h.reader.Failing, Relay: relay.Append, Logger: h.log,
+	})
+	h.relayed = ledger.NewGroup(ledger.GroupConfig{
+		Log: cfg.Log, Producer: process + "-relayed", Failing: h.reader.Failing, Logger: h.log,
+	})
 	h.elector = ledger.NewElector(ledger.ElectorConfig{
 		Log: cfg.Log, Fold: h.fold, Reader: h.reader, Host: cfg.Settings.Host, Process: process,
-		Size: cfg.Settings.Size, Lead: h.lead, Logger: h.log,
+		Address: cfg.Settings.Relay, Size: cfg.Settings.Size, Lead: h.lead, Logger: h.log,
 	})
-	h.desk = intake.New(intake.Config{Fold: h.fold, Refresh: h.reader.Refresh, Append: h.group.Append, Log: h.log})
+	h.desk = intake.New(intake.Config{Fold: h.fold, Refresh: h.reader.Refresh, Append: func(ctx context.Context, r ledger.Record) error { return h.group.Append(ctx, r) }, Log: h.log})
 	return h
 }
 
@@ -114,7 +128,7 @@
 	if s.Metrics != "" {
 		servers, addresses = append(servers, h.server(h.pages())), append(addresses, s.Metrics)
 	}
-	failed := make(chan error, len(servers))
+	failed := make(chan error, len(servers)+1)
 	for i, srv := range servers {
 		l, err := net.Listen("tcp", addresses[i])
 		if err != nil {
@@ -123,6 +137,10 @@
 		go func() { failed <- srv.Serve(l) }()
 	}
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	if err := h.serveRelay(serveCtx, failed); err != nil {
+		cancel()
+		return err
+	}
 	var leading sync.WaitGroup
 	h.follow(serveCtx)
 	leading.Go(func() { h.elector.Run(ctx) })
@@ -141,6 +159,23 @@
 	return err
 }
 
+// serveRelay takes the records of other hosts until ctx ends.
+func (h *Host) serveRelay(ctx context.Context, failed chan<- error) error {
+	if h.cfg.Settings.Relay == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", h.cfg.Settings.Relay)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "cannot listen on %s", h.cfg.Settings.Relay)
+	}
+	go func() {
+		if err := ledger.ServeRelay(ctx, l, h.relayed, h.log); err != nil {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
 func (h *Host) server(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepOpen,
@@ -151,6 +186,7 @@
 func (h *Host) follow(ctx context.Context) {
 	go h.reader.Run(ctx)
 	go h.group.Run(ctx)
+	go h.relayed.Run(ctx)
 	go h.cfg.FollowConfiguration(ctx, h.configure, func(age func() time.Duration) { h.configAge.Store(&age) })
 }
 
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -14,6 +14,7 @@
 	Callers    string        // host:port that callers connect to
 	Readiness  string        // host:port of the readiness check
 	Metrics    string        // host:port of the metrics; empty for none
+	Relay      string        // host:port for the records of other hosts while this one leads; empty for none
 	Log        string        // host:port of the platform's log
 	Size       float64       // cores of this host
 	StopGrace  time.Duration // between the signal to stop and the kill
--- a/ledger/elector.go
+++ b/ledger/elector.go
@@ -27,6 +27,7 @@
 	Reader  *Reader
 	Host    string
 	Process string  // tells this process from earlier ones of the host
+	Address string  // host:port that takes the records of other hosts; empty for none
 	Size    float64 // share of a core; larger hosts stand first
 	Lead    func(ctx context.Context, w *Writer)
 	Logger  *slog.Logger
@@ -103,7 +104,7 @@
 		return
 	}
 	at, _ := e.cfg.Fold.Position()
-	l := Leader{Host: e.cfg.Host, Process: e.cfg.Process, Epoch: max(e.cfg.Fold.Leader().Epoch, e.tried) + 1}
+	l := Leader{Host: e.cfg.Host, Process: e.cfg.Process, Epoch: max(e.cfg.Fold.Leader().Epoch, e.tried) + 1, Address: e.cfg.Address}
 	e.tried = l.Epoch
 	r, err := encode(leaderKey, l)
 	if err == nil {
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -14,16 +14,17 @@
 	refusedFor   = 700 * time.Millisecond  // a store that refuses for this long makes the callers' records fail as not appended
 	unknownFor   = 2200 * time.Millisecond // after this the outcome is reported as unknown, within the usual deadline of callers
 	stuckAfter   = 1200 * time.Millisecond // an append in flight for this long makes new records fail at once
-	maxGroup     = 64                      // records of one append
-	maxGroupWait = 256                     // records that wait for an append; callers beyond it are refused
+	maxGroup     = 64                      // callers that share an append
+	maxGroupWait = 256                     // callers that wait for an append; more are refused
 )
 
 // GroupConfig configures a Group.
 type GroupConfig struct {
 	Log      Log
-	Producer string       // unique to this process
-	Failing  func() bool  // whether the log is known to be out of reach
-	Logger   *slog.Logger // must not be nil
+	Producer string                                            // unique to this process
+	Failing  func() bool                                       // whether the log is known to be out of reach
+	Relay    func(ctx context.Context, records []Record) error // tried first unless nil; see Relay.Append
+	Logger   *slog.Logger                                      // must not be nil
 }
 
 // Group appends the records of many callers of one host in few calls.
@@ -37,8 +38,8 @@
 }
 
 type member struct {
-	record Record
-	done   chan error // holds one error
+	records []Record
+	done    chan error // holds one error
 }
 
 // NewGroup returns a group whose Run must be called.
@@ -49,16 +50,36 @@
 	}
 }
 
-// Append adds r to the topic; it fails with fault.LogUnavailable if r was not and will not be appended, and with fault.OutcomeUnknown otherwise.
-func (g *Group) Append(ctx context.Context, r Record) error {
+// Append adds records to the topic, all or none of them; it fails with fault.LogUnavailable or fault.Overloaded if they were not and will not be appended, and with fault.OutcomeUnknown otherwise.
+func (g *Group) Append(ctx context.Context, records ...Record) error {
+	relayed := g.relay(ctx, records)
+	if relayed == nil {
+		return nil
+	}
+	err := g.own(ctx, records)
+	if err != nil && fault.Of(relayed) == fault.OutcomeUnknown {
+		return fault.Wrap(err, fault.OutcomeUnknown, "the leader may have appended the records")
+	}
+	return err
+}
+
+func (g *Group) relay(ctx context.Context, records []Record) error {
+	if g.cfg.Relay == nil {
+		return fault.New(fault.NotReady, "no relay")
+	}
+	return g.cfg.Relay(ctx, records)
+}
+
+// own appends records by this host; the first record of a job counts, so that records whose relay has no answer may be appended again.
+func (g *Group) own(ctx context.Context, records []Record) error {
 	if g.cfg.Failing() || g.stuck() {
 		return fault.New(fault.LogUnavailable, "the log is out of reach")
 	}
-	m := &member{record: r, done: make(chan error, 1)}
+	m := &member{records: records, done: make(chan error, 1)}
 	select {
 	case g.waiting <- m:
 	default:
-		return fault.New(fault.Overloaded, "%d records wait for the log", maxGroupWait)
+		return fault.New(fault.Overloaded, "%d callers wait for the log", maxGroupWait)
 	}
 	select {
 	case err := <-m.done:
@@ -100,15 +121,15 @@
 }
 
 func (g *Group) flush(ctx context.Context, all []*member) {
-	records := make([]Record, len(all))
-	for i, m := range all {
-		records[i] = m.record
+	var records []Record
+	for _, m := range all {
+		records = append(records, m.records...)
 	}
 	g.inFlight(time.Now())
 	err := g.append(ctx, records)
 	g.inFlight(time.Time{})
 	if err != nil {
-		g.cfg.Logger.Warn("append failed", "Records", len(all), "Error", err)
+		g.cfg.Logger.Warn("append failed", "Records", len(records), "Error", err)
 	}
 	for _, m := range all {
 		m.done <- err
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -27,6 +27,7 @@
 	Host    string `cbor:"1,keyasint"` // empty after a resignation
 	Process string `cbor:"2,keyasint"` // tells the processes of a host apart
 	Epoch   Epoch  `cbor:"3,keyasint"`
+	Address string `cbor:"4,keyasint,omitempty"` // host:port that takes the records of other hosts
 }
 
 func jobKey(kind rune, id table.JobID) string { return string(kind) + string(id) }
--- a/standins/soak/hosts.go
+++ b/standins/soak/hosts.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	cfg := emulator.HostConfig{Name: fmt.Sprintf("host-%d", n), IP: ip, Log: p.Address()}
-	for _, port := range []*int{&cfg.Callers, &cfg.Readiness, &cfg.Metrics} {
+	for _, port := range []*int{&cfg.Callers, &cfg.Readiness, &cfg.Metrics, &cfg.Relay} {
 		if *port, err = freePort(ip); err != nil {
 			return nil, err
 		}
