--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -79,3 +79,21 @@
 		is.Equal(o.Task.Job, table.JobID("new"))
 	}
 }
+
+// TestLateShortTaskGoesBeforeNewEndlessOne plays one place for a late task of four cores and for an endless one.
+func TestLateShortTaskGoesBeforeNewEndlessOne(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("a")
+	short := step(1)
+	short.Need.CPU, short.Estimate = 12000, 1000
+	r.submit("late", short)
+	r.now = r.now.Add(20 * time.Second)
+	r.answer(map[string]Look{})
+	endless := step(1)
+	endless.Need.CPU, endless.Endless = 12000, true
+	r.submit("endless", endless)
+	orders := r.start()
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Task.Job, table.JobID("late"))
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -19,6 +19,7 @@
 	provenFor       = 10 * time.Second
 	fillTo          = 1.0 // share of the capacity up to which tasks that fill are placed
 	weightFit       = 2.0 // places that a task just fits in, when the capacity is nearly taken
+	weightCrowd     = 0.9 // by which a crowd makes the use of processors count less than the fit
 	crowdedFrom     = 0.7 // share of the capacity from which places that just fit count
 	crowdedFull     = 0.9 // share from which they count in full
 	maxPlaced       = 96  // tasks placed in one round, so that a round stays short
@@ -280,7 +281,7 @@
 			}
 		}
 	default:
-		s = w.pressure()
+		s = (1 - weightCrowd*b.crowd) * w.pressure()
 	}
 	if !g.step.Fills && b.crowd > 0 {
 		// Room in pieces is of no use to large tasks.
