--- a/fleet/status.go
+++ b/fleet/status.go
@@ -44,7 +44,7 @@
 	if c := h.config.Load(); c != nil {
 		s.Version = c.Version
 		for _, q := range c.Queues() {
-			s.Queues = append(s.Queues, QueueStatus{q.ID, q.Service, h.desk.Pending(q.ID)})
+			s.Queues = append(s.Queues, QueueStatus{q.ID, q.Service, h.fold.Pending(q.ID)})
 		}
 	}
 	return s
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -94,25 +94,39 @@
 
 // current brings an old view of a job up to date; a host that was paused or cut off would otherwise show it as running after others showed its end.
 func (d *Desk) current(ctx context.Context, e ledger.Entry) (ledger.Entry, error) {
+	if err := d.refresh(ctx); err != nil {
+		d.cfg.Log.Info("job not shown", "Job", e.ID, "Error", err)
+		return e, err
+	}
+	if fresh, known := d.cfg.Fold.Job(e.ID); known {
+		return fresh, nil
+	}
+	return e, nil
+}
+
+// refresh brings an old view of the log up to date, and fails if it stays too old to be shown.
+func (d *Desk) refresh(ctx context.Context) error {
 	age := time.Since(d.cfg.Fold.Confirmed())
 	if age < viewRefresh {
-		return e, nil
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshMost)
 	defer cancel()
 	err := d.cfg.Refresh(ctx)
 	if err != nil && age > viewOldest {
-		d.cfg.Log.Info("job not shown", "Job", e.ID, "ViewAge", age.Round(time.Millisecond), "Error", err)
-		return e, fault.Wrap(err, fault.LogUnavailable, "the state of the job is %v old", age.Round(time.Millisecond))
+		return fault.Wrap(err, fault.LogUnavailable, "the view of the log is %v old", age.Round(time.Millisecond))
 	}
-	if fresh, known := d.cfg.Fold.Job(e.ID); known {
-		return fresh, nil
-	}
-	return e, nil
+	return nil
 }
 
-// Pending returns how many jobs of a queue are accepted and have not begun.
-func (d *Desk) Pending(q workload.QueueID) int { return d.cfg.Fold.Pending(q) }
+// Pending returns how many jobs of a queue are accepted and have not begun; it fails with fault.LogUnavailable where the view of the log is too old to say.
+func (d *Desk) Pending(ctx context.Context, q workload.QueueID) (int, error) {
+	if err := d.refresh(ctx); err != nil {
+		d.cfg.Log.Info("count not shown", "Queue", q, "Error", err)
+		return 0, err
+	}
+	return d.cfg.Fold.Pending(q), nil
+}
 
 // find returns a job, after reading the log to its end if the job is not known yet.
 func (d *Desk) find(ctx context.Context, q workload.QueueID, id table.JobID) (ledger.Entry, error) {
--- a/intake/desk_test.go
+++ b/intake/desk_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -59,6 +60,12 @@
 	return ledger.Page{Records: r.appended[from:], Next: end, End: end}, r.readErr
 }
 
+func (r *rig) pending(t *testing.T, is *is.I) int {
+	n, err := r.Pending(t.Context(), "q")
+	is.NoErr(err)
+	return n
+}
+
 var queue = workload.Queue{ID: "q", Service: "s"}
 
 func spec() workload.Spec {
@@ -72,7 +79,7 @@
 	s, err := r.State(t.Context(), "q", "aa")
 	is.NoErr(err)
 	is.Equal(s, workload.Queued)
-	is.Equal(r.Pending("q"), 1)
+	is.Equal(r.pending(t, is), 1)
 	is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
 	is.Equal(len(r.appended), 1)
 }
@@ -100,7 +107,7 @@
 	s, err := r.State(t.Context(), "q", "aa")
 	is.NoErr(err)
 	is.Equal(s, workload.Cancelled)
-	is.Equal(r.Pending("q"), 0)
+	is.Equal(r.pending(t, is), 0)
 	is.NoErr(r.Cancel(t.Context(), "q", "aa"))
 	is.Equal(len(r.appended), 2)
 }
@@ -116,3 +123,20 @@
 	r.appendErr = fault.New(fault.LogUnavailable, "down")
 	is.Equal(fault.Of(r.Submit(t.Context(), queue, "aa", spec())), fault.LogUnavailable)
 }
+
+// TestOldCountIsNotShown plays a host that was told what waits and cannot read the log any more.
+func TestOldCountIsNotShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig()
+		is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+		is.NoErr(r.cfg.Refresh(t.Context()))
+		is.Equal(r.pending(t, is), 1)
+		r.readErr = fault.New(fault.LogUnavailable, "down")
+		time.Sleep(viewRefresh + time.Millisecond)
+		is.Equal(r.pending(t, is), 1) // a count may be two seconds old
+		time.Sleep(viewOldest)
+		_, err := r.Pending(t.Context(), "q")
+		is.Equal(fault.Of(err), fault.LogUnavailable)
+	})
+}
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -38,11 +38,7 @@
 	next, loaded, failing := Position(0), false, false
 	for ctx.Err() == nil {
 		began := time.Since(f.start)
-		wait := readWait
-		if failing {
-			wait = 0 // as for a Reader
-		}
-		n, err := f.step(ctx, &next, &loaded, wait)
+		n, err := f.step(ctx, &next, &loaded)
 		if ctx.Err() != nil {
 			return
 		}
@@ -61,7 +57,7 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context, next *Position, loaded *bool, wait time.Duration) (int, error) {
+func (f *Follower) step(ctx context.Context, next *Position, loaded *bool) (int, error) {
 	if !*loaded {
 		records, end, err := newest(ctx, f.cfg.Log, f.cfg.Topic)
 		if err != nil {
@@ -71,7 +67,7 @@
 		f.cfg.Apply(records, true)
 		return len(records), nil
 	}
-	page, err := f.cfg.Log.Read(ctx, f.cfg.Topic, *next, wait)
+	page, err := f.cfg.Log.Read(ctx, f.cfg.Topic, *next, readWait)
 	if fault.Of(err) == fault.NotFound {
 		f.cfg.Logger.Warn("history of the log dropped, loading the newest records", "Topic", f.cfg.Topic, "From", *next)
 		*loaded = false
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -43,7 +43,7 @@
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		n, err := r.step(ctx)
+		n, behind, err := r.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -51,7 +51,7 @@
 		switch {
 		case err != nil:
 			sleep(ctx, retryPause)
-		case n == 0:
+		case n == 0, behind:
 		case r.leading.Load():
 			sleep(ctx, leaderPause)
 		default:
@@ -64,7 +64,7 @@
 func (r *Reader) Refresh(ctx context.Context) error {
 	began := time.Now()
 	for r.cfg.Fold.Confirmed().Before(began) {
-		if err := r.read(ctx, 0); err != nil {
+		if _, err := r.read(ctx, 0); err != nil {
 			return err
 		}
 	}
@@ -82,36 +82,38 @@
 	}
 }
 
-func (r *Reader) step(ctx context.Context) (int, error) {
+// step reads once; it returns how many records it read, and whether there are more.
+func (r *Reader) step(ctx context.Context) (int, bool, error) {
 	before, loaded := r.cfg.Fold.Position()
 	if !loaded {
-		return 1, r.load(ctx)
+		return 1, false, r.load(ctx)
 	}
 	wait := readWait
 	if r.failing.Load() {
 		wait = 0 // a read that waits for records would tell late that the log is back
 	}
-	err := r.read(ctx, wait)
+	behind, err := r.read(ctx, wait)
 	after, _ := r.cfg.Fold.Position()
-	return int(after - before), err
+	return int(after - before), behind, err
 }
 
-func (r *Reader) read(ctx context.Context, wait time.Duration) error {
+// read says whether there are more records than it read.
+func (r *Reader) read(ctx context.Context, wait time.Duration) (bool, error) {
 	from, loaded := r.cfg.Fold.Position()
 	if !loaded {
-		return r.load(ctx)
+		return false, r.load(ctx)
 	}
 	began := time.Now()
 	page, err := r.cfg.Log.Read(ctx, JobTopic, from, wait)
 	if fault.Of(err) == fault.NotFound {
 		r.cfg.Logger.Warn("history of the log dropped, loading the newest records", "Topic", JobTopic, "From", from)
-		return r.load(ctx)
+		return false, r.load(ctx)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	r.cfg.Fold.add(from, page, began)
-	return nil
+	return page.Next < page.End, nil
 }
 
 // load replaces the fold by the newest record of each key.
