Follow topics without a pause while there is more to read

Change: a follower reads on while it is behind, and its age counts from the last read that reached the end.

--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -21,14 +21,14 @@
 // Follower reads the records of a topic that others write.
 type Follower struct {
 	cfg       FollowerConfig
-	confirmed atomic.Int64 // nanoseconds since start, of the last read that succeeded
+	confirmed atomic.Int64 // nanoseconds since start, of the last read that reached the end
 	start     time.Time
 }
 
 // NewFollower returns a follower whose Run must be called.
 func NewFollower(cfg FollowerConfig) *Follower { return &Follower{cfg: cfg, start: time.Now()} }
 
-// Age returns how long ago the last read began that succeeded, or the age of f if there was none.
+// Age returns how long ago the last read began that reached the end of the topic, or the age of f if there was none.
 func (f *Follower) Age() time.Duration {
 	return time.Since(f.start) - time.Duration(f.confirmed.Load())
 }
@@ -38,7 +38,7 @@
 	next, loaded, failing := Position(0), false, false
 	for ctx.Err() == nil {
 		began := time.Since(f.start)
-		n, err := f.step(ctx, &next, &loaded)
+		n, behind, err := f.step(ctx, &next, &loaded)
 		if ctx.Err() != nil {
 			return
 		}
@@ -50,6 +50,9 @@
 			sleep(ctx, retryPause)
 			continue
 		}
+		if behind {
+			continue
+		}
 		f.confirmed.Store(int64(began))
 		if n > 0 {
 			sleep(ctx, f.cfg.Pause)
@@ -57,30 +60,31 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context, next *Position, loaded *bool) (int, error) {
+// step reads once; it returns how many records it read, and whether there are more.
+func (f *Follower) step(ctx context.Context, next *Position, loaded *bool) (int, bool, error) {
 	if !*loaded {
 		records, end, err := newest(ctx, f.cfg.Log, f.cfg.Topic)
 		if err != nil {
-			return 0, err
+			return 0, false, err
 		}
 		*next, *loaded = end, true
 		f.cfg.Apply(records, true)
-		return len(records), nil
+		return len(records), false, nil
 	}
 	page, err := f.cfg.Log.Read(ctx, f.cfg.Topic, *next, readWait)
 	if fault.Of(err) == fault.NotFound {
 		f.cfg.Logger.Warn("history of the log dropped, loading the newest records", "Topic", f.cfg.Topic, "From", *next)
 		*loaded = false
-		return 0, nil
+		return 0, false, nil
 	}
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	*next = page.Next
 	if len(page.Records) > 0 {
 		f.cfg.Apply(page.Records, false)
 	}
-	return len(page.Records), nil
+	return len(page.Records), page.Next < page.End, nil
 }
 
 // newest reads the newest record of each key of a topic; what is written meanwhile is read again from the end that it returns.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -427,3 +427,33 @@
 		synctest.Wait()
 	})
 }
+
+// TestFollowerKeepsUpInSmallPages plays a topic of 1,000 records that is read ten at a time.
+func TestFollowerKeepsUpInSmallPages(t *testing.T) {
+	const page = 10
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		log := m.log()
+		log.Read = func(ctx context.Context, topic Topic, from Position, wait time.Duration) (Page, error) {
+			p, err := m.read(ctx, topic, from, wait)
+			if len(p.Records) > page {
+				p.Records, p.Next = p.Records[:page], from+page
+			}
+			return p, err
+		}
+		var read atomic.Int32
+		f := NewFollower(FollowerConfig{Log: log, Topic: JobTopic, Pause: 250 * time.Millisecond, Logger: quiet, Apply: func(rs []Record, _ bool) { read.Add(int32(len(rs))) }})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		for n := range 1000 {
+			is.NoErr(log.Append(ctx, Append{Topic: JobTopic, Producer: "p", Sequence: int64(n), Records: []Record{{Key: "K"}}}))
+		}
+		time.Sleep(time.Second)
+		is.Equal(int(read.Load()), 1000)
+		is.True(f.Age() < 2*time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
