Split the pressure on missed targets from the orders that follow it

Cause: the read-through before the landing: slowDown had four jobs and 45 lines, the sum of factors stood in two places, a constant lacked its unit and io.Closer was declared again. Behaviour is unchanged but for one copy of the sum.

--- a/dispatch/impact.go
+++ b/dispatch/impact.go
@@ -11,25 +11,25 @@
 //
 // Tails follow those of a queue: t = s / (1 - load), where work beside a task adds to its load in proportion. A Kalman filter for each image that serves splits the load that a reading shows into the load of the task's own users and what each image beside it adds.
 const (
-	usualLoad   = 0.42 // assumed load of a task that serves by its own users
-	usualPeak   = 0.65 // assumed highest load by its own users, until a task was seen for a while
-	loadFull    = 0.97 // readings say no more about a queue that is full
-	loadNoise   = 0.002
-	loadSpread  = 0.04  // variance of the load of tasks that were not seen yet
-	loadKnown   = 0.002 // variance up to which a load counts as known
-	loadDrift   = 0.01  // variance that a second adds, since users come and go
-	peakFall    = 0.01  // by which the highest load falls in a second
-	factorPrior = 0.7   // load that a whole worker of an image adds that was never seen beside another
-	factorVar   = 1.5   // variance of the prior
-	factorDrift = 0.002 // variance that a second adds, in case factors change
-	factorMild  = 0.5   // up to which an image hardly disturbs
-	factorLeast = -0.2  // estimates below zero are noise, and must not take long to rise again
-	outlier     = 3.0   // standard deviations at which a reading is cut, since sick workers report anything
-	aloneMemory = 20 * time.Second
-	aloneMost   = 0.05 // largest weight of one reading of a tail without work beside it
-	aloneUsual  = 0.4  // tail, as a share of the target, that is assumed before a task was seen alone
-	aloneShare  = 0.01 // share of a worker; less work counts as none
-	maxImages   = 64   // of tasks that fill which are told apart
+	usualLoad   = 0.42             // assumed load of a task that serves by its own users
+	usualPeak   = 0.65             // assumed highest load by its own users, until a task was seen for a while
+	loadFull    = 0.97             // readings say no more about a queue that is full
+	loadNoise   = 0.002            // variance of a reading; tails are rough figures
+	loadSpread  = 0.04             // variance of the load of tasks that were not seen yet
+	loadKnown   = 0.002            // variance up to which a load counts as known
+	loadDrift   = 0.01             // variance that a second adds, since users come and go
+	peakFall    = 0.01             // by which the highest load falls in a second
+	factorPrior = 0.7              // load that a whole worker of an image adds that was never seen beside another
+	factorVar   = 1.5              // variance of the prior
+	factorDrift = 0.002            // variance that a second adds, in case factors change
+	factorMild  = 0.5              // up to which an image hardly disturbs
+	factorLeast = -0.2             // estimates below zero are noise, and must not take long to rise again
+	outlier     = 3.0              // standard deviations at which a reading is cut, since sick workers report anything
+	aloneMemory = 20 * time.Second // of the usual tail; longer than the waves of users
+	aloneMost   = 0.05             // largest weight of one reading of a tail without work beside it
+	aloneUsual  = 0.4              // tail, as a share of the target, that is assumed before a task was seen alone
+	aloneShare  = 0.01             // share of a worker; less work counts as none
+	maxImages   = 64               // of tasks that fill which are told apart
 )
 
 // load is what is known of the load that users put on the tasks of one step that serves. These tasks share their users, so their load rises and falls together, which tells it from the impact of neighbors.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -10,8 +10,8 @@
 // How tasks that fill are slowed down for the sake of tasks that serve beside them.
 const (
 	paceEvery    = 300 * time.Millisecond // between changes at one worker; tails are measured over half a second
-	paceCalm     = 700 * time.Millisecond
-	paceDown     = 0.5                    // what disturbs is slowed at least by this
+	paceCalm     = 700 * time.Millisecond // without high tails before pace is given back; longer than tails are measured over
+	paceDown     = 0.5                    // part of its pace that what disturbs keeps at most
 	paceLeast    = 12                     // percent; below it the tasks stand still
 	paceUp       = 30                     // percent that is given back at a time
 	tailHigh     = 0.95                   // share of the target from which tasks that fill slow down
@@ -21,7 +21,7 @@
 	pressureNone = 0.02                   // load; less pressure than this explains nothing
 	leewayKept   = 0.05                   // load that is kept free when tasks speed up, since readings are old
 	usageAge     = 700 * time.Millisecond // usage and tails are reported for the last half second
-	leaveAfter   = 500 * time.Millisecond
+	leaveAfter   = 500 * time.Millisecond // of slow work before a task moves, since a wave of users may be short
 )
 
 // level is the pace of the tasks of one image on one worker.
@@ -132,49 +132,81 @@
 	return leeway{current: most - usualPeak, lasting: most - usualPeak}
 }
 
-// slowDown slows the images that add most to the load of the tasks that miss their targets, to what these can bear.
-func (b *Board) slowDown(w *worker, shares map[string]float64, missed map[string]*load, highest float64, now time.Time) {
-	most, over := 0.0, 0.0
-	pressures := map[string]float64{}
+// pressure is the load that images that fill add to tasks that miss their targets.
+type pressure struct {
+	byImage map[string]float64
+	most    float64 // of one image
+	over    float64 // load that must go
+}
+
+// pressureOn returns the pressure of the given shares of a worker on tasks that miss their targets.
+func (b *Board) pressureOn(missed map[string]*load, shares map[string]float64) pressure {
+	p := pressure{byImage: make(map[string]float64, len(shares))}
 	for serve, l := range missed {
 		for fill, x := range shares {
-			pressures[fill] = max(pressures[fill], b.images.factor(fill, serve)*x)
-			most = max(most, pressures[fill])
+			p.byImage[fill] = max(p.byImage[fill], b.images.factor(fill, serve)*x)
+			p.most = max(p.most, p.byImage[fill])
 		}
-		over = max(over, l.mean+b.images.added(shares, serve)-b.images.of(serve).loadAt(tailLow))
+		p.over = max(p.over, l.mean+b.images.added(shares, serve)-b.images.of(serve).loadAt(tailLow))
 	}
-	if most < pressureNone {
-		if explained(b.images, missed) {
-			return
-		}
-		// None is known to disturb, and yet a target is missed: the largest share is the best guess.
-		for fill, x := range shares {
-			pressures[fill] = x
-			most = max(most, x)
+	return p
+}
+
+// blameShares blames the images by their shares where none is known to disturb: the largest is the best guess.
+func (p *pressure) blameShares(shares map[string]float64) {
+	for fill, x := range shares {
+		p.byImage[fill] = x
+		p.most = max(p.most, x)
+	}
+}
+
+// guilty says whether an image adds so much that it must give way.
+func (p *pressure) guilty(fill string) bool {
+	x := p.byImage[fill]
+	return x > 0 && x >= pressurePart*p.most
+}
+
+// keep returns the part of their pace that the guilty images may keep.
+func (p *pressure) keep() float64 {
+	sum := 0.0
+	for fill, x := range p.byImage {
+		if p.guilty(fill) {
+			sum += x
 		}
 	}
-	slowed := 0.0
-	for _, p := range pressures {
-		if p >= pressurePart*most {
-			slowed += p
+	return min(paceDown, max(0, 1-p.over/max(sum, pressureNone)))
+}
+
+// slowDown slows the images that add most to the load of the tasks that miss their targets, to what these can bear.
+func (b *Board) slowDown(w *worker, shares map[string]float64, missed map[string]*load, highest float64, now time.Time) {
+	p := b.pressureOn(missed, shares)
+	if p.most < pressureNone {
+		if explained(b.images, missed) {
+			return
 		}
+		p.blameShares(shares)
 	}
-	keep := min(paceDown, max(0, 1-over/max(slowed, pressureNone)))
-	for fill, p := range pressures {
-		if p < pressurePart*most || p == 0 || w.paceOf(fill) == 0 {
+	keep := p.keep()
+	for fill, x := range p.byImage {
+		if !p.guilty(fill) || w.paceOf(fill) == 0 {
 			continue
 		}
 		l := int(keep * float64(w.paceOf(fill)))
 		if l < paceLeast {
 			l = 0
 		}
-		if w.levels == nil {
-			w.levels = map[string]level{}
-		}
-		w.levels[fill] = level{l, now}
-		w.leveled = now
-		b.cfg.Log.Info("tasks that fill slow down", "Worker", w.info.ID, "Image", fill, "Percent", l, "Pressure", p, "TailByTarget", highest)
+		w.setPace(fill, l, now)
+		b.cfg.Log.Info("tasks that fill slow down", "Worker", w.info.ID, "Image", fill, "Percent", l, "Pressure", x, "TailByTarget", highest)
+	}
+}
+
+// setPace sets the pace of the tasks of one image on w.
+func (w *worker) setPace(fill string, percent int, now time.Time) {
+	if w.levels == nil {
+		w.levels = map[string]level{}
 	}
+	w.levels[fill] = level{percent, now}
+	w.leveled = now
 }
 
 // explained says whether the load by their own users is known to be enough for tasks to miss their targets.
@@ -210,9 +242,8 @@
 // bornePart returns the share of the full pace of the tasks that fill which those that serve on w bear now.
 func (b *Board) bornePart(w *worker) float64 {
 	part := 1.0
-	shares := w.plannedShares()
 	for serve := range w.byImage {
-		if added := b.images.added(shares, serve); added > 0 {
+		if added := b.plannedLoad(w, serve, nil); added > 0 {
 			part = min(part, max(0, b.leewayOf(w, serve).current-leewayKept)/added)
 		}
 	}
@@ -235,27 +266,23 @@
 	}
 }
 
-// plannedShares returns the processors that tasks that fill ask for on w, by image, as shares of its capacity.
-func (w *worker) plannedShares() map[string]float64 {
-	s := make(map[string]float64, len(w.planned))
+// plannedLoad returns the load that the tasks that fill on w add at full pace to tasks of image serve, with t besides unless it is nil.
+func (b *Board) plannedLoad(w *worker, serve string, t *task) float64 {
+	capacity := float64(max(1, w.info.Capacity.CPU))
+	sum := 0.0
 	for fill, cpu := range w.planned {
-		s[fill] = float64(cpu) / float64(max(1, w.info.Capacity.CPU))
+		sum += b.images.factor(fill, serve) * float64(cpu) / capacity
 	}
-	return s
+	if t != nil {
+		sum += b.images.factor(t.group.step.Image, serve) * float64(t.group.step.Need.CPU) / capacity
+	}
+	return sum
 }
 
-// bearable says whether the tasks that serve on w bear the tasks that fill there at full pace and at their own highest load, with t besides.
+// bearable says whether the tasks that serve on w bear the tasks that fill there at full pace and at their own highest load, with t besides unless it is nil.
 func (b *Board) bearable(w *worker, t *task) bool {
-	capacity := float64(max(1, w.info.Capacity.CPU))
 	for serve := range w.byImage {
-		p := 0.0
-		for fill, cpu := range w.planned {
-			p += b.images.factor(fill, serve) * float64(cpu) / capacity
-		}
-		if t != nil {
-			p += b.images.factor(t.group.step.Image, serve) * float64(t.group.step.Need.CPU) / capacity
-		}
-		if p > max(pressureNone, b.leewayOf(w, serve).lasting) {
+		if b.plannedLoad(w, serve, t) > max(pressureNone, b.leewayOf(w, serve).lasting) {
 			return false
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -268,7 +268,7 @@
 	case g.step.Serves():
 		// Packing tasks that serve leaves whole workers to those that fill.
 		s = -float64(w.serving) / float64(max(1, w.info.Capacity.CPU))
-		s += weightPressure * b.images.added(w.plannedShares(), g.step.Image)
+		s += weightPressure * b.plannedLoad(w, g.step.Image, nil)
 		if w.serves > 0 {
 			s += weightImage * (1 - float64(w.byImage[g.step.Image])/float64(w.serves))
 		}
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/rpc"
@@ -191,9 +192,7 @@
 	}
 }
 
-type closer interface{ Close() error }
-
-func closeQuietly(c closer, logger *slog.Logger) {
+func closeQuietly(c io.Closer, logger *slog.Logger) {
 	if err := c.Close(); err != nil {
 		logger.Debug("not closed", "Error", err)
 	}
--- a/ledger/relay_test.go
+++ b/ledger/relay_test.go
@@ -91,7 +91,7 @@
 				m.appendErr = c.appendErr
 				log := m.log()
 				if c.hang {
-					log.Append = func(ctx context.Context, _ Append) error {
+					log.Append = func(context.Context, Append) error {
 						time.Sleep(time.Hour)
 						return nil
 					}
