Load the newest records once at a time

Ruled out: the store (hosts with 200 Mbit/s are back in 0.1 to 0.4 s). Change: one load at a time; others wait for it within their deadline. The test fails before and passes after.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -457,3 +457,38 @@
 		synctest.Wait()
 	})
 }
+
+// TestOneLoadAtATime plays a host that starts with a slow link while callers ask for jobs that it does not know yet.
+func TestOneLoadAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		log := m.log()
+		is.NoErr(log.Append(t.Context(), Append{Topic: JobTopic, Producer: "p", Records: []Record{{Key: "K"}}}))
+		var loads atomic.Int32
+		log.Newest = func(ctx context.Context, topic Topic, after string) (Snapshot, error) {
+			loads.Add(1)
+			time.Sleep(2 * time.Second)
+			return m.newest(ctx, topic, after)
+		}
+		r := NewReader(ReaderConfig{Log: log, Fold: NewFold(quiet), Logger: quiet})
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		time.Sleep(time.Millisecond)
+		var callers sync.WaitGroup
+		for range 10 {
+			callers.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
+				defer cancel()
+				is.Equal(fault.Of(r.Refresh(ctx)), fault.LogUnavailable)
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		callers.Wait()
+		time.Sleep(time.Second)
+		is.NoErr(r.Refresh(ctx))
+		is.Equal(int(loads.Load()), 1)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -29,10 +29,11 @@
 	cfg     ReaderConfig
 	leading atomic.Bool
 	failing atomic.Bool
+	loading chan struct{} // holds the one load that runs
 }
 
 // NewReader returns a reader that has read nothing yet.
-func NewReader(cfg ReaderConfig) *Reader { return &Reader{cfg: cfg} }
+func NewReader(cfg ReaderConfig) *Reader { return &Reader{cfg: cfg, loading: make(chan struct{}, 1)} }
 
 // Lead makes the reader read as often as a leader needs.
 func (r *Reader) Lead(leading bool) { r.leading.Store(leading) }
@@ -116,8 +117,18 @@
 	return page.Next < page.End, nil
 }
 
-// load replaces the fold by the newest record of each key.
+// load replaces the fold by the newest record of each key. Callers that come while a load runs wait for it: loads beside each other would share a small link and none would end.
 func (r *Reader) load(ctx context.Context) error {
+	before, _ := r.cfg.Fold.Position()
+	select {
+	case r.loading <- struct{}{}:
+		defer func() { <-r.loading }()
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.LogUnavailable, "the newest records are still being loaded")
+	}
+	if at, loaded := r.cfg.Fold.Position(); loaded && at > before {
+		return nil
+	}
 	records, end, err := newest(ctx, r.cfg.Log, JobTopic)
 	if err != nil {
 		return err
