Keep endless tasks from waiting behind hopeless jobs

Change: the order of before is back, late jobs that can still be of use first, hopeless ones after endless tasks; any run on record makes an endless task go first. TestLateShortTaskGoesBeforeNewEndlessOne asserted the faulty order and is replaced by its opposite, and by one for the next leader; both fail before.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -213,6 +213,7 @@
 		}
 		t := g.tasks[m.Index]
 		t.run, t.failures, t.checkpoint = m.Run, m.Failures, m.Checkpoint
+		t.wasRunning = m.Run > 0
 		switch m.Phase {
 		case workload.Done:
 			t.phase = done
@@ -220,7 +221,6 @@
 			g.idle--
 		case workload.Assigned:
 			find(m.Worker).hold(t, running)
-			t.wasRunning = true
 		}
 	}
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -58,17 +58,14 @@
 // cost returns the declared core-milliseconds of one task.
 func cost(s *workload.Step) float64 { return float64(max(1, s.Need.CPU)) * float64(max(1, s.Estimate)) }
 
-// behindAll is the density of what waits for all jobs of its priority, late ones too.
-const behindAll = -1
-
-// rateEndless puts tasks that were running first, and new ones behind all others: they hold what they get, while short tasks give it back.
+// rateEndless puts tasks that have run before first, and new ones behind the jobs that still meet their objective, since they hold what they get; hopelessly late jobs must not keep them waiting while there is room.
 func rateEndless(g *group) rating {
 	for _, t := range g.tasks {
 		if t.phase == waiting && t.wasRunning {
 			return rating{density: math.Inf(1)}
 		}
 	}
-	return rating{prospect: hopelessLate, density: behindAll}
+	return rating{prospect: late, density: 1 / cost(g.step)}
 }
 
 // rate rates the occurrence that g belongs to.
