Reckon shares, chains and work of the board in one place each

Two loops summed the shares of tasks that fill, and one of them ran at each look though only a missed target needs it; the longest chain of steps stood in job and in order with a small variation; the declared work of a job, which never changes, was summed anew for each rating; the processors of a worker were guarded against 0 in seven places; a condition on counts that are deleted at 0 was dead; the images that fill were noted in two places. Tests built the same serving step five times and the same look three times. Change: one function each, work kept with the job, shares reckoned where a target is missed. No assertion, bound or check changed.

--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -18,9 +18,7 @@
 	is := is.New(t)
 	r := newRig()
 	r.list("a")
-	serve := step(1)
-	serve.Endless, serve.Image, serve.LatencyTarget = true, "serve", 18
-	r.submit("s", serve)
+	r.submit("s", servingStep(1, "serve"))
 	r.start()
 	s := r.images.of("serve")
 	s.add("heavy")
@@ -173,9 +171,8 @@
 	is := is.New(t)
 	s := newSite()
 	for n := range 8 {
-		serve := step(8)
-		serve.Need = table.Resources{CPU: 5000, Memory: 1 << 30}
-		serve.Endless, serve.Image, serve.LatencyTarget = true, fmt.Sprintf("serve%d", n%4), siteTarget
+		serve := servingStep(8, fmt.Sprintf("serve%d", n%4))
+		serve.Need, serve.LatencyTarget = table.Resources{CPU: 5000, Memory: 1 << 30}, siteTarget
 		s.submit(fmt.Sprintf("users%d", n), serve)
 	}
 	const every, last = 400 * time.Millisecond, 40 * time.Second
--- a/dispatch/impact.go
+++ b/dispatch/impact.go
@@ -99,9 +99,8 @@
 
 // tolerance returns the share of the known images that fill which hardly disturb any of the given images that serve.
 func (i *impact) tolerance(serving map[string]int) float64 {
-	known, borne := 0, 0
+	borne := 0
 	for fill := range i.fills {
-		known++
 		bears := true
 		for serve := range serving {
 			bears = bears && i.factor(fill, serve) < factorMild
@@ -110,10 +109,17 @@
 			borne++
 		}
 	}
-	if known == 0 {
+	if len(i.fills) == 0 {
 		return 1
 	}
-	return float64(borne) / float64(known)
+	return float64(borne) / float64(len(i.fills))
+}
+
+// know makes room for an image that fills which was not seen beside s before.
+func (i *impact) know(s *sensitivity, fill string) {
+	if s.add(fill) {
+		i.fills[fill] = true
+	}
 }
 
 // learn takes in the tail of a task of image serve, as a share of its target, beside the given shares of work; l is the load of its users.
@@ -127,9 +133,7 @@
 		s.learnAlone(tail, now)
 	}
 	for fill := range shares {
-		if s.add(fill) {
-			i.fills[fill] = true
-		}
+		i.know(s, fill)
 	}
 	s.split(l, shares, s.loadAt(tail), now)
 }
@@ -245,8 +249,7 @@
 		s := i.of(serve)
 		s.alone = l.Alone
 		for fill, f := range l.Factors {
-			i.fills[fill] = true
-			s.add(fill)
+			i.know(s, fill)
 			if n, ok := s.index[fill]; ok {
 				s.mean[n], s.variance[n][n] = f, l.Variance[fill]
 			}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -72,6 +72,7 @@
 	spec      *workload.Spec
 	submitted time.Time
 	deadline  time.Time // objective, from the declared estimates
+	work      float64   // declared core-milliseconds of one occurrence
 	state     workload.State
 	groups    map[int][]*group // by occurrence
 	nextDue   int              // occurrence that comes next
@@ -85,14 +86,17 @@
 		id: id, queue: s.Queue, spec: &s.Spec, submitted: time.UnixMilli(int64(s.Submitted)),
 		groups: map[int][]*group{},
 	}
-	chain := time.Duration(j.chain()) * time.Millisecond
+	for i := range s.Spec.Steps {
+		j.work += float64(s.Spec.Steps[i].Count) * cost(&s.Spec.Steps[i])
+	}
+	chain := time.Duration(j.chain(nil)) * time.Millisecond
 	j.deadline = j.submitted.Add(time.Duration(max(1, j.queue.Stretch)*float64(chain)) +
 		time.Duration(j.queue.Allowance)*time.Millisecond)
 	return j
 }
 
-// chain returns the estimate of the longest chain of steps.
-func (j *job) chain() table.Millis {
+// chain returns the estimate of the longest chain of the steps of an occurrence that are left, or of all where gs is nil.
+func (j *job) chain(gs []*group) table.Millis {
 	ends := make([]table.Millis, len(j.spec.Steps))
 	var longest table.Millis
 	for i := range j.spec.Steps {
@@ -100,7 +104,10 @@
 		for _, a := range j.spec.Steps[i].After {
 			start = max(start, ends[a])
 		}
-		ends[i] = start + j.spec.Steps[i].Estimate
+		ends[i] = start
+		if gs == nil || gs[i].left > 0 {
+			ends[i] += j.spec.Steps[i].Estimate
+		}
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -38,23 +38,13 @@
 type sizes map[workload.QueueID]float64
 
 func (s sizes) learn(j *job) {
-	w := j.work()
+	w := j.work
 	if usual, ok := s[j.queue.ID]; ok {
 		w = usual + usualWeight*(w-usual)
 	}
 	s[j.queue.ID] = w
 }
 
-// work returns the declared core-milliseconds of one occurrence.
-func (j *job) work() float64 {
-	sum := 0.0
-	for i := range j.spec.Steps {
-		s := &j.spec.Steps[i]
-		sum += float64(s.Count) * cost(s)
-	}
-	return sum
-}
-
 // cost returns the declared core-milliseconds of one task.
 func cost(s *workload.Step) float64 { return float64(max(1, s.Need.CPU)) * float64(max(1, s.Estimate)) }
 
@@ -75,26 +65,16 @@
 		return rateEndless(g)
 	}
 	gs := j.groups[g.occurrence]
-	left, ends := 0.0, make([]table.Millis, len(gs))
-	var chain table.Millis
-	for i, o := range gs {
-		var start table.Millis
-		for _, a := range o.step.After {
-			start = max(start, ends[a])
-		}
-		ends[i] = start
-		if o.left > 0 {
-			ends[i] += o.step.Estimate
-			left += float64(o.left) * cost(o.step)
-		}
-		chain = max(chain, ends[i])
+	left := 0.0
+	for _, o := range gs {
+		left += float64(o.left) * cost(o.step)
 	}
 	value := 1.0
 	if usual := b.sizes[j.queue.ID]; usual > 0 {
-		value = min(valueMost, valueBase+(1-valueBase)*j.work()/usual)
+		value = min(valueMost, valueBase+(1-valueBase)*j.work/usual)
 	}
 	r := rating{density: value / max(1, left)}
-	need := time.Duration(float64(chain) * float64(time.Millisecond) * promptChance)
+	need := time.Duration(float64(j.chain(gs)) * float64(time.Millisecond) * promptChance)
 	due := g.due()
 	switch end := now.Add(need); {
 	case !end.After(due):
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -38,28 +38,23 @@
 	return fullPace
 }
 
-// shares returns the processors that tasks that fill use on w, by image, as shares of its capacity.
-func (w *worker) shares(now time.Time) map[string]float64 {
+// shares returns what tasks that fill use of w, by image, as shares of its processors; use returns the processors of one task.
+func (w *worker) shares(use func(*task) table.Millicores) map[string]float64 {
 	s := map[string]float64{}
 	for _, t := range w.tasks {
-		if t.group.step.Fills {
-			s[t.group.step.Image] += float64(t.uses(now)) / float64(max(1, w.info.Capacity.CPU))
+		if !t.group.step.Fills {
+			continue
 		}
-	}
-	return s
-}
-
-// measured returns the processors that tasks that fill were last seen to use on w, by image, as shares of its capacity; a run that has not begun to work uses none.
-func (w *worker) measured() map[string]float64 {
-	s := map[string]float64{}
-	for _, t := range w.tasks {
-		if t.group.step.Fills && t.cpu > 0 {
-			s[t.group.step.Image] += float64(t.cpu) / float64(max(1, w.info.Capacity.CPU))
+		if cpu := use(t); cpu > 0 {
+			s[t.group.step.Image] += float64(cpu) / w.processors()
 		}
 	}
 	return s
 }
 
+// measured returns the processors that t was last seen to use; a run that has not begun to work uses none.
+func (t *task) measured() table.Millicores { return t.cpu }
+
 // uses returns the processors that a task that fills uses; for a run too young to be measured it is what its pace allows.
 func (t *task) uses(now time.Time) table.Millicores {
 	if t.cpu == 0 || now.Sub(t.began) < usageAge {
@@ -81,7 +76,7 @@
 		w.levels, w.highest = nil, 0
 		return
 	}
-	shares, measured := w.shares(now), w.measured()
+	measured := w.shares((*task).measured)
 	highest, missed := 0.0, map[string]*load{}
 	w.leeways = make(map[string]leeway, len(w.byImage))
 	for _, t := range w.tasks {
@@ -107,7 +102,7 @@
 	}
 	switch {
 	case len(missed) > 0 && now.Sub(w.leveled) >= paceEvery:
-		b.slowDown(w, shares, missed, highest, now)
+		b.slowDown(w, missed, highest, now)
 	case now.Sub(w.calmSince) > paceCalm && now.Sub(w.leveled) > paceCalm:
 		b.speedUp(w, now)
 	}
@@ -178,7 +173,8 @@
 }
 
 // slowDown slows the images that add most to the load of the tasks that miss their targets, to what these can bear.
-func (b *Board) slowDown(w *worker, shares map[string]float64, missed map[string]*load, highest float64, now time.Time) {
+func (b *Board) slowDown(w *worker, missed map[string]*load, highest float64, now time.Time) {
+	shares := w.shares(func(t *task) table.Millicores { return t.uses(now) })
 	p := b.pressureOn(missed, shares)
 	if p.most < pressureNone {
 		if explained(b.images, missed) {
@@ -268,13 +264,12 @@
 
 // plannedLoad returns the load that the tasks that fill on w add at full pace to tasks of image serve, with t besides unless it is nil.
 func (b *Board) plannedLoad(w *worker, serve string, t *task) float64 {
-	capacity := float64(max(1, w.info.Capacity.CPU))
 	sum := 0.0
 	for fill, cpu := range w.planned {
-		sum += b.images.factor(fill, serve) * float64(cpu) / capacity
+		sum += b.images.factor(fill, serve) * float64(cpu) / w.processors()
 	}
 	if t != nil {
-		sum += b.images.factor(t.group.step.Image, serve) * float64(t.group.step.Need.CPU) / capacity
+		sum += b.images.factor(t.group.step.Image, serve) * float64(t.group.step.Need.CPU) / w.processors()
 	}
 	return sum
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -267,7 +267,7 @@
 	switch {
 	case g.step.Serves():
 		// Packing tasks that serve leaves whole workers to those that fill.
-		s = -float64(w.serving) / float64(max(1, w.info.Capacity.CPU))
+		s = -float64(w.serving) / w.processors()
 		s += weightPressure * b.plannedLoad(w, g.step.Image, nil)
 		if w.serves > 0 {
 			s += weightImage * (1 - float64(w.byImage[g.step.Image])/float64(w.serves))
@@ -275,10 +275,8 @@
 	case g.step.Fills:
 		// Workers that bear most images are left to those that few others bear.
 		s = w.pressure() + weightTolerance*w.tolerance
-		for image, n := range w.byImage {
-			if n > 0 {
-				s += weightPressure * b.images.factor(g.step.Image, image) * float64(g.step.Need.CPU) / float64(max(1, w.info.Capacity.CPU))
-			}
+		for image := range w.byImage {
+			s += weightPressure * b.images.factor(g.step.Image, image) * float64(g.step.Need.CPU) / w.processors()
 		}
 	default:
 		s = (1 - weightCrowd*b.crowd) * w.pressure()
@@ -286,7 +284,7 @@
 	if !g.step.Fills && b.crowd > 0 {
 		// Room in pieces is of no use to large tasks.
 		left := w.free().CPU - g.step.Need.CPU
-		s += b.crowd * weightFit * float64(left) / float64(max(1, w.info.Capacity.CPU))
+		s += b.crowd * weightFit * float64(left) / w.processors()
 	}
 	if g.step.DataRack != "" && g.step.DataRack != w.info.Rack {
 		s += weightFar * (b.cfg.Far - 1)
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -187,18 +187,13 @@
 	is := is.New(t)
 	r := newRig()
 	r.list("a")
-	serve := step(1)
-	serve.Endless, serve.Image, serve.LatencyTarget = true, "serve", 18
-	r.submit("s", serve)
+	r.submit("s", servingStep(1, "serve"))
 	r.start()
 	fill := step(2)
 	fill.Fills, fill.Checkpoints, fill.Image = true, true, "fill"
 	r.submit("f", fill)
 	is.Equal(len(r.start()), 2)
-	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 100 * time.Millisecond}}}
-	for i := range 2 {
-		look.Running = append(look.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10, CPU: 1000})
-	}
+	look := mixedLook(100*time.Millisecond, 1000)
 	began := r.now
 	for range 10 {
 		r.answer(map[string]Look{"a": look})
@@ -217,9 +212,7 @@
 	r := newRig()
 	r.list("a", "b")
 	for i := range 6 {
-		s := step(1)
-		s.Endless, s.Image, s.LatencyTarget = true, fmt.Sprintf("image%d", i%2), 18
-		r.submit(fmt.Sprintf("j%d", i), s)
+		r.submit(fmt.Sprintf("j%d", i), servingStep(1, fmt.Sprintf("image%d", i%2)))
 		r.start()
 	}
 	for _, w := range r.workers {
@@ -250,13 +243,27 @@
 	is.Equal(r.jobs["j"].state, workload.Completed)
 }
 
+// servingStep returns a step of n tasks of one core each that serve with a target of 18 ms.
+func servingStep(n int, image string) workload.Step {
+	s := step(n)
+	s.Endless, s.Image, s.LatencyTarget = true, image, 18
+	return s
+}
+
+// mixedLook is the look at a worker on which task s serves, with the given tail, beside two tasks of f that fill and use cpu each.
+func mixedLook(tail time.Duration, cpu table.Millicores) Look {
+	l := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: tail}}}
+	for i := range 2 {
+		l.Running = append(l.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10, CPU: cpu})
+	}
+	return l
+}
+
 // newMixedRig returns a rig whose one worker runs a task that serves beside two that fill, and the step of the latter.
 func newMixedRig(is *is.I) (*rig, workload.Step) {
 	r := newRig()
 	r.list("a")
-	serve := step(1)
-	serve.Endless, serve.Image, serve.LatencyTarget = true, "serve", 18
-	r.submit("s", serve)
+	r.submit("s", servingStep(1, "serve"))
 	r.start()
 	fill := step(2)
 	fill.Fills, fill.Image = true, "fill"
@@ -269,10 +276,7 @@
 func TestYoungRunsGiveWayToo(t *testing.T) {
 	is := is.New(t)
 	r, fill := newMixedRig(is)
-	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 100 * time.Millisecond}}}
-	for i := range 2 {
-		look.Running = append(look.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10})
-	}
+	look := mixedLook(100*time.Millisecond, 0)
 	r.answer(map[string]Look{"a": look})
 	is.Equal(len(r.Paces(r.now)), 2)
 	r.submit("more", fill)
@@ -285,10 +289,7 @@
 	r, _ := newMixedRig(is)
 	r.images.of("serve").add("fill")
 	r.images.of("serve").mean[0] = -50 // far below zero after a calm time
-	look := Look{Running: []RunningTask{{Task: key("s", 0, 0), Run: 1, Percent: 100, Tail: 40 * time.Millisecond}}}
-	for i := range 2 {
-		look.Running = append(look.Running, RunningTask{Task: key("f", 0, i), Run: 1, Percent: 10, CPU: 1000})
-	}
+	look := mixedLook(40*time.Millisecond, 1000)
 	r.answer(map[string]Look{"a": look})
 	is.Equal(len(r.Paces(r.now)), 2)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -135,9 +135,12 @@
 
 // pressure estimates the processors in use as a share of the capacity, with the tasks that fill.
 func (w *worker) pressure() float64 {
-	return (w.counted() + float64(w.fills)) / float64(max(1, w.info.Capacity.CPU))
+	return (w.counted() + float64(w.fills)) / w.processors()
 }
 
+// processors returns the processors of w in thousandths of a core, by which shares of it are reckoned; it is never 0.
+func (w *worker) processors() float64 { return float64(max(1, w.info.Capacity.CPU)) }
+
 // counted estimates the processors that tasks in front of those that fill take; tasks that serve leave part of their share unused.
 func (w *worker) counted() float64 {
 	return float64(w.used.CPU-w.serving) + servingUse*float64(w.serving)
