Let most hosts ask those that read the log

Change: package standby. The leader and three standbys that it chooses read the log, the others attend to the leader and ask them; nobody to ask means reading the log as before. A hint in a topic of its own spares new hosts the load. A view is as old as the clock says that tells more, since a steady clock may not count a suspension.

--- a/commands/fleet.go
+++ b/commands/fleet.go
@@ -36,18 +36,26 @@
 		all = append(all, s)
 	}
 	return p.show(c, all, func(w io.Writer) error {
-		g := newGrid(w, "HOST", "ZONE", "READY", "LEADER", "EPOCH", "VIEW AGE", "CONFIGURATION", "PENDING")
+		g := newGrid(w, "HOST", "ZONE", "READY", "LEADER", "EPOCH", "SOURCE", "VIEW AGE", "CONFIGURATION", "PENDING")
 		for _, s := range all {
 			pending := 0
 			for _, q := range s.Queues {
-				pending += q.Pending
+				pending += max(0, q.Pending)
 			}
-			g.row(s.Host, s.Zone, yes(s.Ready), s.Leader, s.Epoch, s.ViewAge, s.Version, pending)
+			g.row(s.Host, s.Zone, yes(s.Ready), s.Leader, s.Epoch, source(s), s.ViewAge, s.Version, pending)
 		}
 		return g.w.Flush()
 	})
 }
 
+// source names where a host gets the state of jobs from.
+func source(s fleet.Status) string {
+	if s.Source == "" {
+		return "log"
+	}
+	return s.Source
+}
+
 func fetchStatus(client *http.Client, address string) (fleet.Status, error) {
 	var s fleet.Status
 	resp, err := client.Get("http://" + address + fleet.PathStatus)
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -15,6 +15,8 @@
 	"persimmonpick/fault"
 	"persimmonpick/intake"
 	"persimmonpick/ledger"
+	"persimmonpick/peer"
+	"persimmonpick/standby"
 	"persimmonpick/workload"
 )
 
@@ -28,8 +30,11 @@
 	keepOpen      = 75 * time.Second // of idle connections of callers
 )
 
-// answerRelay is what the metrics call the appends that the leader makes for this host.
-const answerRelay = "Relay"
+// What the metrics call the work that other hosts do for this one.
+const (
+	answerRelay = "Relay" // appends by the leader
+	answerAsk   = "Ask"   // answers from the log
+)
 
 // Config configures a Host.
 type Config struct {
@@ -40,7 +45,7 @@
 	FollowConfiguration func(ctx context.Context, apply func(Configuration), age func(func() time.Duration))
 	Callers             func(h *Host) http.Handler // what callers speak
 	Readiness           func(h *Host) http.Handler
-	Dial                func(ctx context.Context, network, address string) (net.Conn, error) // to other hosts; nil for plain TCP
+	Dial                peer.DialFunc // to other hosts; nil for plain TCP
 	Logger              *slog.Logger
 }
 
@@ -53,6 +58,7 @@
 	group     *ledger.Group // of the callers of this host
 	relayed   *ledger.Group // of other hosts, while this one leads
 	elector   *ledger.Elector
+	standby   *standby.Attachment
 	desk      *intake.Desk
 	metrics   *metrics
 	config    atomic.Pointer[Configuration]
@@ -65,9 +71,16 @@
 	h := &Host{cfg: cfg, log: cfg.Logger, metrics: newMetrics()}
 	process := cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	h.fold = ledger.NewFold(h.log)
-	h.reader = ledger.NewReader(ledger.ReaderConfig{Log: cfg.Log, Fold: h.fold, Pause: followPause, Logger: h.log})
+	h.reader = ledger.NewReader(ledger.ReaderConfig{
+		Log: cfg.Log, Fold: h.fold, Pause: followPause, Idle: func() bool { return h.standby.Idle() }, Logger: h.log,
+	})
+	h.standby = standby.New(standby.Config{
+		Self: standby.Member{Host: cfg.Settings.Host, Address: cfg.Settings.Relay, Zone: cfg.Settings.Zone, Size: cfg.Settings.Size},
+		Log:  cfg.Log, Fold: h.fold, Leading: h.reader.Leading, Dial: cfg.Dial,
+		Observe: func(err error, took time.Duration) { h.metrics.answer(answerAsk, fault.Of(err), took) }, Logger: h.log,
+	})
 	relay := ledger.NewRelay(ledger.RelayConfig{
-		Host: cfg.Settings.Host, Leader: h.fold.Leader, Dial: cfg.Dial,
+		Host: cfg.Settings.Host, Leader: h.standby.Leader, Dial: cfg.Dial,
 		Observe: func(err error, took time.Duration) { h.metrics.answer(answerRelay, fault.Of(err), took) }, Logger: h.log,
 	})
 	h.group = ledger.NewGroup(ledger.GroupConfig{
@@ -80,7 +93,10 @@
 		Log: cfg.Log, Fold: h.fold, Reader: h.reader, Host: cfg.Settings.Host, Process: process,
 		Address: cfg.Settings.Relay, Size: cfg.Settings.Size, Lead: h.lead, Logger: h.log,
 	})
-	h.desk = intake.New(intake.Config{Fold: h.fold, Refresh: h.reader.Refresh, Append: func(ctx context.Context, r ledger.Record) error { return h.group.Append(ctx, r) }, Log: h.log})
+	h.desk = intake.New(intake.Config{
+		Fold: h.fold, Refresh: h.reader.Refresh, Ask: h.standby.Ask, Log: h.log,
+		Append: func(ctx context.Context, r ledger.Record) error { return h.group.Append(ctx, r) },
+	})
 	return h
 }
 
@@ -101,6 +117,9 @@
 	if h.stopping.Load() || h.config.Load() == nil {
 		return false
 	}
+	if h.standby.Attached() {
+		return true
+	}
 	_, loaded := h.fold.Position()
 	return loaded && (!h.reader.Failing() || time.Since(h.fold.Confirmed()) < readyFor)
 }
@@ -137,7 +156,7 @@
 		go func() { failed <- srv.Serve(l) }()
 	}
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	if err := h.serveRelay(serveCtx, failed); err != nil {
+	if err := h.serveHosts(serveCtx, failed); err != nil {
 		cancel()
 		return err
 	}
@@ -159,8 +178,8 @@
 	return err
 }
 
-// serveRelay takes the records of other hosts until ctx ends.
-func (h *Host) serveRelay(ctx context.Context, failed chan<- error) error {
+// serveHosts takes the records and the questions of other hosts until ctx ends.
+func (h *Host) serveHosts(ctx context.Context, failed chan<- error) error {
 	if h.cfg.Settings.Relay == "" {
 		return nil
 	}
@@ -169,7 +188,9 @@
 		return fault.Wrap(err, fault.Internal, "cannot listen on %s", h.cfg.Settings.Relay)
 	}
 	go func() {
-		if err := ledger.ServeRelay(ctx, l, h.relayed, h.log); err != nil {
+		if err := peer.ServeLinks(ctx, l, map[string]any{
+			ledger.RelayService: ledger.NewRelayServer(h.relayed), standby.Service: standby.NewServer(h.standby), intake.Service: intake.NewServer(h.desk),
+		}, h.log); err != nil {
 			failed <- err
 		}
 	}()
@@ -184,6 +205,7 @@
 }
 
 func (h *Host) follow(ctx context.Context) {
+	go h.standby.Run(ctx)
 	go h.reader.Run(ctx)
 	go h.group.Run(ctx)
 	go h.relayed.Run(ctx)
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -1,9 +1,9 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"persimmonpick/ledger"
 	"persimmonpick/table"
@@ -17,7 +17,7 @@
 type QueueStatus struct {
 	Queue   workload.QueueID
 	Service table.ServiceID
-	Pending int // jobs that are accepted and have not begun
+	Pending int // jobs that are accepted and have not begun; -1 if that cannot be told
 }
 
 // Status is what operators see of a host.
@@ -27,24 +27,32 @@
 	Ready    bool
 	Leader   string // empty if none is known
 	Epoch    ledger.Epoch
-	ViewAge  table.Millis // of the log; older than a second or two means that the log is out of reach
+	Source   string       // host that is asked instead of the log; empty where this one reads the log
+	ViewAge  table.Millis // of the log, where this host reads it; older than a second or two means that the log is out of reach
 	Position ledger.Position
 	Version  Version // of the configuration in force
 	Queues   []QueueStatus
 }
 
 // Status returns what operators see of h.
-func (h *Host) Status() Status {
-	l := h.fold.Leader()
+func (h *Host) Status(ctx context.Context) Status {
+	l := h.standby.Leader()
 	position, _ := h.fold.Position()
 	s := Status{
 		Host: h.cfg.Settings.Host, Zone: h.cfg.Settings.Zone, Ready: h.Ready(), Leader: l.Host, Epoch: l.Epoch,
-		ViewAge: table.Millis(time.Since(h.fold.Confirmed()).Milliseconds()), Position: position,
+		Source: h.standby.Source(), Position: position,
+	}
+	if s.Source == "" {
+		s.ViewAge = table.Millis(h.fold.Age().Milliseconds())
 	}
 	if c := h.config.Load(); c != nil {
 		s.Version = c.Version
 		for _, q := range c.Queues() {
-			s.Queues = append(s.Queues, QueueStatus{q.ID, q.Service, h.fold.Pending(q.ID)})
+			n, err := h.desk.Pending(ctx, q.ID)
+			if err != nil {
+				n = -1 // the desk has logged why
+			}
+			s.Queues = append(s.Queues, QueueStatus{q.ID, q.Service, n})
 		}
 	}
 	return s
@@ -54,10 +62,10 @@
 func (h *Host) pages() http.Handler {
 	m := http.NewServeMux()
 	m.Handle("/metrics", h.metrics.handler())
-	m.HandleFunc(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+	m.HandleFunc(PathStatus, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// The operator may be gone.
-		_ = json.NewEncoder(w).Encode(h.Status())
+		_ = json.NewEncoder(w).Encode(h.Status(r.Context()))
 	})
 	return m
 }
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -7,6 +7,7 @@
 
 	"persimmonpick/fault"
 	"persimmonpick/ledger"
+	"persimmonpick/peer"
 	"persimmonpick/table"
 	"persimmonpick/workload"
 )
@@ -23,6 +24,7 @@
 	Fold    *ledger.Fold
 	Refresh func(ctx context.Context) error // reads the log up to its end
 	Append  func(ctx context.Context, r ledger.Record) error
+	Ask     func(ctx context.Context, call func(ctx context.Context, l *peer.Link) error) error // other hosts; it fails with fault.NotReady where none is to be asked; nil for never
 	Log     *slog.Logger
 }
 
@@ -60,53 +62,105 @@
 	return d.cfg.Append(ctx, r)
 }
 
+// View is what callers may know of a job.
+type View struct {
+	Queue     workload.QueueID
+	State     workload.State
+	Cancelled bool // by its caller, though it may not have been stopped yet
+}
+
+// Final says whether the job is over for its caller.
+func (v View) Final() bool { return v.Cancelled || v.State.Final() }
+
+func viewOf(e ledger.Entry) View {
+	return View{Queue: e.Submission.Queue.ID, State: e.Status.State, Cancelled: e.Cancelled}
+}
+
 // Cancel ends a job; it fails with fault.NotFound if there is none.
 func (d *Desk) Cancel(ctx context.Context, q workload.QueueID, id table.JobID) error {
-	e, err := d.find(ctx, q, id)
-	if err == nil && !e.Cancelled && !e.Status.State.Final() {
+	v, err := d.view(ctx, q, id)
+	if err == nil && !v.Final() {
 		var r ledger.Record
 		r, err = ledger.CancelRecord(id, table.UnixMillis(time.Now().UnixMilli()))
 		if err == nil {
 			err = d.cfg.Append(ctx, r)
 		}
 	}
-	d.cfg.Log.Info("job cancelled by its caller", "Job", id, "Queue", q, "State", e.Status.State, "Kind", fault.Of(err).String(), "Error", err)
+	d.cfg.Log.Info("job cancelled by its caller", "Job", id, "Queue", q, "State", v.State, "Kind", fault.Of(err).String(), "Error", err)
 	return err
 }
 
 // State returns the state of a job; it fails with fault.NotFound if there is none.
 func (d *Desk) State(ctx context.Context, q workload.QueueID, id table.JobID) (workload.State, error) {
-	e, err := d.find(ctx, q, id)
+	v, err := d.view(ctx, q, id)
 	if err != nil {
-		d.cfg.Log.Info("job not shown", "Job", id, "Queue", q, "ViewAge", time.Since(d.cfg.Fold.Confirmed()).Round(time.Millisecond), "Error", err)
+		d.cfg.Log.Info("job not shown", "Job", id, "Queue", q, "ViewAge", d.cfg.Fold.Age().Round(time.Millisecond), "Error", err)
 		return workload.Queued, err
 	}
-	if !e.Status.State.Final() && !e.Cancelled {
-		if e, err = d.current(ctx, e); err != nil {
-			return workload.Queued, err
-		}
-	}
-	if e.Cancelled && !e.Status.State.Final() {
+	if v.Cancelled && !v.State.Final() {
 		return workload.Cancelled, nil
 	}
-	return e.Status.State, nil
+	return v.State, nil
 }
 
-// current brings an old view of a job up to date; a host that was paused or cut off would otherwise show it as running after others showed its end.
-func (d *Desk) current(ctx context.Context, e ledger.Entry) (ledger.Entry, error) {
+// Pending returns how many jobs of a queue are accepted and have not begun; it fails with fault.LogUnavailable where the view of the log is too old to say.
+func (d *Desk) Pending(ctx context.Context, q workload.QueueID) (int, error) {
+	n, err := d.askPending(ctx, q)
+	if fault.Of(err) == fault.NotReady {
+		n, err = d.count(ctx, q)
+	}
+	if err != nil {
+		d.cfg.Log.Info("count not shown", "Queue", q, "Error", err)
+	}
+	return n, err
+}
+
+// view returns what other hosts know of a job, or what the log says where this host reads it itself.
+func (d *Desk) view(ctx context.Context, q workload.QueueID, id table.JobID) (View, error) {
+	v, err := d.askJob(ctx, id)
+	if fault.Of(err) == fault.NotReady {
+		v, err = d.read(ctx, id)
+	}
+	if err == nil && v.Queue != q {
+		err = fault.New(fault.NotFound, "no job %q in queue %q", id, q)
+	}
+	return v, err
+}
+
+// read returns what the log says about a job; it reads the log to its end first if the job is not known yet or the view of it is old, since a host that was paused or cut off would otherwise show as running what others have shown as ended.
+func (d *Desk) read(ctx context.Context, id table.JobID) (View, error) {
+	e, known := d.cfg.Fold.Job(id)
+	if !known {
+		if err := d.cfg.Refresh(ctx); err != nil {
+			return View{}, fault.Wrap(err, fault.LogUnavailable, "whether the job exists cannot be read")
+		}
+		if e, known = d.cfg.Fold.Job(id); !known {
+			return View{}, fault.New(fault.NotFound, "no job %q", id)
+		}
+	}
+	if v := viewOf(e); v.Final() {
+		return v, nil
+	}
 	if err := d.refresh(ctx); err != nil {
-		d.cfg.Log.Info("job not shown", "Job", e.ID, "Error", err)
-		return e, err
+		return View{}, err
+	}
+	if fresh, known := d.cfg.Fold.Job(id); known {
+		e = fresh
 	}
-	if fresh, known := d.cfg.Fold.Job(e.ID); known {
-		return fresh, nil
+	return viewOf(e), nil
+}
+
+// count returns how many jobs of a queue wait by the log.
+func (d *Desk) count(ctx context.Context, q workload.QueueID) (int, error) {
+	if err := d.refresh(ctx); err != nil {
+		return 0, err
 	}
-	return e, nil
+	return d.cfg.Fold.Pending(q), nil
 }
 
 // refresh brings an old view of the log up to date, and fails if it stays too old to be shown.
 func (d *Desk) refresh(ctx context.Context) error {
-	age := time.Since(d.cfg.Fold.Confirmed())
+	age := d.cfg.Fold.Age()
 	if age < viewRefresh {
 		return nil
 	}
@@ -118,27 +172,3 @@
 	}
 	return nil
 }
-
-// Pending returns how many jobs of a queue are accepted and have not begun; it fails with fault.LogUnavailable where the view of the log is too old to say.
-func (d *Desk) Pending(ctx context.Context, q workload.QueueID) (int, error) {
-	if err := d.refresh(ctx); err != nil {
-		d.cfg.Log.Info("count not shown", "Queue", q, "Error", err)
-		return 0, err
-	}
-	return d.cfg.Fold.Pending(q), nil
-}
-
-// find returns a job, after reading the log to its end if the job is not known yet.
-func (d *Desk) find(ctx context.Context, q workload.QueueID, id table.JobID) (ledger.Entry, error) {
-	e, known := d.cfg.Fold.Job(id)
-	if !known {
-		if err := d.cfg.Refresh(ctx); err != nil {
-			return e, fault.Wrap(err, fault.LogUnavailable, "whether the job exists cannot be read")
-		}
-		e, known = d.cfg.Fold.Job(id)
-	}
-	if !known || e.Submission.Queue.ID != q {
-		return e, fault.New(fault.NotFound, "no job %q in queue %q", id, q)
-	}
-	return e, nil
-}
--- a/ledger/elector.go
+++ b/ledger/elector.go
@@ -133,9 +133,23 @@
 		defer close(done)
 		w.run(leadCtx, cancel)
 	}()
+	e.load(leadCtx)
 	e.cfg.Lead(leadCtx, w)
 	cancel()
 	<-done
 	e.lost = max(e.lost, w.leader.Epoch)
 	e.cfg.Logger.Info("leading ended", "Epoch", w.leader.Epoch, "Displaced", w.Displaced())
 }
+
+// load reads the topic if this host has forgotten it between its election and now.
+func (e *Elector) load(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, loaded := e.cfg.Fold.Position(); loaded {
+			return
+		}
+		if err := e.cfg.Reader.Refresh(ctx); err != nil {
+			e.cfg.Logger.Warn("topic not loaded by its new leader yet", "Error", err)
+			sleep(ctx, retryPause)
+		}
+	}
+}
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -60,6 +60,27 @@
 	return f.confirmed
 }
 
+// Age returns how old the view of the topic is, by the clock that says more: a steady clock may not count the time for which a host was suspended.
+func (f *Fold) Age() time.Duration {
+	at := f.Confirmed()
+	now := time.Now()
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+}
+
+// Forget drops what was folded but the leader; the topic must be loaded again.
+func (f *Fold) Forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.clear()
+	f.position, f.loaded, f.confirmed, f.quietReads = 0, false, time.Time{}, 0
+}
+
+// clear drops all entries; f.mu must be held.
+func (f *Fold) clear() {
+	f.entries, f.pending, f.newest = map[table.JobID]*Entry{}, map[workload.QueueID]int{}, map[string]Position{}
+	f.notes = map[string][]byte{}
+}
+
 // Job returns a copy of the entry of id.
 func (f *Fold) Job(id table.JobID) (Entry, bool) {
 	f.mu.Lock()
@@ -90,20 +111,19 @@
 	return all
 }
 
-// load replaces the state by a whole snapshot.
-func (f *Fold) load(records []Record, end Position) {
+// load replaces the state by a whole snapshot, whose first page was asked for at began.
+func (f *Fold) load(records []Record, end Position, began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	f.entries, f.pending, f.newest = map[table.JobID]*Entry{}, map[workload.QueueID]int{}, map[string]Position{}
-	f.notes = map[string][]byte{}
+	f.clear()
 	for _, r := range records {
 		f.apply(r, now)
 		if r.Position >= end {
 			f.newest[r.Key] = r.Position
 		}
 	}
-	f.position, f.loaded = end, true
+	f.position, f.loaded, f.confirmed = end, true, began
 	if f.changed != nil {
 		for _, e := range f.entries {
 			f.changed(*e)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -233,7 +233,7 @@
 func TestUnreadableRecordsChangeNothing(t *testing.T) {
 	is := is.New(t)
 	f := NewFold(quiet)
-	f.load(nil, 0)
+	f.load(nil, 0, time.Now())
 	f.add(0, Page{Records: []Record{{}, {Key: "Jx", Value: []byte{0xff}}, {Key: "L", Value: []byte("?")}, {Key: "Zy", Value: []byte("?")}}, Next: 4, End: 4}, time.Now())
 	_, ok := f.Job("x")
 	is.True(!ok)
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	readWait    = time.Second            // of an idle read; bounds how long a silent connection goes unnoticed
 	retryPause  = 150 * time.Millisecond // after a failed read; the store counts refused calls too
 	leaderPause = 15 * time.Millisecond  // between reads of the leader, so that close records share a call
+	idlePause   = 100 * time.Millisecond // before an idle reader looks whether it must read again
 )
 
 // ReaderConfig configures a Reader.
@@ -21,12 +23,14 @@
 	Log    Log
 	Fold   *Fold
 	Pause  time.Duration // between reads of a host that does not lead
+	Idle   func() bool   // whether the host need not read; nil for never
 	Logger *slog.Logger
 }
 
 // Reader follows the topic into a fold.
 type Reader struct {
 	cfg     ReaderConfig
+	mu      sync.Mutex // keeps a host from forgetting what it read while it becomes the leader
 	leading atomic.Bool
 	failing atomic.Bool
 	loading chan struct{} // holds the one load that runs
@@ -36,7 +40,14 @@
 func NewReader(cfg ReaderConfig) *Reader { return &Reader{cfg: cfg, loading: make(chan struct{}, 1)} }
 
 // Lead makes the reader read as often as a leader needs.
-func (r *Reader) Lead(leading bool) { r.leading.Store(leading) }
+func (r *Reader) Lead(leading bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leading.Store(leading)
+}
+
+// Leading says whether this host leads.
+func (r *Reader) Leading() bool { return r.leading.Load() }
 
 // Failing says whether the last read failed.
 func (r *Reader) Failing() bool { return r.failing.Load() }
@@ -44,6 +55,10 @@
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if r.idle() {
+			sleep(ctx, idlePause)
+			continue
+		}
 		n, behind, err := r.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -61,6 +76,20 @@
 	}
 }
 
+// idle forgets what was read while the host need not read, so that it takes no memory.
+func (r *Reader) idle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cfg.Idle == nil || r.Leading() || !r.cfg.Idle() {
+		return false
+	}
+	if _, loaded := r.cfg.Fold.Position(); loaded {
+		r.cfg.Fold.Forget()
+	}
+	r.failing.Store(false)
+	return true
+}
+
 // Refresh folds all records that were in the topic when it was called.
 func (r *Reader) Refresh(ctx context.Context) error {
 	began := time.Now()
@@ -129,11 +158,12 @@
 	if at, loaded := r.cfg.Fold.Position(); loaded && at > before {
 		return nil
 	}
+	began := time.Now()
 	records, end, err := newest(ctx, r.cfg.Log, JobTopic)
 	if err != nil {
 		return err
 	}
-	r.cfg.Fold.load(records, end)
+	r.cfg.Fold.load(records, end, began)
 	r.cfg.Logger.Info("newest records loaded", "Topic", JobTopic, "Records", len(records), "End", end)
 	return nil
 }
--- a/ledger/relay_test.go
+++ b/ledger/relay_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,61 +12,31 @@
 	"github.com/matryer/is"
 
 	"persimmonpick/fault"
+	"persimmonpick/peer"
+	"persimmonpick/standins/pipenet"
 	"persimmonpick/table"
 )
 
-// pipes is a listener whose connections are pipes in memory, which the clock of a test knows.
-type pipes struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipes() *pipes { return &pipes{conns: make(chan net.Conn), closed: make(chan struct{})} }
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipes) Close() error {
-	p.once.Do(func() { close(p.closed) })
-	return nil
-}
-
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (p *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case p.conns <- far:
-		return near, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // relayTo returns a relay of a host other than the leader.
-func relayTo(p *pipes) *Relay {
+func relayTo(n *pipenet.Network) *Relay {
 	return NewRelay(RelayConfig{
-		Host: "follower", Leader: func() Leader { return Leader{Host: "leader", Address: "leader:1"} },
-		Dial: p.dial, Observe: func(error, time.Duration) {}, Logger: quiet,
+		Host: "follower", Leader: func() Leader { return Leader{Host: "leader", Address: leaderAddress} },
+		Dial: n.Dial, Observe: func(error, time.Duration) {}, Logger: quiet,
 	})
 }
 
+// leaderAddress is where the leader of these tests listens.
+const leaderAddress = "leader:1"
+
 func never() bool { return false }
 
 // serveRelay appends to log what relays hand over.
-func serveRelay(ctx context.Context, p *pipes, log Log) {
+func serveRelay(ctx context.Context, n *pipenet.Network, log Log) {
 	g := NewGroup(GroupConfig{Log: log, Producer: "leader-relayed", Failing: never, Logger: quiet})
 	go g.Run(ctx)
-	go func() { _ = ServeRelay(ctx, p, g, quiet) }() // ends with the context of the test
+	ln := n.Listen(leaderAddress)
+	// It ends with the context of the test.
+	go func() { _ = peer.ServeLinks(ctx, ln, map[string]any{RelayService: NewRelayServer(g)}, quiet) }()
 }
 
 func TestRelayTellsUnknownFromRefused(t *testing.T) {
@@ -87,7 +56,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
-				m, p := newMemoryLog(), newPipes()
+				m, p := newMemoryLog(), pipenet.New()
 				m.appendErr = c.appendErr
 				log := m.log()
 				if c.hang {
@@ -152,7 +121,7 @@
 			time.Sleep(perAppend)
 			return m.append(ctx, a)
 		}
-		p := newPipes()
+		p := pipenet.New()
 		serveRelay(ctx, p, log)
 		var taken, refused atomic.Int32
 		var callers sync.WaitGroup
--- /dev/null
+++ b/standby/attachment.go
@@ -0,0 +1,447 @@
+package standby
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"persimmonpick/fault"
+	"persimmonpick/ledger"
+	"persimmonpick/peer"
+)
+
+// The timing of a host that attends to others.
+const (
+	callTimeout = 400 * time.Millisecond  // of a question to another host; many round trips between availability zones
+	linkDial    = 250 * time.Millisecond  // several round trips
+	linkRest    = 500 * time.Millisecond  // a host that failed is left alone for this long; a new process tries again within seekFor
+	viewOldest  = 2 * time.Second         // a host with an older view of the log is not asked; counts may be as old
+	attendAgain = 200 * time.Millisecond  // after a round in which nobody answered
+	missedMost  = 2                       // rounds without an answer before the host reads the log itself
+	followLeast = 3 * time.Second         // a host that had to read the log goes on for at least this long
+	seekFor     = 1500 * time.Millisecond // a new process looks for a host to ask; larger hosts have read the log by then
+	seekAgain   = 150 * time.Millisecond  // between attempts of a new process
+	hintTimeout = 800 * time.Millisecond  // of a read or a write of the hint
+)
+
+// Config configures an Attachment.
+type Config struct {
+	Self    Member
+	Log     ledger.Log
+	Fold    *ledger.Fold
+	Leading func() bool // whether this host leads
+	Dial    peer.DialFunc
+	Observe func(err error, took time.Duration) // called for each question to another host
+	Logger  *slog.Logger
+}
+
+// Attachment says which hosts read the log, and whether this one has to; its methods may be called from any goroutine.
+type Attachment struct {
+	cfg    Config
+	sought chan struct{} // closed when a new process has found a host to ask, or reads the log
+
+	mu          sync.Mutex
+	leader      ledger.Leader // newest that other hosts named
+	standbys    []Member      // that the newest known leader has chosen
+	last        Member        // that could be asked lately; may be neither of them after the leader has changed
+	attached    bool
+	seeking     bool
+	chosen      bool // the leader wants this host to read the log
+	missed      int  // rounds in a row without an answer
+	followUntil time.Time
+	links       map[string]*peer.Link // by address
+	roll        *roll                 // of the newest lead of this host
+	published   hint
+}
+
+// New returns an attachment whose Run must be called.
+func New(cfg Config) *Attachment {
+	return &Attachment{cfg: cfg, sought: make(chan struct{}), seeking: true, links: map[string]*peer.Link{}}
+}
+
+// Idle says whether this host need not read the log.
+func (a *Attachment) Idle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.attached || a.seeking
+}
+
+// Attached says whether this host answers callers by asking other hosts.
+func (a *Attachment) Attached() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.attached
+}
+
+// Source returns the host that answered last where this one asks others, or nothing where it reads the log itself.
+func (a *Attachment) Source() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.attached {
+		return ""
+	}
+	return a.last.Host
+}
+
+// Leader returns the newest leader that this host has heard of, from the log or from other hosts.
+func (a *Attachment) Leader() ledger.Leader {
+	l := a.cfg.Fold.Leader()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leader.Epoch > l.Epoch {
+		return a.leader
+	}
+	return l
+}
+
+// Run attends to the hosts that read the log until ctx ends.
+func (a *Attachment) Run(ctx context.Context) {
+	a.seek(ctx)
+	for ctx.Err() == nil {
+		sleep(ctx, a.round(ctx))
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range a.links {
+		l.Close()
+	}
+}
+
+// seek looks for a host to ask before this process reads the log: after a loss of power all hosts would load it at once.
+func (a *Attachment) seek(ctx context.Context) {
+	defer close(a.sought)
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.seeking = false
+	}()
+	for end := time.Now().Add(seekFor); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, seekAgain) {
+		h, found, err := a.readHint(ctx)
+		if err != nil {
+			a.cfg.Logger.Debug("hint not read", "Error", err)
+			continue
+		}
+		if !found {
+			return
+		}
+		named := a.named(h)
+		a.mu.Lock()
+		a.leader, a.standbys, a.chosen = h.Leader, h.Standbys, named
+		a.mu.Unlock()
+		if named {
+			return
+		}
+		for ctx.Err() == nil && time.Now().Before(end) {
+			a.round(ctx)
+			if a.Attached() {
+				return
+			}
+			sleep(ctx, seekAgain)
+		}
+	}
+}
+
+func (a *Attachment) readHint(ctx context.Context) (hint, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	return readHint(ctx, a.cfg.Log)
+}
+
+// named says whether h names this host, so that others wait for it to read the log.
+func (a *Attachment) named(h hint) bool {
+	named := h.Leader.Host == a.cfg.Self.Host
+	for _, s := range h.Standbys {
+		named = named || s.Host == a.cfg.Self.Host
+	}
+	return named
+}
+
+// round attends once to the leader, or else to a standby; it returns when to attend again.
+func (a *Attachment) round(ctx context.Context) time.Duration {
+	if a.cfg.Leading() {
+		a.lead(ctx)
+		return attendEvery
+	}
+	var asked Member
+	for {
+		l := a.Leader()
+		if l.Address == "" || l.Address == asked.Address || l.Host == a.cfg.Self.Host {
+			break
+		}
+		asked = Member{Host: l.Host, Address: l.Address}
+		r, err := a.attend(ctx, asked.Address)
+		if err != nil {
+			break
+		}
+		a.take(r)
+		if !r.usable() {
+			continue
+		}
+		a.answered(r, asked)
+		if r.Leading {
+			return r.Every
+		}
+	}
+	if r, m, ok := a.attendStandbys(ctx, asked.Address); ok {
+		a.answered(r, m)
+		return attendEvery
+	}
+	return a.unanswered()
+}
+
+// attendStandbys attends to all standbys but the one at the address that was asked already, and returns the first usable answer.
+func (a *Attachment) attendStandbys(ctx context.Context, but string) (AttendReply, Member, bool) {
+	type answer struct {
+		reply  AttendReply
+		member Member
+		err    error
+	}
+	targets := a.others()
+	answers := make(chan answer, len(targets))
+	n := 0
+	for _, m := range targets {
+		if m.Address == but || m.Host == a.cfg.Self.Host {
+			continue
+		}
+		n++
+		go func() {
+			r, err := a.attend(ctx, m.Address)
+			answers <- answer{r, m, err}
+		}()
+	}
+	for range n {
+		an := <-answers
+		if an.err != nil {
+			continue
+		}
+		a.take(an.reply)
+		if an.reply.usable() {
+			return an.reply, an.member, true
+		}
+	}
+	return AttendReply{}, Member{}, false
+}
+
+// others returns the hosts but the leader that may be asked.
+func (a *Attachment) others() []Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ms := slices.Clone(a.standbys)
+	if a.last.Address != "" && !slices.ContainsFunc(ms, func(m Member) bool { return m.Address == a.last.Address }) {
+		ms = append(ms, a.last)
+	}
+	return ms
+}
+
+func (a *Attachment) attend(ctx context.Context, address string) (AttendReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, reads := a.cfg.Fold.Position()
+	var r AttendReply
+	err := a.link(address).Call(ctx, methodAttend, AttendArgs{Member: a.cfg.Self, Reads: reads}, &r)
+	return r, err
+}
+
+// take takes in what another host knows of those that read the log.
+func (a *Attachment) take(r AttendReply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Leader.Epoch < a.leader.Epoch {
+		return
+	}
+	a.leader = r.Leader
+	if r.Leading {
+		a.standbys = r.Standbys
+	}
+	a.forgetLinks()
+}
+
+// forgetLinks closes the links to hosts that are not asked any more; a.mu must be held.
+func (a *Attachment) forgetLinks() {
+	wanted := map[string]bool{a.leader.Address: true, a.cfg.Fold.Leader().Address: true, a.last.Address: true}
+	for _, s := range a.standbys {
+		wanted[s.Address] = true
+	}
+	for address, l := range a.links {
+		if !wanted[address] {
+			l.Close()
+			delete(a.links, address)
+		}
+	}
+}
+
+// answered notes that another host can be asked; a host that the leader has chosen goes on reading the log.
+func (a *Attachment) answered(r AttendReply, by Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.missed, a.last = 0, by
+	if r.Leading {
+		a.chosen = r.Follow
+	}
+	attach := !a.chosen && time.Now().After(a.followUntil)
+	if attach == a.attached {
+		return
+	}
+	a.attached = attach
+	if attach {
+		a.cfg.Logger.Info("log left to other hosts", "Host", by.Host, "Leading", r.Leading, "ViewAge", r.Age.Round(time.Millisecond), "Epoch", r.Leader.Epoch)
+	} else {
+		a.cfg.Logger.Info("chosen to read the log", "Host", by.Host, "Epoch", r.Leader.Epoch)
+	}
+}
+
+// unanswered notes that nobody could be asked; it returns when to try again.
+func (a *Attachment) unanswered() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.missed++
+	if !a.attached {
+		return attendEvery
+	}
+	if a.missed >= missedMost {
+		a.detach("no host with a new view answers")
+	}
+	return attendAgain
+}
+
+// detach has this host read the log itself for a while; a.mu must be held.
+func (a *Attachment) detach(why string) {
+	a.attached, a.followUntil = false, time.Now().Add(followLeast)
+	a.cfg.Logger.Warn("this host reads the log itself", "Why", why, "Leader", a.leader.Host, "Epoch", a.leader.Epoch, "AtLeast", followLeast)
+}
+
+// Ask has call made to the leader, or to a standby where that fails, until one answers with success or with fault.NotFound. It fails with fault.NotReady where this host reads the log itself, which it also does once nobody answers.
+func (a *Attachment) Ask(ctx context.Context, call func(ctx context.Context, l *peer.Link) error) error {
+	select {
+	case <-a.sought:
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.NotReady, "no host to ask was found yet")
+	}
+	if !a.Attached() {
+		return fault.New(fault.NotReady, "this host reads the log itself")
+	}
+	for _, address := range a.targets() {
+		began := time.Now()
+		err := a.ask(ctx, address, call)
+		a.cfg.Observe(err, time.Since(began))
+		if k := fault.Of(err); k == fault.None || k == fault.NotFound {
+			return err
+		}
+		a.cfg.Logger.Info("question not answered", "Host", address, "Took", time.Since(began).Round(time.Millisecond), "Error", err)
+		if ctx.Err() != nil {
+			return fault.Wrap(ctx.Err(), fault.NotReady, "no host answered in time")
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.attached {
+		a.detach("no host answers questions")
+	}
+	return fault.New(fault.NotReady, "no host answers")
+}
+
+func (a *Attachment) ask(ctx context.Context, address string, call func(ctx context.Context, l *peer.Link) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return call(ctx, a.link(address))
+}
+
+// targets returns the addresses to ask, in order: the leader knows most, and the others share what is left.
+func (a *Attachment) targets() []string {
+	l := a.Leader()
+	var ts []string
+	if l.Address != "" {
+		ts = append(ts, l.Address)
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(a.cfg.Self.Host)) // a hash never fails
+	others := a.others()
+	for i := range others {
+		m := others[(i+int(h.Sum32()%uint32(len(others))))%len(others)]
+		if m.Address != l.Address && m.Host != a.cfg.Self.Host {
+			ts = append(ts, m.Address)
+		}
+	}
+	return ts
+}
+
+func (a *Attachment) link(address string) *peer.Link {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.links[address]
+	if l == nil {
+		l = peer.NewLink(peer.LinkConfig{Address: address, Dial: a.cfg.Dial, DialTimeout: linkDial, Rest: linkRest, Logger: a.cfg.Logger})
+		a.links[address] = l
+	}
+	return l
+}
+
+// answer answers a member.
+func (a *Attachment) answer(args AttendArgs, now time.Time) AttendReply {
+	_, reads := a.cfg.Fold.Position()
+	r := AttendReply{Leader: a.Leader(), Reads: reads, Age: a.cfg.Fold.Age(), Leading: a.cfg.Leading()}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.Standbys = a.standbys
+	if !r.Leading {
+		return r
+	}
+	a.call(r.Leader.Epoch, now)
+	r.Follow = a.roll.attend(args.Member, args.Reads, now)
+	r.Every = a.roll.every()
+	return r
+}
+
+// call begins a new roll with each lead; a.mu must be held.
+func (a *Attachment) call(epoch ledger.Epoch, now time.Time) {
+	if a.roll == nil || a.roll.epoch != epoch {
+		a.roll = newRoll(epoch, a.standbys, now)
+	}
+}
+
+// lead chooses the standbys while this host leads, and leaves a hint at them.
+func (a *Attachment) lead(ctx context.Context) {
+	l := a.cfg.Fold.Leader()
+	a.mu.Lock()
+	a.attached, a.missed, a.leader = false, 0, l
+	a.call(l.Epoch, time.Now())
+	if a.roll.settle(a.cfg.Self, time.Now()) {
+		a.standbys = a.roll.standbys
+		a.cfg.Logger.Info("standbys chosen", "Epoch", l.Epoch, "Standbys", hosts(a.standbys), "Members", len(a.roll.members))
+	}
+	h := hint{l, a.standbys}
+	stale := !h.equal(a.published)
+	a.mu.Unlock()
+	if !stale {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	if err := writeHint(ctx, a.cfg.Log, h); err != nil {
+		a.cfg.Logger.Warn("hint not written", "Error", err)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.published = h
+}
+
+func hosts(ms []Member) []string {
+	names := make([]string, len(ms))
+	for i, m := range ms {
+		names[i] = m.Host
+	}
+	return names
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/standby/roll.go
@@ -0,0 +1,115 @@
+package standby
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonpick/ledger"
+	"persimmonpick/table"
+)
+
+// Member is an entry host that may attend to the leader.
+type Member struct {
+	Host    string
+	Address string // host:port that other hosts call; empty for none
+	Zone    table.ZoneID
+	Size    float64 // share of a core
+}
+
+// The choice of standbys.
+const (
+	standbys      = 3                    // hosts that read the log beside the leader; two of them may be lost at once
+	attendEvery   = time.Second          // between the calls of a member; a record of the leader is missed later than that
+	attendSpacing = 5 * time.Millisecond // between the calls of all members, which bounds what they cost the leader
+	absentAfter   = 3                    // calls missed before a member counts as gone
+	settleFor     = 2 * time.Second      // a new leader changes nothing before the members have attended
+)
+
+// roll is the list of members that a leader keeps.
+type roll struct {
+	epoch    ledger.Epoch
+	since    time.Time
+	members  map[string]attendance // by host
+	standbys []Member
+}
+
+type attendance struct {
+	Member
+	reads bool // the log
+	at    time.Time
+}
+
+func newRoll(epoch ledger.Epoch, before []Member, now time.Time) *roll {
+	return &roll{epoch: epoch, since: now, members: map[string]attendance{}, standbys: before}
+}
+
+// attend notes a member and says whether it is to read the log.
+func (r *roll) attend(m Member, reads bool, now time.Time) bool {
+	r.members[m.Host] = attendance{m, reads, now}
+	if now.Sub(r.since) < settleFor {
+		return reads
+	}
+	return slices.ContainsFunc(r.standbys, func(s Member) bool { return s.Host == m.Host })
+}
+
+// every returns how often members attend.
+func (r *roll) every() time.Duration {
+	return max(attendEvery, time.Duration(len(r.members))*attendSpacing)
+}
+
+// settle drops the members that are gone and chooses the standbys; it says whether they changed.
+func (r *roll) settle(self Member, now time.Time) bool {
+	if now.Sub(r.since) < settleFor {
+		return false
+	}
+	var present []attendance
+	for host, m := range r.members {
+		if now.Sub(m.at) > absentAfter*r.every() {
+			delete(r.members, host)
+			continue
+		}
+		present = append(present, m)
+	}
+	chosen := choose(self, present, standbys)
+	if slices.Equal(chosen, r.standbys) {
+		return false
+	}
+	r.standbys = chosen
+	return true
+}
+
+// choose returns the hosts that read the log beside the leader: the largest, since the next leader is one of them; among equals those that read it already, then those of zones without one. It answers the load of reads at the log, which must not grow with the number of hosts.
+func choose(leader Member, present []attendance, most int) []Member {
+	left := slices.DeleteFunc(slices.Clone(present), func(a attendance) bool {
+		return a.Address == "" || a.Host == leader.Host
+	})
+	zones := map[table.ZoneID]int{leader.Zone: 1}
+	var chosen []Member
+	for len(chosen) < most && len(left) > 0 {
+		best := 0
+		for i, a := range left[1:] {
+			b := left[best]
+			if cmp.Or(cmp.Compare(b.Size, a.Size), compareBool(b.reads, a.reads), cmp.Compare(zones[a.Zone], zones[b.Zone]),
+				cmp.Compare(a.Host, b.Host)) < 0 {
+				best = i + 1
+			}
+		}
+		chosen = append(chosen, left[best].Member)
+		zones[left[best].Zone]++
+		left = slices.Delete(left, best, best+1)
+	}
+	slices.SortFunc(chosen, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	return chosen
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/standby/roll_test.go
@@ -0,0 +1,89 @@
+package standby
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/table"
+)
+
+func member(host, zone string, size float64) Member {
+	return Member{Host: host, Address: host + ":1", Zone: table.ZoneID(zone), Size: size}
+}
+
+func TestChoiceOfStandbys(t *testing.T) {
+	leader := member("a", "z1", 0.8)
+	large := func(host, zone string) attendance { return attendance{Member: member(host, zone, 0.8)} }
+	reading := func(a attendance) attendance {
+		a.reads = true
+		return a
+	}
+	small := attendance{Member: member("s", "z4", 0.1), reads: true}
+	hidden := large("h", "z5")
+	hidden.Address = ""
+	for name, c := range map[string]struct {
+		present []attendance
+		want    []string
+	}{
+		"nobody":                {nil, []string{}},
+		"the leader itself":     {[]attendance{large("a", "z1")}, []string{}},
+		"no address":            {[]attendance{hidden}, []string{}},
+		"few":                   {[]attendance{small, large("b", "z1")}, []string{"b", "s"}},
+		"zones without one":     {[]attendance{large("b", "z1"), large("c", "z2"), large("d", "z2"), large("e", "z3"), large("f", "z4")}, []string{"c", "e", "f"}},
+		"large before small":    {[]attendance{small, large("b", "z1"), large("c", "z1"), large("d", "z1")}, []string{"b", "c", "d"}},
+		"those that read go on": {[]attendance{reading(large("b", "z1")), reading(large("c", "z1")), reading(large("d", "z1")), large("e", "z2")}, []string{"b", "c", "d"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(hosts(choose(leader, c.present, standbys)), c.want)
+		})
+	}
+}
+
+// TestStandbysStayWhileTheLeaderChanges plays a new leader, which knows nobody yet, before members that attend one after the other.
+func TestStandbysStayWhileTheLeaderChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	before := []Member{member("b", "z2", 0.8), member("c", "z3", 0.8)}
+	r := newRoll(2, before, now)
+	is.Equal(r.attend(member("x", "z2", 0.1), false, now), false) // a small host comes first and stays idle
+	is.Equal(r.attend(before[0], true, now), true)
+	is.Equal(r.settle(member("a", "z1", 0.8), now), false)
+	is.Equal(r.attend(before[1], true, now.Add(time.Second)), true)
+	is.Equal(r.attend(member("d", "z1", 0.8), false, now.Add(time.Second)), false)
+	is.Equal(r.settle(member("a", "z1", 0.8), now.Add(settleFor)), true)
+	is.Equal(hosts(r.standbys), []string{"b", "c", "d"})
+	is.Equal(r.attend(member("x", "z2", 0.1), false, now.Add(settleFor)), false)
+	is.Equal(r.attend(member("d", "z1", 0.8), false, now.Add(settleFor)), true)
+}
+
+func TestStandbyThatIsGoneIsReplaced(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newRoll(1, nil, now)
+	self := member("a", "z1", 0.8)
+	for i := range 5 {
+		r.attend(member(fmt.Sprint("m", i), "z1", 0.8), true, now)
+	}
+	is.True(r.settle(self, now.Add(settleFor)))
+	is.Equal(hosts(r.standbys), []string{"m0", "m1", "m2"})
+	later := now.Add(settleFor + absentAfter*attendEvery)
+	for i := range 4 {
+		r.attend(member(fmt.Sprint("m", i+1), "z1", 0.8), i < 2, later)
+	}
+	is.True(r.settle(self, later))
+	is.Equal(hosts(r.standbys), []string{"m1", "m2", "m3"})
+}
+
+// TestMembersCostTheLeaderTheSame plays the load of a thousand hosts.
+func TestMembersCostTheLeaderTheSame(t *testing.T) {
+	is := is.New(t)
+	r := newRoll(1, nil, time.Now())
+	for i := range 1000 {
+		r.attend(member(fmt.Sprint(i), "z1", 0.1), false, time.Now())
+	}
+	calls := float64(len(r.members)) / r.every().Seconds()
+	is.True(calls <= 1/attendSpacing.Seconds())
+}
