Tell at the end of a job what it waited for

Cause: whether a late job waited for room, failed or was moved could not be read from one line. Change: the line of a final job holds its objective, the time that its steps waited for places, its size, failures, moves and other reruns.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -18,6 +18,9 @@
 	Log        *slog.Logger
 }
 
+// coreSecond is a second of a core in thousandths of a core times milliseconds.
+const coreSecond = 1e6
+
 // tokensPerEpoch leaves room for the tokens of one leader.
 const tokensPerEpoch = 1 << 24
 
@@ -198,7 +201,10 @@
 func (b *Board) finish(j *job, s workload.State, now time.Time) {
 	j.state, j.stated, j.dirty = s, true, true
 	b.final[j.id] = now
-	b.cfg.Log.Info("job final", "Job", j.id, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond))
+	c := j.course(now)
+	b.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
+		"Objective", j.deadline.Sub(j.submitted).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
+		"Tasks", c.tasks, "Work", int(j.work/coreSecond), "Failures", c.failures, "Moves", c.moves, "Reruns", c.reruns)
 	j.each(func(t *task) {
 		switch t.phase {
 		case reserved:
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -63,6 +63,8 @@
 	durations  []time.Duration // of runs that ended as done
 	rack       table.RackID    // of its first placed task
 	load       load            // by its users, of tasks that serve
+	wanting    time.Time       // since when tasks wait that found no place; zero if there are none
+	waited     time.Duration   // for places, in all
 }
 
 // job is a job that is not final.
@@ -136,6 +138,41 @@
 	return gs
 }
 
+// wants notes whether tasks of g are left without a place after a decision.
+func (g *group) wants(place bool, now time.Time) {
+	switch {
+	case place && g.wanting.IsZero():
+		g.wanting = now
+	case !place && !g.wanting.IsZero():
+		g.waited += now.Sub(g.wanting)
+		g.wanting = time.Time{}
+	}
+}
+
+// course sums up what happened to a job, for its last log line.
+type course struct {
+	waited          time.Duration // for places, of the steps one after the other
+	tasks, failures int
+	moves, reruns   int
+}
+
+func (j *job) course(now time.Time) course {
+	var c course
+	for _, gs := range j.groups {
+		for _, g := range gs {
+			g.wants(false, now)
+			c.waited += g.waited
+		}
+	}
+	j.each(func(t *task) {
+		c.tasks++
+		c.failures += t.failures
+		c.moves += t.moves
+		c.reruns += max(0, int(t.run)-1-t.failures)
+	})
+	return c
+}
+
 // ready says whether the steps that g waits for are done.
 func (g *group) ready() bool {
 	gs := g.job.groups[g.occurrence]
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -45,10 +45,12 @@
 		}
 		sh := shapeOf(g.step)
 		if hopeless(refused, sh) {
+			g.wants(true, now)
 			continue
 		}
 		n, all := b.placeGroup(g, now)
 		placed += n
+		g.wants(!all, now)
 		if !all && sh.plain {
 			refused = append(refused, sh)
 		}
