Keep to disruption budgets; a waiting gang leaves no trace; say why a task waits

Change: a gang tries its places first; Stops leaves a task at work that its step cannot spare; tasks that wait for 8 s name their obstacles, by worker. Tests: TestGangThatDoesNotFitLeavesNoTrace and TestDisruptionBudget, both fail before.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -149,7 +149,7 @@
 		b.cfg.Log.Info("worker drains", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
 	}
 	if !w.listed {
-		b.cfg.Log.Info("worker listed", "Worker", info.ID, "Rack", info.Rack, "Zone", info.Zone)
+		b.cfg.Log.Info("worker listed", "Worker", info.ID, "Labels", info.Labels, "CPU", info.Capacity.CPU, "Memory", info.Capacity.Memory, "Rack", info.Rack, "Zone", info.Zone)
 	}
 	before := w.info
 	w.info, w.listed, w.missing = info, true, time.Time{}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -65,6 +65,7 @@
 	load       load            // by its users, of tasks that serve
 	wanting    time.Time       // since when tasks wait that found no place; zero if there are none
 	waited     time.Duration   // for places, in all
+	explained  time.Time       // when its obstacles were last logged
 }
 
 // job is a job that is not final.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -192,17 +192,24 @@
 	}
 	checkpoint := newestCheckpoint(g)
 	g.rack = ""
-	for i, t := range g.tasks {
+	places := make([]*worker, 0, len(g.tasks))
+	for _, t := range g.tasks {
 		w := b.choose(t, now)
 		if w == nil {
-			for _, o := range g.tasks[:i] {
-				o.worker.release(o)
-			}
-			b.placed = b.placed[:len(b.placed)-i]
-			return 0, false
+			break
 		}
+		places = append(places, w)
+		w.hold(t, reserved) // takes the room, which the next member cannot have
+	}
+	for i, w := range places {
+		w.release(g.tasks[i])
+	}
+	if len(places) < len(g.tasks) {
+		return 0, false
+	}
+	for i, t := range g.tasks {
 		t.run, t.checkpoint = top, checkpoint
-		b.reserve(t, w)
+		b.reserve(t, places[i])
 	}
 	return len(g.tasks), true
 }
@@ -243,23 +250,66 @@
 	return best
 }
 
-// fits says whether t may run on w at all.
+// obstacle is why a task may not run on a worker.
+type obstacle string
+
+// The obstacles, in the order in which they are looked for.
+const (
+	noObstacle        obstacle = ""
+	obstacleUnfit     obstacle = "NotUsable" // draining, silent, failing or not looked at yet
+	obstacleService   obstacle = "OtherService"
+	obstacleLabel     obstacle = "LabelMissing"
+	obstacleSize      obstacle = "TooLarge" // even for the worker when it is empty
+	obstacleRoom      obstacle = "NoRoom"
+	obstacleSpread    obstacle = "EnoughOfStep"
+	obstacleNeighbors          = "Neighbors" // tasks that serve there do not bear it
+)
+
+// fits says whether t may run on w, which must be usable.
 func (b *Board) fits(t *task, w *worker, now time.Time) bool {
+	return b.obstacle(t, w, now) == noObstacle
+}
+
+// obstacle returns why t may not run on w, which must be usable.
+func (b *Board) obstacle(t *task, w *worker, now time.Time) obstacle {
 	g := t.group
-	if w.info.Service != g.job.queue.Service || now.Before(w.fullUntil) || !g.need().Fits(w.free()) {
-		return false
-	}
-	if g.step.Label != "" && !slices.Contains(w.info.Labels, g.step.Label) {
-		return false
-	}
-	if g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID] >= g.step.MaxPerWorker {
-		return false
+	switch {
+	case w.info.Service != g.job.queue.Service:
+		return obstacleService
+	case g.step.Label != "" && !slices.Contains(w.info.Labels, g.step.Label):
+		return obstacleLabel
+	case now.Before(w.fullUntil) || !g.need().Fits(w.free()):
+		if !g.need().Fits(w.info.Capacity) {
+			return obstacleSize
+		}
+		return obstacleRoom
+	case g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID] >= g.step.MaxPerWorker:
+		return obstacleSpread
 	}
 	if !g.step.Fills {
-		return true
+		return noObstacle
 	}
 	room := fillTo*float64(w.info.Capacity.CPU) - w.counted() - float64(w.fills)
-	return w.highest <= tailHigh && w.paceOf(g.step.Image) == fullPace && (room >= float64(g.step.Need.CPU) || w.fills == 0 && room > 0) && b.bearable(w, t)
+	switch {
+	case room < float64(g.step.Need.CPU) && (w.fills > 0 || room <= 0):
+		return obstacleRoom
+	case w.highest > tailHigh || w.paceOf(g.step.Image) != fullPace || !b.bearable(w, t):
+		return obstacleNeighbors
+	}
+	return noObstacle
+}
+
+// obstacles counts the workers by why a task may not run there.
+func (b *Board) obstacles(t *task, now time.Time) map[obstacle]int {
+	n := map[obstacle]int{}
+	for _, w := range b.workers {
+		if !w.usable(now) {
+			n[obstacleUnfit]++
+			continue
+		}
+		n[b.obstacle(t, w, now)]++
+	}
+	return n
 }
 
 // score rates a place for t; lower is better.
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -293,3 +293,55 @@
 	r.answer(map[string]Look{"a": look})
 	is.Equal(len(r.Paces(r.now)), 2)
 }
+
+// TestGangThatDoesNotFitLeavesNoTrace plays decisions while a gang waits for room: they are no starts and need no record.
+func TestGangThatDoesNotFitLeavesNoTrace(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("a")
+	gang := step(20)
+	gang.Gang = true
+	r.submit("j", gang)
+	r.round()
+	for range 5 {
+		r.Decide(r.now)
+		is.True(r.Flush(r.now) == nil)
+	}
+	is.Equal(r.task(key("j", 0, 0)).run, workload.RunNumber(0))
+}
+
+// TestDisruptionBudget plays two slow lasting tasks of a step of which one may be missing because of the system.
+func TestDisruptionBudget(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.list("a")
+	lasting := step(3)
+	lasting.Endless, lasting.Image, lasting.MaxUnavailable = true, "x", 1
+	r.submit("j", lasting)
+	r.start()
+	at := func(percents ...int) Look {
+		var l Look
+		for i, p := range percents {
+			l.Running = append(l.Running, RunningTask{Task: key("j", 0, i), Run: 1, Percent: p})
+		}
+		return l
+	}
+	r.answer(map[string]Look{"a": at(100, 100, 50)})
+	for i := range 2 {
+		r.task(key("j", 0, i)).stopWhy = whyDisturbs
+	}
+	is.Equal(len(r.Stops(r.now)), 0) // the third is not at work
+	r.now = r.now.Add(lookIdle)
+	r.answer(map[string]Look{"a": at(100, 100, 100)})
+	stops := r.Stops(r.now)
+	is.Equal(len(stops), 1)
+	r.answer(map[string]Look{"a": {Ended: []Ending{{Number: 1, Task: stops[0].Task, Run: 1, Cause: EndStopped}}, Running: at(100, 100, 100).Running[1:]}})
+	is.Equal(len(r.Stops(r.now)), 0) // the first is not back yet
+
+	// A worker that leaves takes its tasks along, whatever the budget is.
+	w := r.worker("a")
+	w.Draining, w.LeavesIn = true, 3*time.Second
+	r.SetWorker(w, r.now)
+	r.Decide(r.now)
+	is.True(len(r.Stops(r.now)) > 0)
+}
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		for _, t := range w.tasks {
-			due := t.phase == running && t.stopWhy != "" || t.phase == stopping && now.Sub(t.stopSent) > stopAgain
+			due := t.phase == running && t.stopWhy != "" && t.dispensable() || t.phase == stopping && now.Sub(t.stopSent) > stopAgain
 			if !due {
 				continue
 			}
@@ -129,3 +129,18 @@
 func (b *Board) stop(w *worker, key workload.TaskKey, run workload.RunNumber) StopOrder {
 	return StopOrder{Worker: w.info.ID, Address: w.info.Address, Task: key, Run: run, Token: w.token}
 }
+
+// dispensable says whether the disruption budget of its step allows to stop t: a task at work on a worker that stays, of a job that goes on, may be stopped only while few others of the step are missing.
+func (t *task) dispensable() bool {
+	g := t.group
+	if g.step.MaxUnavailable <= 0 || t.percent != fullPace || t.worker.info.Draining || g.job.state.Final() {
+		return true
+	}
+	missing := 0
+	for _, o := range g.tasks {
+		if o != t && (o.phase != running || o.percent != fullPace) {
+			missing++
+		}
+	}
+	return missing < g.step.MaxUnavailable
+}
--- a/dispatch/survey.go
+++ b/dispatch/survey.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"persimmonpick/table"
@@ -36,6 +37,7 @@
 		}
 	}
 	for _, g := range b.waitingGroups(now) {
+		b.explain(g, now)
 		for _, t := range g.tasks {
 			if t.phase != waiting {
 				continue
@@ -52,3 +54,23 @@
 		"Capacity", capacity, "Counted", counted, "Serving", serving, "Fills", fills, "Slowed", slowed,
 		"Waiting", waits, "WaitingFills", waitFills, "WaitingOthers", waitOthers)
 }
+
+// explainAfter is how long a step waits for places before its obstacles are logged, and how long until they are again.
+const explainAfter = 8 * time.Second
+
+// explain logs why a step has waited for long.
+func (b *Board) explain(g *group, now time.Time) {
+	if g.wanting.IsZero() || now.Sub(g.wanting) < explainAfter || now.Sub(g.explained) < explainAfter {
+		return
+	}
+	g.explained = now
+	for _, t := range g.tasks {
+		if t.phase != waiting {
+			continue
+		}
+		b.cfg.Log.Info("task waits for a place", "Task", t.key.String(), "For", now.Sub(g.wanting).Round(time.Millisecond), "Waiting", g.idle,
+			"CPU", g.step.Need.CPU, "Memory", g.step.Need.Memory, "Label", g.step.Label, "Gang", g.step.Gang, "Fills", g.step.Fills, "Image", g.step.Image,
+			"Obstacles", fmt.Sprint(b.obstacles(t, now)))
+		return
+	}
+}
