Ask the service that approves workers, and start with its tickets

Cause: jobs of queues that need advice were refused, so a deployment with such a queue could not be served at all. Change: Board.Advices asks for the steps that a decision leaves waiting, the likeliest workers first, two questions at a time; verdicts are kept for the step, tickets for the life of the worker and their validity. Without an advisor in the settings such jobs are refused as before.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -43,7 +43,11 @@
 	fresh  []*worker        // to be handed on to the next leader
 	gone   []table.WorkerID // not to be handed on any more
 	counts Counts
-	crowd  float64 // how much of the capacity is taken, see crowded
+
+	unadvised []*group // that the last decision left waiting for tickets
+	advising  int      // questions to the service that approves workers
+
+	crowd float64 // how much of the capacity is taken, see crowded
 
 	displaced bool // a worker has seen the token of another leader
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -170,6 +170,9 @@
 		d.board.Decide(now)
 		d.deciding = time.Since(now)
 	}
+	for _, o := range d.board.Advices(now) {
+		go d.advise(o)
+	}
 	for _, o := range d.board.Stops(now) {
 		go d.stop(o)
 	}
@@ -231,6 +234,15 @@
 	d.post(func(now time.Time) { d.board.PaceDone(o, err, now) })
 }
 
+func (d *Dispatcher) advise(o AdviceOrder) {
+	ctx, cancel := context.WithTimeout(d.ctx, adviceInFlight*o.Takes+orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	a, err := d.cfg.Workers.Advise(ctx, o)
+	d.cfg.Observe("Advise", time.Since(sent))
+	d.post(func(now time.Time) { d.board.AdviceDone(o, sent, a, err, now) })
+}
+
 func (d *Dispatcher) look(o LookOrder, sent time.Time) {
 	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+lookGrace)
 	defer cancel()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -60,12 +60,15 @@
 	left       int // tasks that are not done
 	idle       int // tasks that wait
 	perWorker  map[table.WorkerID]int
-	durations  []time.Duration // of runs that ended as done
-	rack       table.RackID    // of its first placed task
-	load       load            // by its users, of tasks that serve
-	wanting    time.Time       // since when tasks wait that found no place; zero if there are none
-	waited     time.Duration   // for places, in all
-	explained  time.Time       // when its obstacles were last logged
+	durations  []time.Duration            // of runs that ended as done
+	rack       table.RackID               // of its first placed task
+	load       load                       // by its users, of tasks that serve
+	wanting    time.Time                  // since when tasks wait that found no place; zero if there are none
+	waited     time.Duration              // for places, in all
+	explained  time.Time                  // when its obstacles were last logged
+	verdicts   map[table.WorkerID]verdict // of the service that approves workers
+	advising   bool                       // a question is on its way
+	adviseAt   time.Time                  // when the next question may be sent
 }
 
 // job is a job that is not final.
@@ -109,13 +112,21 @@
 		}
 		ends[i] = start
 		if gs == nil || gs[i].left > 0 {
-			ends[i] += j.spec.Steps[i].Estimate
+			ends[i] += j.spec.Steps[i].Estimate + j.adviceTakes()
 		}
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// adviceTakes returns the time that a step of j needs before its first start.
+func (j *job) adviceTakes() table.Millis {
+	if !j.queue.Advised {
+		return 0
+	}
+	return j.queue.Advice.Takes(adviceUsual)
+}
+
 // open makes the tasks of an occurrence.
 func (j *job) open(occurrence int) []*group {
 	if gs := j.groups[occurrence]; gs != nil {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -31,6 +31,8 @@
 		b.fenced(w, o.Token, true)
 	case RefusedRoom:
 		w.fullUntil = now.Add(refusedWait)
+	case RefusedTicket:
+		delete(t.group.verdicts, o.Worker)
 	case RefusedUnhealthy, NotSent:
 		w.bad(now, res.String())
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -39,11 +39,12 @@
 	b.crowd = b.crowded(now)
 	var refused []shape
 	placed := 0
+	b.unadvised = nil
 	for _, g := range b.waitingGroups(now) {
 		if placed >= maxPlaced {
 			return
 		}
-		sh := shapeOf(g.step)
+		sh := shapeOf(g.step, g.job.queue.Advised)
 		if hopeless(refused, sh) {
 			g.wants(true, now)
 			continue
@@ -51,14 +52,17 @@
 		n, all := b.placeGroup(g, now)
 		placed += n
 		g.wants(!all, now)
+		if !all && g.job.queue.Advised {
+			b.unadvised = append(b.unadvised, g)
+		}
 		if !all && sh.plain {
 			refused = append(refused, sh)
 		}
 	}
 }
 
-func shapeOf(s *workload.Step) shape {
-	sh := shape{need: s.Need, fills: s.Fills, plain: s.Label == "" && s.MaxPerWorker == 0 && !s.Gang}
+func shapeOf(s *workload.Step, advised bool) shape {
+	sh := shape{need: s.Need, fills: s.Fills, plain: s.Label == "" && s.MaxPerWorker == 0 && !s.Gang && !advised}
 	if s.Fills {
 		sh.image = s.Image
 	}
@@ -262,7 +266,9 @@
 	obstacleSize      obstacle = "TooLarge" // even for the worker when it is empty
 	obstacleRoom      obstacle = "NoRoom"
 	obstacleSpread    obstacle = "EnoughOfStep"
-	obstacleNeighbors          = "Neighbors" // tasks that serve there do not bear it
+	obstacleNeighbors obstacle = "Neighbors" // tasks that serve there do not bear it
+	obstaclePolicy    obstacle = "NotApproved"
+	obstacleAdvice    obstacle = "NoTicket" // it must be asked whether the worker is approved
 )
 
 // fits says whether t may run on w, which must be usable.
@@ -286,14 +292,25 @@
 	case g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID] >= g.step.MaxPerWorker:
 		return obstacleSpread
 	}
-	if !g.step.Fills {
-		return noObstacle
+	if g.step.Fills {
+		if o := b.neighbors(t, w); o != noObstacle {
+			return o
+		}
+	}
+	if g.job.queue.Advised {
+		return g.verdictOn(w, now)
 	}
+	return noObstacle
+}
+
+// neighbors returns the obstacle that what runs on w is to t, which fills.
+func (b *Board) neighbors(t *task, w *worker) obstacle {
+	s := t.group.step
 	room := fillTo*float64(w.info.Capacity.CPU) - w.counted() - float64(w.fills)
 	switch {
-	case room < float64(g.step.Need.CPU) && (w.fills > 0 || room <= 0):
+	case room < float64(s.Need.CPU) && (w.fills > 0 || room <= 0):
 		return obstacleRoom
-	case w.highest > tailHigh || w.paceOf(g.step.Image) != fullPace || !b.bearable(w, t):
+	case w.highest > tailHigh || w.paceOf(s.Image) != fullPace || !b.bearable(w, t):
 		return obstacleNeighbors
 	}
 	return noObstacle
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -143,10 +143,25 @@
 	Ended   []Ending
 }
 
-// Workers reaches the workers. Look fails with fault.Stale where another leader has spoken to the worker and with fault.NotCurrent where the worker has restarted; after any other error the order may have taken effect or may still do so.
+// AdviceOrder asks which workers may run a step.
+type AdviceOrder struct {
+	Step    workload.StepKey
+	Workers []table.WorkerID
+	Takes   time.Duration // until the answer, as far as known
+}
+
+// Advice is the answer to an AdviceOrder; workers without a ticket may not run the step.
+type Advice struct {
+	Tickets  map[table.WorkerID]string
+	Validity time.Duration // of the tickets; 0 if the service did not say
+}
+
+// Workers reaches the workers, and the service that approves them. Look fails with fault.Stale where another leader has spoken to the worker and with fault.NotCurrent where the worker has restarted; after any other error the order may have taken effect or may still do so. Advise fails with fault.Overloaded where the service takes no more questions.
 type Workers struct {
 	Start func(ctx context.Context, o StartOrder) StartResult
 	Stop  func(ctx context.Context, o StopOrder) error
 	Pace  func(ctx context.Context, o PaceOrder) error
 	Look  func(ctx context.Context, o LookOrder) (Look, error)
+
+	Advise func(ctx context.Context, o AdviceOrder) (Advice, error)
 }
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -98,7 +98,7 @@
 		b.counts.Starts++
 		orders = append(orders, StartOrder{
 			Worker: w.info.ID, Address: w.info.Address, Task: t.key, Run: t.run, Payload: t.group.job.spec.Payload,
-			Checkpoint: t.checkpoint, Until: w.until(now, b.cfg.Term), Token: w.token,
+			Checkpoint: t.checkpoint, Ticket: t.group.ticket(w), Until: w.until(now, b.cfg.Term), Token: w.token,
 		})
 	}
 	return orders
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -16,6 +16,7 @@
 	Metrics    string        // host:port of the metrics; empty for none
 	Relay      string        // host:port for the records of other hosts while this one leads; empty for none
 	Log        string        // host:port of the platform's log
+	Advisor    string        // host:port of the service that approves workers; empty for none
 	Size       float64       // cores of this host
 	StopGrace  time.Duration // between the signal to stop and the kill
 	LeaseMax   time.Duration // longest lease of a worker
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -25,6 +25,7 @@
 	Refresh func(ctx context.Context) error // reads the log up to its end
 	Append  func(ctx context.Context, r ledger.Record) error
 	Ask     func(ctx context.Context, call func(ctx context.Context, l *peer.Link) error) error // other hosts; it fails with fault.NotReady where none is to be asked; nil for never
+	Advised bool                                                                                // there is a service that approves workers
 	Log     *slog.Logger
 }
 
@@ -52,8 +53,8 @@
 	if err := spec.Check(); err != nil {
 		return fault.Wrap(err, fault.Invalid, "the job cannot be used")
 	}
-	if q.Advised {
-		return fault.New(fault.Overloaded, "queue %q needs advice on its workers, which this version does not ask for", q.ID)
+	if q.Advised && !d.cfg.Advised {
+		return fault.New(fault.Overloaded, "queue %q needs a service that approves workers, and the settings name none", q.ID)
 	}
 	r, err := ledger.SubmissionRecord(id, &workload.Submission{Queue: q, Spec: spec, Submitted: table.UnixMillis(now.UnixMilli())})
 	if err != nil {
