--- a/dispatch/survey.go
+++ b/dispatch/survey.go
@@ -17,7 +17,7 @@
 	}
 	b.surveyed = now
 	var capacity, counted, serving, fills, slowed, waitFills, waitOthers table.Millicores
-	usable, mixed, waits := 0, 0, 0
+	usable, mixed, waits, hosting, kinds := 0, 0, 0, 0, 0
 	for _, w := range b.workers {
 		if !w.usable(now) {
 			continue
@@ -30,6 +30,10 @@
 		if w.serves > 0 && w.fills > 0 {
 			mixed++
 		}
+		if w.serves > 0 {
+			hosting++
+			kinds += len(w.byImage)
+		}
 		for _, t := range w.tasks {
 			if t.group.step.Fills {
 				slowed += t.group.step.Need.CPU * table.Millicores(fullPace-t.pace) / fullPace
@@ -50,7 +54,7 @@
 			}
 		}
 	}
-	b.cfg.Log.Info("board", "Jobs", len(b.jobs), "Workers", len(b.workers), "Usable", usable, "Mixed", mixed,
+	b.cfg.Log.Info("board", "Jobs", len(b.jobs), "Workers", len(b.workers), "Usable", usable, "Mixed", mixed, "Serve", hosting, "ImagesServing", float64(kinds)/float64(max(1, hosting)),
 		"Capacity", capacity, "Counted", counted, "Serving", serving, "Fills", fills, "Slowed", slowed,
 		"Waiting", waits, "WaitingFills", waitFills, "WaitingOthers", waitOthers)
 }
