Weigh more that images that serve share few workers

Cause: the arrangement of the tasks that serve decides how well those that fill find places. Change: weightImage 1 to 3.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -11,7 +11,7 @@
 // The weights of the score of a place; one unit is a worker that is used in full.
 const (
 	weightFar       = 4.0 // away from the data or from the rack of the gang
-	weightImage     = 1.0 // tasks that serve of one image beside each other, since images bear different neighbours
+	weightImage     = 3.0 // tasks that serve of one image beside each other, since images bear different neighbours
 	weightPressure  = 3.0 // load that tasks that fill add to tasks that serve
 	weightTolerance = 2.0 // share of the images that a worker bears
 	weightRetry     = 3.0 // the worker that failed the task before
