Keep asking while nobody reaches the log

Ruled out: slow return of the leader (it answers at once when the store is back). Change: a host that hears of old views only, and cannot read one record of the log itself, goes on asking and refuses meanwhile; readers that the log turns away while it serves others are left as before. Standbys once chosen stay so: the choice changed several times a second while a chosen host was still loading (found by the new test). A holder answers before its asker gives up.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -84,7 +84,8 @@
 		Observe: func(err error, took time.Duration) { h.metrics.answer(answerRelay, fault.Of(err), took) }, Logger: h.log,
 	})
 	h.group = ledger.NewGroup(ledger.GroupConfig{
-		Log: cfg.Log, Producer: process, Failing: h.reader.Failing, Relay: relay.Append, Logger: h.log,
+		Log: cfg.Log, Producer: process, Relay: relay.Append, Logger: h.log,
+		Failing: func() bool { return h.reader.Failing() || h.standby.Away() },
 	})
 	h.relayed = ledger.NewGroup(ledger.GroupConfig{
 		Log: cfg.Log, Producer: process + "-relayed", Failing: h.reader.Failing, Logger: h.log,
--- a/intake/remote.go
+++ b/intake/remote.go
@@ -17,7 +17,7 @@
 	methodJob     = Service + ".Job"
 	methodPending = Service + ".Pending"
 
-	serveTimeout = 400 * time.Millisecond // of a question of another host, which asks elsewhere by then
+	serveTimeout = 300 * time.Millisecond // of a question of another host, which waits a little longer
 )
 
 // JobArgs names a job.
--- a/standby/attachment.go
+++ b/standby/attachment.go
@@ -48,6 +48,7 @@
 	standbys    []Member      // that the newest known leader has chosen
 	last        Member        // that could be asked lately; may be neither of them after the leader has changed
 	attached    bool
+	away        bool // the log, for this host and for those that read it
 	seeking     bool
 	chosen      bool // the leader wants this host to read the log
 	missed      int  // rounds in a row without an answer
@@ -166,6 +167,7 @@
 		return attendEvery
 	}
 	var asked Member
+	heard := false // from a host whose view is too old
 	for {
 		l := a.Leader()
 		if l.Address == "" || l.Address == asked.Address || l.Host == a.cfg.Self.Host {
@@ -178,6 +180,7 @@
 		}
 		a.take(r)
 		if !r.usable() {
+			heard = heard || r.Reads
 			continue
 		}
 		a.answered(r, asked)
@@ -185,14 +188,37 @@
 			return r.Every
 		}
 	}
-	if r, m, ok := a.attendStandbys(ctx, asked.Address); ok {
+	r, m, ok := a.attendStandbys(ctx, asked.Address)
+	if ok {
 		a.answered(r, m)
 		return attendEvery
 	}
+	if (heard || r.Reads) && a.Attached() && a.logAway(ctx) {
+		return attendAgain
+	}
 	return a.unanswered()
 }
 
-// attendStandbys attends to all standbys but the one at the address that was asked already, and returns the first usable answer.
+// logAway says whether this host cannot reach the log either, as those that read it; it had nothing to gain from reading the log then, and would load all of it once the log is back.
+func (a *Attachment) logAway(ctx context.Context) bool {
+	_, _, err := a.readHint(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if away := err != nil; away != a.away {
+		a.away = away
+		a.cfg.Logger.Warn("log away for those that read it", "AlsoFromHere", away, "Error", err)
+	}
+	return a.away
+}
+
+// Away says whether this host leaves the log to others and nobody reaches it.
+func (a *Attachment) Away() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.attached && a.away
+}
+
+// attendStandbys attends to all standbys but the one at the address that was asked already, and returns the first usable answer; without one it returns any from a host that reads the log.
 func (a *Attachment) attendStandbys(ctx context.Context, but string) (AttendReply, Member, bool) {
 	type answer struct {
 		reply  AttendReply
@@ -212,6 +238,7 @@
 			answers <- answer{r, m, err}
 		}()
 	}
+	var old AttendReply
 	for range n {
 		an := <-answers
 		if an.err != nil {
@@ -221,8 +248,11 @@
 		if an.reply.usable() {
 			return an.reply, an.member, true
 		}
+		if an.reply.Reads {
+			old = an.reply
+		}
 	}
-	return AttendReply{}, Member{}, false
+	return old, Member{}, false
 }
 
 // others returns the hosts but the leader that may be asked.
@@ -277,7 +307,7 @@
 func (a *Attachment) answered(r AttendReply, by Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.missed, a.last = 0, by
+	a.missed, a.away, a.last = 0, false, by
 	if r.Leading {
 		a.chosen = r.Follow
 	}
@@ -309,11 +339,11 @@
 
 // detach has this host read the log itself for a while; a.mu must be held.
 func (a *Attachment) detach(why string) {
-	a.attached, a.followUntil = false, time.Now().Add(followLeast)
+	a.attached, a.away, a.followUntil = false, false, time.Now().Add(followLeast)
 	a.cfg.Logger.Warn("this host reads the log itself", "Why", why, "Leader", a.leader.Host, "Epoch", a.leader.Epoch, "AtLeast", followLeast)
 }
 
-// Ask has call made to the leader, or to a standby where that fails, until one answers with success or with fault.NotFound. It fails with fault.NotReady where this host reads the log itself, which it also does once nobody answers.
+// Ask has call made to the leader, or to a standby where that fails, until one answers with success or with fault.NotFound. It fails with fault.NotReady where this host reads the log itself, which it also does once nobody answers, and with fault.LogUnavailable while nobody reaches the log.
 func (a *Attachment) Ask(ctx context.Context, call func(ctx context.Context, l *peer.Link) error) error {
 	select {
 	case <-a.sought:
@@ -323,6 +353,7 @@
 	if !a.Attached() {
 		return fault.New(fault.NotReady, "this host reads the log itself")
 	}
+	heard := false
 	for _, address := range a.targets() {
 		began := time.Now()
 		err := a.ask(ctx, address, call)
@@ -330,11 +361,15 @@
 		if k := fault.Of(err); k == fault.None || k == fault.NotFound {
 			return err
 		}
+		heard = heard || fault.Of(err) == fault.LogUnavailable
 		a.cfg.Logger.Info("question not answered", "Host", address, "Took", time.Since(began).Round(time.Millisecond), "Error", err)
 		if ctx.Err() != nil {
 			return fault.Wrap(ctx.Err(), fault.NotReady, "no host answered in time")
 		}
 	}
+	if a.Away() || heard && a.logAway(ctx) {
+		return fault.New(fault.LogUnavailable, "nobody reaches the log")
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.attached {
--- a/standby/roll.go
+++ b/standby/roll.go
@@ -71,7 +71,7 @@
 		}
 		present = append(present, m)
 	}
-	chosen := choose(self, present, standbys)
+	chosen := choose(self, present, r.standbys, standbys)
 	if slices.Equal(chosen, r.standbys) {
 		return false
 	}
@@ -79,8 +79,9 @@
 	return true
 }
 
-// choose returns the hosts that read the log beside the leader: the largest, since the next leader is one of them; among equals those that read it already, then those of zones without one. It answers the load of reads at the log, which must not grow with the number of hosts.
-func choose(leader Member, present []attendance, most int) []Member {
+// choose returns the hosts that read the log beside the leader: the largest, since the next leader is one of them; among equals those that were chosen before, then those that read it already, then those of zones without one. It answers the load of reads at the log, which must not grow with the number of hosts.
+func choose(leader Member, present []attendance, before []Member, most int) []Member {
+	again := func(a attendance) bool { return slices.Contains(before, a.Member) }
 	left := slices.DeleteFunc(slices.Clone(present), func(a attendance) bool {
 		return a.Address == "" || a.Host == leader.Host
 	})
@@ -90,7 +91,7 @@
 		best := 0
 		for i, a := range left[1:] {
 			b := left[best]
-			if cmp.Or(cmp.Compare(b.Size, a.Size), compareBool(b.reads, a.reads), cmp.Compare(zones[a.Zone], zones[b.Zone]),
+			if cmp.Or(cmp.Compare(b.Size, a.Size), compareBool(again(b), again(a)), compareBool(b.reads, a.reads), cmp.Compare(zones[a.Zone], zones[b.Zone]),
 				cmp.Compare(a.Host, b.Host)) < 0 {
 				best = i + 1
 			}
