--- a/ledger/elector.go
+++ b/ledger/elector.go
@@ -47,7 +47,7 @@
 func (e *Elector) Run(ctx context.Context) {
 	var vacant time.Time
 	for ctx.Err() == nil {
-		sleep(ctx, electorTick)
+		Sleep(ctx, electorTick)
 		if w := e.leading(); w != nil {
 			e.lead(ctx, w)
 			vacant = time.Time{}
@@ -149,7 +149,7 @@
 		}
 		if err := e.cfg.Reader.Refresh(ctx); err != nil {
 			e.cfg.Logger.Warn("topic not loaded by its new leader yet", "Error", err)
-			sleep(ctx, retryPause)
+			Sleep(ctx, retryPause)
 		}
 	}
 }
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -47,7 +47,7 @@
 			f.cfg.Logger.Info("following a topic", "Topic", f.cfg.Topic, "Failing", failing, "Error", err)
 		}
 		if err != nil {
-			sleep(ctx, retryPause)
+			Sleep(ctx, retryPause)
 			continue
 		}
 		if behind {
@@ -55,7 +55,7 @@
 		}
 		f.confirmed.Store(int64(began))
 		if n > 0 {
-			sleep(ctx, f.cfg.Pause)
+			Sleep(ctx, f.cfg.Pause)
 		}
 	}
 }
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -157,7 +157,7 @@
 			limit = unknownFor
 		}
 		if repeatable(err) && time.Since(began) < limit && ctx.Err() == nil {
-			sleep(ctx, appendPause)
+			Sleep(ctx, appendPause)
 			continue
 		}
 		// A new epoch keeps an attempt that is still on its way from taking effect once the next append has.
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -56,7 +56,7 @@
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if r.idle() {
-			sleep(ctx, idlePause)
+			Sleep(ctx, idlePause)
 			continue
 		}
 		n, behind, err := r.step(ctx)
@@ -66,12 +66,12 @@
 		r.note(err)
 		switch {
 		case err != nil:
-			sleep(ctx, retryPause)
+			Sleep(ctx, retryPause)
 		case n == 0, behind:
 		case r.leading.Load():
-			sleep(ctx, leaderPause)
+			Sleep(ctx, leaderPause)
 		default:
-			sleep(ctx, r.cfg.Pause)
+			Sleep(ctx, r.cfg.Pause)
 		}
 	}
 }
@@ -168,7 +168,8 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -115,7 +115,7 @@
 			w.cfg.Logger.Warn("leader displaced", "Epoch", w.leader.Epoch, "Kind", fault.Of(err), "Error", err)
 			return false
 		}
-		sleep(ctx, appendPause)
+		Sleep(ctx, appendPause)
 	}
 }
 
--- a/standby/attachment.go
+++ b/standby/attachment.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
-	"persimmonpick/fault"
 	"persimmonpick/ledger"
 	"persimmonpick/peer"
 )
@@ -102,7 +100,7 @@
 func (a *Attachment) Run(ctx context.Context) {
 	a.seek(ctx)
 	for ctx.Err() == nil {
-		sleep(ctx, a.round(ctx))
+		ledger.Sleep(ctx, a.round(ctx))
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -119,7 +117,7 @@
 		defer a.mu.Unlock()
 		a.seeking = false
 	}()
-	for end := time.Now().Add(seekFor); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, seekAgain) {
+	for end := time.Now().Add(seekFor); ctx.Err() == nil && time.Now().Before(end); ledger.Sleep(ctx, seekAgain) {
 		h, found, err := a.readHint(ctx)
 		if err != nil {
 			a.cfg.Logger.Debug("hint not read", "Error", err)
@@ -140,7 +138,7 @@
 			if a.Attached() {
 				return
 			}
-			sleep(ctx, seekAgain)
+			ledger.Sleep(ctx, seekAgain)
 		}
 	}
 }
@@ -342,141 +340,3 @@
 	a.attached, a.away, a.followUntil = false, false, time.Now().Add(followLeast)
 	a.cfg.Logger.Warn("this host reads the log itself", "Why", why, "Leader", a.leader.Host, "Epoch", a.leader.Epoch, "AtLeast", followLeast)
 }
-
-// Ask has call made to the leader, or to a standby where that fails, until one answers with success or with fault.NotFound. It fails with fault.NotReady where this host reads the log itself, which it also does once nobody answers, and with fault.LogUnavailable while nobody reaches the log.
-func (a *Attachment) Ask(ctx context.Context, call func(ctx context.Context, l *peer.Link) error) error {
-	select {
-	case <-a.sought:
-	case <-ctx.Done():
-		return fault.Wrap(ctx.Err(), fault.NotReady, "no host to ask was found yet")
-	}
-	if !a.Attached() {
-		return fault.New(fault.NotReady, "this host reads the log itself")
-	}
-	heard := false
-	for _, address := range a.targets() {
-		began := time.Now()
-		err := a.ask(ctx, address, call)
-		a.cfg.Observe(err, time.Since(began))
-		if k := fault.Of(err); k == fault.None || k == fault.NotFound {
-			return err
-		}
-		heard = heard || fault.Of(err) == fault.LogUnavailable
-		a.cfg.Logger.Info("question not answered", "Host", address, "Took", time.Since(began).Round(time.Millisecond), "Error", err)
-		if ctx.Err() != nil {
-			return fault.Wrap(ctx.Err(), fault.NotReady, "no host answered in time")
-		}
-	}
-	if a.Away() || heard && a.logAway(ctx) {
-		return fault.New(fault.LogUnavailable, "nobody reaches the log")
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.attached {
-		a.detach("no host answers questions")
-	}
-	return fault.New(fault.NotReady, "no host answers")
-}
-
-func (a *Attachment) ask(ctx context.Context, address string, call func(ctx context.Context, l *peer.Link) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return call(ctx, a.link(address))
-}
-
-// targets returns the addresses to ask, in order: the leader knows most, and the others share what is left.
-func (a *Attachment) targets() []string {
-	l := a.Leader()
-	var ts []string
-	if l.Address != "" {
-		ts = append(ts, l.Address)
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(a.cfg.Self.Host)) // a hash never fails
-	others := a.others()
-	for i := range others {
-		m := others[(i+int(h.Sum32()%uint32(len(others))))%len(others)]
-		if m.Address != l.Address && m.Host != a.cfg.Self.Host {
-			ts = append(ts, m.Address)
-		}
-	}
-	return ts
-}
-
-func (a *Attachment) link(address string) *peer.Link {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	l := a.links[address]
-	if l == nil {
-		l = peer.NewLink(peer.LinkConfig{Address: address, Dial: a.cfg.Dial, DialTimeout: linkDial, Rest: linkRest, Logger: a.cfg.Logger})
-		a.links[address] = l
-	}
-	return l
-}
-
-// answer answers a member.
-func (a *Attachment) answer(args AttendArgs, now time.Time) AttendReply {
-	_, reads := a.cfg.Fold.Position()
-	r := AttendReply{Leader: a.Leader(), Reads: reads, Age: a.cfg.Fold.Age(), Leading: a.cfg.Leading()}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	r.Standbys = a.standbys
-	if !r.Leading {
-		return r
-	}
-	a.call(r.Leader.Epoch, now)
-	r.Follow = a.roll.attend(args.Member, args.Reads, now)
-	r.Every = a.roll.every()
-	return r
-}
-
-// call begins a new roll with each lead; a.mu must be held.
-func (a *Attachment) call(epoch ledger.Epoch, now time.Time) {
-	if a.roll == nil || a.roll.epoch != epoch {
-		a.roll = newRoll(epoch, a.standbys, now)
-	}
-}
-
-// lead chooses the standbys while this host leads, and leaves a hint at them.
-func (a *Attachment) lead(ctx context.Context) {
-	l := a.cfg.Fold.Leader()
-	a.mu.Lock()
-	a.attached, a.missed, a.leader = false, 0, l
-	a.call(l.Epoch, time.Now())
-	if a.roll.settle(a.cfg.Self, time.Now()) {
-		a.standbys = a.roll.standbys
-		a.cfg.Logger.Info("standbys chosen", "Epoch", l.Epoch, "Standbys", hosts(a.standbys), "Members", len(a.roll.members))
-	}
-	h := hint{l, a.standbys}
-	stale := !h.equal(a.published)
-	a.mu.Unlock()
-	if !stale {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
-	defer cancel()
-	if err := writeHint(ctx, a.cfg.Log, h); err != nil {
-		a.cfg.Logger.Warn("hint not written", "Error", err)
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.published = h
-}
-
-func hosts(ms []Member) []string {
-	names := make([]string, len(ms))
-	for i, m := range ms {
-		names[i] = m.Host
-	}
-	return names
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/standby/attachment_test.go
+++ b/standby/attachment_test.go
@@ -68,7 +68,7 @@
 				if err != nil || len(p.Records) > 0 || !time.Now().Before(end) {
 					return p, err
 				}
-				sleep(ctx, 10*time.Millisecond)
+				ledger.Sleep(ctx, 10*time.Millisecond)
 				if ctx.Err() != nil {
 					return p, ctx.Err()
 				}
