Keep malformed records of the log from taking the leader down

Cause: looked for after the users' list of failures. A mark of progress with an index below -1, or a step that waits for one that is not there, made the board panic; as every leader reads the record, all would go down one after the other. Change: such marks are passed over, such jobs are logged and not run.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -95,6 +95,10 @@
 			b.final[e.ID] = now
 			return
 		}
+		if err := e.Submission.Spec.Check(); err != nil {
+			b.cfg.Log.Error("job cannot be run; its record holds what no host would have taken", "Job", e.ID, "Error", err)
+			return
+		}
 		j = b.accept(e, now)
 	}
 	if e.Cancelled && !j.state.Final() {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -255,8 +255,11 @@
 // restore applies the marks of p to a new job; find returns the worker of an id.
 func (j *job) restore(p workload.Progress, find func(table.WorkerID) *worker) {
 	for _, m := range p.Marks {
+		if m.Occurrence < 0 || m.Occurrence >= j.spec.Occurrences() {
+			continue
+		}
 		gs := j.open(m.Occurrence)
-		if m.Step < 0 || m.Step >= len(gs) || m.Index >= len(gs[m.Step].tasks) {
+		if m.Step < 0 || m.Step >= len(gs) || m.Index < allTasks || m.Index >= len(gs[m.Step].tasks) {
 			continue
 		}
 		g := gs[m.Step]
