Take machines down for maintenance in waves

Cause: a wave that an operator asks for was ignored, so it was late for ever; the product's drains know no limit on machines that are down at once. Options weighed: a duty with a lease of its own (the leader already has one), and remembering nothing, since orders have an effect only once (a new leader would not know how many machines are down, nor which orders may still arrive). Change: package maintenance. The leader empties the next machines, keeps new work from them, and orders each down once it is empty or the wave would be late; an order stands in the log before it is given. A machine with a task at work that its step cannot spare is put off.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -42,6 +42,7 @@
 	drops  []ledger.Record
 	fresh  []*worker        // to be handed on to the next leader
 	gone   []table.WorkerID // not to be handed on any more
+	handOn []handedOn       // to the next leader
 	counts Counts
 
 	unadvised []*group // that the last decision left waiting for tickets
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -103,6 +103,14 @@
 	}
 }
 
+// do has f called by the loop, unless ctx ends before.
+func (d *Dispatcher) do(ctx context.Context, f func()) {
+	select {
+	case d.events <- func(time.Time) { f() }:
+	case <-ctx.Done():
+	}
+}
+
 // post hands an event to the loop; after the end of the run it is dropped.
 func (d *Dispatcher) post(f func(now time.Time)) {
 	select {
--- /dev/null
+++ b/dispatch/maintain.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"context"
+
+	"persimmonpick/fault"
+	"persimmonpick/ledger"
+	"persimmonpick/maintenance"
+	"persimmonpick/table"
+)
+
+// Empty keeps new work from the given workers, and from no others, has what lasts or keeps its progress move, and returns what is left on them.
+func (b *Board) Empty(ids []table.WorkerID) map[table.WorkerID]maintenance.Left {
+	wanted := make(map[table.WorkerID]bool, len(ids))
+	for _, id := range ids {
+		wanted[id] = true
+	}
+	left := make(map[table.WorkerID]maintenance.Left, len(ids))
+	for id, w := range b.workers {
+		if w.empties != wanted[id] {
+			b.cfg.Log.Info("worker emptied for maintenance", "Worker", id, "Begins", wanted[id], "Tasks", len(w.tasks))
+		}
+		w.empties = wanted[id]
+		if !w.empties {
+			continue
+		}
+		l := maintenance.Left{Tasks: len(w.tasks)}
+		for _, t := range w.tasks {
+			l.Held = l.Held || t.group.step.MaxUnavailable > 0 && t.percent == fullPace
+		}
+		left[id] = l
+	}
+	for _, id := range ids {
+		if _, known := left[id]; !known {
+			left[id] = maintenance.Left{} // nothing of ours runs on a worker that the board does not know
+		}
+	}
+	return left
+}
+
+// handedOn is something that is handed on to the next leader, and what follows once it is in the log.
+type handedOn struct {
+	record ledger.Record
+	done   func()
+}
+
+// HandOn has data handed on to the next leader, and done called once it is in the log.
+func (b *Board) HandOn(name string, data []byte, done func()) {
+	b.handOn = append(b.handOn, handedOn{ledger.NoteRecord(name, data), done})
+}
+
+// Empty empties workers for maintenance; see Board.Empty.
+func (d *Dispatcher) Empty(ctx context.Context, ids []table.WorkerID) (map[table.WorkerID]maintenance.Left, error) {
+	left := make(chan map[table.WorkerID]maintenance.Left, 1)
+	d.do(ctx, func() { left <- d.board.Empty(ids) })
+	select {
+	case l := <-left:
+		return l, nil
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.NotReady, "the board did not answer")
+	}
+}
+
+// HandOn hands data on to the next leader; it returns once that is in the log.
+func (d *Dispatcher) HandOn(ctx context.Context, name string, data []byte) error {
+	written := make(chan struct{})
+	d.do(ctx, func() { d.board.HandOn(name, data, func() { close(written) }) })
+	select {
+	case <-written:
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "the note may not be in the log")
+	}
+}
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -14,6 +14,7 @@
 	intents []*task
 	runs    []workload.RunNumber
 	acks    map[*worker]EndingNumber
+	done    []func()
 }
 
 // Flush returns the records of all changes since the last call, or nil if there are none; Flushed must be called once they are in the log.
@@ -39,7 +40,11 @@
 		f.records = append(f.records, b.learnedNote()...)
 	}
 	f.records = append(f.records, b.rosterNotes()...)
-	b.drops = nil
+	for _, h := range b.handOn {
+		f.records = append(f.records, h.record)
+		f.done = append(f.done, h.done)
+	}
+	b.handOn, b.drops = nil, nil
 	b.acks = map[*worker]EndingNumber{}
 	if len(f.records) == 0 && len(f.acks) == 0 {
 		return nil
@@ -78,6 +83,9 @@
 
 // Flushed returns the start orders whose intents are in the log now.
 func (b *Board) Flushed(f *Batch, now time.Time, extend bool) []StartOrder {
+	for _, done := range f.done {
+		done()
+	}
 	for w, n := range f.acks {
 		if n > w.acked && n <= w.seen {
 			w.acked = n
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -22,6 +22,10 @@
 				continue
 			}
 			t.stopWhy = why
+			if why == whyEmptied && !t.dispensable() {
+				t.stopWhy = "" // asked again with the next decision
+				continue
+			}
 			switch why {
 			case whyStalled:
 				stalled++
@@ -44,6 +48,7 @@
 	whyStalled = "no progress"
 	whySlow    = "slower than its peers"
 	whyLeaves  = "worker leaves"
+	whyEmptied = "worker is emptied"
 
 	whyDisturbs = "disturbs tasks that serve"
 )
@@ -52,6 +57,9 @@
 	if w.info.Draining && b.mustLeave(w, t, now) {
 		return whyLeaves
 	}
+	if w.empties && (t.group.step.Endless || t.group.step.Checkpoints) {
+		return whyEmptied
+	}
 	if now.Sub(w.heard) > lookRunning+lookGrace || t.began.IsZero() {
 		return "" // what is known of it is old
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -14,6 +14,7 @@
 	missing time.Time
 	noted   bool      // handed on to the next leader
 	drained time.Time // when a draining worker leaves at the earliest
+	empties bool      // it is emptied for the maintenance of its machine
 
 	token     FenceToken
 	contacted bool // this leader has seen what runs there, in this life
@@ -129,7 +130,7 @@
 
 // usable says whether w may get new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.info.Draining && w.contacted && w.silentBy == 0 && !now.Before(w.badUntil) &&
+	return w.listed && !w.info.Draining && !w.empties && w.contacted && w.silentBy == 0 && !now.Before(w.badUntil) &&
 		now.Sub(w.heard) < freshLook
 }
 
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +17,7 @@
 	"persimmonpick/fault"
 	"persimmonpick/intake"
 	"persimmonpick/ledger"
+	"persimmonpick/maintenance"
 	"persimmonpick/peer"
 	"persimmonpick/standby"
 	"persimmonpick/workload"
@@ -38,15 +41,23 @@
 
 // Config configures a Host.
 type Config struct {
-	Settings            Settings
-	Log                 ledger.Log
-	Workers             dispatch.Workers
-	FollowWorkers       func(ctx context.Context, apply func(dispatch.Roster))
-	FollowConfiguration func(ctx context.Context, apply func(Configuration), age func(func() time.Duration))
-	Callers             func(h *Host) http.Handler // what callers speak
-	Readiness           func(h *Host) http.Handler
-	Dial                peer.DialFunc // to other hosts; nil for plain TCP
-	Logger              *slog.Logger
+	Settings       Settings
+	Log            ledger.Log
+	Workers        dispatch.Workers
+	FollowWorkers  func(ctx context.Context, apply func(dispatch.Roster))
+	FollowOperator func(ctx context.Context, to Operator)
+	Machines       maintenance.Platform
+	Callers        func(h *Host) http.Handler // what callers speak
+	Readiness      func(h *Host) http.Handler
+	Dial           peer.DialFunc // to other hosts; nil for plain TCP
+	Logger         *slog.Logger
+}
+
+// Operator takes what an operator wants.
+type Operator struct {
+	Configure func(Configuration)
+	Age       func(func() time.Duration) // takes a function that says how old the last confirmed configuration is
+	Wave      func(maintenance.Wave)
 }
 
 // Host is an entry host.
@@ -61,15 +72,19 @@
 	standby   *standby.Attachment
 	desk      *intake.Desk
 	metrics   *metrics
+	process   string // tells this process from earlier ones of the host
 	config    atomic.Pointer[Configuration]
 	configAge atomic.Pointer[func() time.Duration]
 	stopping  atomic.Bool
+
+	mu    sync.Mutex
+	waves map[maintenance.WaveID]maintenance.Wave
 }
 
 // New returns a host whose Run must be called.
 func New(cfg Config) *Host {
-	h := &Host{cfg: cfg, log: cfg.Logger, metrics: newMetrics()}
-	process := cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	h := &Host{cfg: cfg, log: cfg.Logger, metrics: newMetrics(), waves: map[maintenance.WaveID]maintenance.Wave{}}
+	h.process = cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	h.fold = ledger.NewFold(h.log)
 	h.reader = ledger.NewReader(ledger.ReaderConfig{
 		Log: cfg.Log, Fold: h.fold, Pause: followPause, Idle: func() bool { return h.standby.Idle() }, Logger: h.log,
@@ -84,14 +99,14 @@
 		Observe: func(err error, took time.Duration) { h.metrics.answer(answerRelay, fault.Of(err), took) }, Logger: h.log,
 	})
 	h.group = ledger.NewGroup(ledger.GroupConfig{
-		Log: cfg.Log, Producer: process, Relay: relay.Append, Logger: h.log,
+		Log: cfg.Log, Producer: h.process, Relay: relay.Append, Logger: h.log,
 		Failing: func() bool { return h.reader.Failing() || h.standby.Away() },
 	})
 	h.relayed = ledger.NewGroup(ledger.GroupConfig{
-		Log: cfg.Log, Producer: process + "-relayed", Failing: h.reader.Failing, Logger: h.log,
+		Log: cfg.Log, Producer: h.process + "-relayed", Failing: h.reader.Failing, Logger: h.log,
 	})
 	h.elector = ledger.NewElector(ledger.ElectorConfig{
-		Log: cfg.Log, Fold: h.fold, Reader: h.reader, Host: cfg.Settings.Host, Process: process,
+		Log: cfg.Log, Fold: h.fold, Reader: h.reader, Host: cfg.Settings.Host, Process: h.process,
 		Address: cfg.Settings.Relay, Size: cfg.Settings.Size, Lead: h.lead, Logger: h.log,
 	})
 	h.desk = intake.New(intake.Config{
@@ -210,7 +225,9 @@
 	go h.reader.Run(ctx)
 	go h.group.Run(ctx)
 	go h.relayed.Run(ctx)
-	go h.cfg.FollowConfiguration(ctx, h.configure, func(age func() time.Duration) { h.configAge.Store(&age) })
+	go h.cfg.FollowOperator(ctx, Operator{
+		Configure: h.configure, Age: func(age func() time.Duration) { h.configAge.Store(&age) }, Wave: h.takeWave,
+	})
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -239,11 +256,32 @@
 
 func (h *Host) lead(ctx context.Context, w *ledger.Writer) {
 	s := h.cfg.Settings
-	dispatch.NewDispatcher(dispatch.DispatcherConfig{
+	d := dispatch.NewDispatcher(dispatch.DispatcherConfig{
 		Board:  dispatch.Config{Term: s.lease(), StatusKept: s.statusKept(), Far: max(1, s.Far)},
 		Writer: w, Fold: h.fold, Workers: h.cfg.Workers, Queues: h.queues, Follow: h.cfg.FollowWorkers,
 		Count: h.metrics.board, Observe: h.metrics.call, Log: h.log,
-	}).Run(ctx)
+	})
+	if s.Machines != "" {
+		go maintenance.New(maintenance.Config{
+			Holder: h.process, Token: maintenance.Token(w.Epoch()), Usual: s.Maintains, Waves: h.wanted, Notes: h.fold.Notes(),
+			Platform: h.cfg.Machines, Tasks: maintenance.Tasks{Empty: d.Empty, Note: d.HandOn}, Log: h.log,
+		}).Run(ctx)
+	}
+	d.Run(ctx)
+}
+
+// takeWave takes a wave of maintenance that the operator wants.
+func (h *Host) takeWave(w maintenance.Wave) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waves[w.ID] = w
+}
+
+// wanted returns the waves that the operator wants, over or not.
+func (h *Host) wanted() []maintenance.Wave {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Values(h.waves))
 }
 
 func (h *Host) queues() []workload.Queue {
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -17,6 +17,8 @@
 	Relay      string        // host:port for the records of other hosts while this one leads; empty for none
 	Log        string        // host:port of the platform's log
 	Advisor    string        // host:port of the service that approves workers; empty for none
+	Machines   string        // host:port of the service that knows the machines; empty for none
+	Maintains  time.Duration // that a machine is down for its maintenance
 	Size       float64       // cores of this host
 	StopGrace  time.Duration // between the signal to stop and the kill
 	LeaseMax   time.Duration // longest lease of a worker
