Use the usual terms for standbys and maintenance

Cause: the read of the change as a newcomer: hosts 'attended', a leader kept a 'roll', a new process 'sought', waves had a 'keeper' and 'marks'. Change: heartbeat, membership, discover, controller, progress; files named after them. No behaviour changed.

--- a/maintenance/keeper.go
+++ b/maintenance/controller.go
@@ -14,7 +14,7 @@
 	"persimmonpick/table"
 )
 
-// The timing of the keeper's rounds.
+// The timing of the controller's rounds.
 const (
 	roundEvery  = 500 * time.Millisecond // while a wave runs; the list of machines is read with each
 	idleEvery   = 500 * time.Millisecond // between looks for a wave
@@ -47,7 +47,7 @@
 	Note func(ctx context.Context, name string, data []byte) error
 }
 
-// Config configures a Keeper.
+// Config configures a Controller.
 type Config struct {
 	Holder   string
 	Token    Token
@@ -59,21 +59,21 @@
 	Log      *slog.Logger
 }
 
-// Keeper carries out the waves while this host leads.
-type Keeper struct {
+// Controller carries out the waves while this host leads.
+type Controller struct {
 	cfg   Config
 	waves map[WaveID]*wave
 	told  map[WaveID]string // marks that are in the log
 	empty bool              // no worker is being emptied
 }
 
-// New returns a keeper whose Run must be called.
-func New(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg, waves: map[WaveID]*wave{}, told: map[WaveID]string{}, empty: true}
+// New returns a controller whose Run must be called.
+func New(cfg Config) *Controller {
+	return &Controller{cfg: cfg, waves: map[WaveID]*wave{}, told: map[WaveID]string{}, empty: true}
 }
 
 // Run carries out waves until ctx ends, or another holder has the duty.
-func (k *Keeper) Run(ctx context.Context) {
+func (k *Controller) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !k.take(time.Now()) {
 			ledger.Sleep(ctx, idleEvery)
@@ -92,14 +92,14 @@
 func noteName(id WaveID) string { return fmt.Sprintf("wave/%d", id) }
 
 // take takes in the waves that the operator wants; it says whether any is not over.
-func (k *Keeper) take(now time.Time) bool {
+func (k *Controller) take(now time.Time) bool {
 	active := !k.empty
 	for _, w := range k.cfg.Waves() {
 		v := k.waves[w.ID]
 		if v == nil {
 			v = newWave(w, k.cfg.Usual, now)
 			if data := k.cfg.Notes[noteName(w.ID)]; data != nil {
-				var m mark
+				var m progress
 				if err := cbor.Unmarshal(data, &m); err != nil {
 					k.cfg.Log.Error("what the last leader did for a wave cannot be read; its orders are given again", "Wave", w.ID, "Error", err)
 				} else {
@@ -115,7 +115,7 @@
 }
 
 // round takes each wave as far as it can.
-func (k *Keeper) round(ctx context.Context) error {
+func (k *Controller) round(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
 	list, err := k.cfg.Platform.Machines(ctx)
@@ -147,7 +147,7 @@
 }
 
 // active returns the waves that are not over, the oldest first.
-func (k *Keeper) active() []*wave {
+func (k *Controller) active() []*wave {
 	var vs []*wave
 	for _, v := range k.waves {
 		if !v.ended {
@@ -159,7 +159,7 @@
 }
 
 // advance orders what is due in a wave, and tells the operator how it stands.
-func (k *Keeper) advance(ctx context.Context, v *wave, left map[table.WorkerID]Left) error {
+func (k *Controller) advance(ctx context.Context, v *wave, left map[table.WorkerID]Left) error {
 	if !v.running {
 		if err := k.cfg.Platform.Tell(ctx, v.ID, false); err != nil {
 			return err
@@ -194,8 +194,8 @@
 }
 
 // note hands on how far a wave is, if that has changed.
-func (k *Keeper) note(ctx context.Context, v *wave) error {
-	data, err := cbor.Marshal(v.mark())
+func (k *Controller) note(ctx context.Context, v *wave) error {
+	data, err := cbor.Marshal(v.progress())
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "progress of wave %d cannot be encoded", v.ID)
 	}
@@ -210,7 +210,7 @@
 }
 
 // order gives one order; only a refusal for another holder is an error.
-func (k *Keeper) order(ctx context.Context, v *wave, id MachineID) error {
+func (k *Controller) order(ctx context.Context, v *wave, id MachineID) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s := v.steps[id]
--- a/maintenance/keeper_test.go
+++ b/maintenance/controller_test.go
@@ -146,7 +146,7 @@
 	return nil
 }
 
-func (y *yard) keeper(token Token, period time.Duration) *Keeper {
+func (y *yard) controller(token Token, period time.Duration) *Controller {
 	w := Wave{ID: 7, Period: period, Most: y.most}
 	for i := range len(y.machines) {
 		w.Machines = append(w.Machines, MachineID(fmt.Sprint("m", i)))
@@ -173,8 +173,8 @@
 	return n
 }
 
-// play runs a keeper for a while.
-func (y *yard) play(t *testing.T, k *Keeper, d time.Duration) {
+// play runs a controller for a while.
+func (y *yard) play(t *testing.T, k *Controller, d time.Duration) {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
 	k.Run(ctx)
@@ -185,14 +185,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		y := newYard(6, 2)
-		y.play(t, y.keeper(1, 20*time.Second), 20*time.Second)
+		y.play(t, y.controller(1, 20*time.Second), 20*time.Second)
 		is.Equal(y.done(), 6)
 		is.Equal(y.tooMany, 0)
 		is.Equal(y.ended, 0) // all were empty
 		is.Equal(y.told, []bool{false, true})
 		is.Equal(len(y.emptying), 0)
 		calls := y.calls
-		y.play(t, y.keeper(2, 20*time.Second), 5*time.Second) // the next leader knows that it is over
+		y.play(t, y.controller(2, 20*time.Second), 5*time.Second) // the next leader knows that it is over
 		is.Equal(y.calls, calls)
 		is.Equal(y.told, []bool{false, true})
 	})
@@ -206,9 +206,9 @@
 				is := is.New(t)
 				y := newYard(8, 2)
 				y.lose, y.late = 2, late
-				y.play(t, y.keeper(1, 40*time.Second), 2200*time.Millisecond)
+				y.play(t, y.controller(1, 40*time.Second), 2200*time.Millisecond)
 				is.True(y.calls > 0)
-				y.play(t, y.keeper(2, 40*time.Second), 40*time.Second)
+				y.play(t, y.controller(2, 40*time.Second), 40*time.Second)
 				is.Equal(y.done(), 8)
 				is.Equal(y.tooMany, 0)
 				is.Equal(y.told[len(y.told)-1], true)
@@ -223,7 +223,7 @@
 		y := newYard(4, 1)
 		y.token = 9 // another leader has given orders
 		began := time.Now()
-		y.play(t, y.keeper(1, 20*time.Second), 20*time.Second)
+		y.play(t, y.controller(1, 20*time.Second), 20*time.Second)
 		is.True(time.Since(began) < 5*time.Second)
 		is.Equal(y.done(), 0)
 		is.Equal(y.told, []bool{false})
@@ -237,13 +237,13 @@
 		y := newYard(3, 1)
 		y.tasks["m0-0"] = Left{Tasks: 1, Held: true}
 		y.tasks["m1-0"] = Left{Tasks: 1000}
-		k := y.keeper(1, 12*time.Second)
+		k := y.controller(1, 12*time.Second)
 		y.play(t, k, 30*time.Second)
 		is.Equal(y.done(), 2) // the wave is late, but takes down what it may
 		is.Equal(y.held, 0)
 		is.Equal(y.told, []bool{false}) // and is not said to be over
 		y.tasks["m0-0"] = Left{}
-		y.play(t, y.keeper(2, 12*time.Second), 10*time.Second)
+		y.play(t, y.controller(2, 12*time.Second), 10*time.Second)
 		is.Equal(y.done(), 3)
 		is.Equal(y.told[len(y.told)-1], true)
 	})
@@ -254,7 +254,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		y := newYard(3, 1)
-		k := y.keeper(1, 20*time.Second)
+		k := y.controller(1, 20*time.Second)
 		delete(y.machines, "m1")
 		y.machines["m2"].up = false
 		time.AfterFunc(6*time.Second, func() {
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -171,26 +171,26 @@
 // over says whether every machine that stays has had its maintenance.
 func (v *wave) over() bool { return v.count(finished) == len(v.steps) }
 
-// mark is what the next leader needs to know of a wave.
-type mark struct {
+// progress is what the next leader needs to know of a wave.
+type progress struct {
 	Until   table.UnixMillis `cbor:"1,keyasint"`
-	Ordered []orderMark      `cbor:"2,keyasint,omitempty"`
+	Ordered []orderedMachine `cbor:"2,keyasint,omitempty"`
 	Done    []MachineID      `cbor:"3,keyasint,omitempty"`
 	Ended   bool             `cbor:"4,keyasint,omitempty"`
 }
 
-// orderMark is a machine that was ordered down, and the worker that ran there.
-type orderMark struct {
+// orderedMachine is a machine that was ordered down, and the worker that ran there.
+type orderedMachine struct {
 	Machine MachineID      `cbor:"1,keyasint"`
 	Worker  table.WorkerID `cbor:"2,keyasint,omitempty"`
 }
 
-func (v *wave) mark() mark {
-	k := mark{Until: table.UnixMillis(v.until.UnixMilli()), Ended: v.ended}
+func (v *wave) progress() progress {
+	k := progress{Until: table.UnixMillis(v.until.UnixMilli()), Ended: v.ended}
 	for _, id := range v.Machines {
 		switch s := v.steps[id]; s.phase {
 		case ordered, down:
-			k.Ordered = append(k.Ordered, orderMark{id, s.worker})
+			k.Ordered = append(k.Ordered, orderedMachine{id, s.worker})
 		case finished:
 			k.Done = append(k.Done, id)
 		}
@@ -199,7 +199,7 @@
 }
 
 // restore takes what the last leader has handed on; its orders are given again, since they have an effect only once.
-func (v *wave) restore(k mark, now time.Time) {
+func (v *wave) restore(k progress, now time.Time) {
 	v.until, v.ended, v.running = time.UnixMilli(int64(k.Until)), k.Ended, true
 	for _, o := range k.Ordered {
 		if s := v.steps[o.Machine]; s != nil {
--- a/standby/ask.go
+++ b/standby/ask.go
@@ -12,7 +12,7 @@
 // Ask has call made to the leader, or to a standby where that fails, until one answers with success or with fault.NotFound. It fails with fault.NotReady where this host reads the log itself, which it also does once nobody answers, and with fault.LogUnavailable while nobody reaches the log.
 func (a *Attachment) Ask(ctx context.Context, call func(ctx context.Context, l *peer.Link) error) error {
 	select {
-	case <-a.sought:
+	case <-a.discovered:
 	case <-ctx.Done():
 		return fault.Wrap(ctx.Err(), fault.NotReady, "no host to ask was found yet")
 	}
--- a/standby/attachment.go
+++ b/standby/attachment.go
@@ -11,18 +11,18 @@
 	"persimmonpick/peer"
 )
 
-// The timing of a host that attends to others.
+// The timing of a host that asks others.
 const (
-	callTimeout = 400 * time.Millisecond  // of a question to another host; many round trips between availability zones
-	linkDial    = 250 * time.Millisecond  // several round trips
-	linkRest    = 500 * time.Millisecond  // a host that failed is left alone for this long; a new process tries again within seekFor
-	viewOldest  = 2 * time.Second         // a host with an older view of the log is not asked; counts may be as old
-	attendAgain = 200 * time.Millisecond  // after a round in which nobody answered
-	missedMost  = 2                       // rounds without an answer before the host reads the log itself
-	followLeast = 3 * time.Second         // a host that had to read the log goes on for at least this long
-	seekFor     = 1500 * time.Millisecond // a new process looks for a host to ask; larger hosts have read the log by then
-	seekAgain   = 150 * time.Millisecond  // between attempts of a new process
-	hintTimeout = 800 * time.Millisecond  // of a read or a write of the hint
+	callTimeout    = 400 * time.Millisecond  // of a question to another host; many round trips between availability zones
+	linkDial       = 250 * time.Millisecond  // several round trips
+	linkRest       = 500 * time.Millisecond  // a host that failed is left alone for this long; a new process tries again within discoverFor
+	viewOldest     = 2 * time.Second         // a host with an older view of the log is not asked; counts may be as old
+	heartbeatRetry = 200 * time.Millisecond  // after a round in which nobody answered
+	missedMost     = 2                       // rounds without an answer before the host reads the log itself
+	followLeast    = 3 * time.Second         // a host that had to read the log goes on for at least this long
+	discoverFor    = 1500 * time.Millisecond // a new process looks for a host to ask; larger hosts have read the log by then
+	discoverRetry  = 150 * time.Millisecond  // between attempts of a new process
+	hintTimeout    = 800 * time.Millisecond  // of a read or a write of the hint
 )
 
 // Config configures an Attachment.
@@ -38,8 +38,8 @@
 
 // Attachment says which hosts read the log, and whether this one has to; its methods may be called from any goroutine.
 type Attachment struct {
-	cfg    Config
-	sought chan struct{} // closed when a new process has found a host to ask, or reads the log
+	cfg        Config
+	discovered chan struct{} // closed when a new process has found a host to ask, or reads the log
 
 	mu          sync.Mutex
 	leader      ledger.Leader // newest that other hosts named
@@ -47,25 +47,25 @@
 	last        Member        // that could be asked lately; may be neither of them after the leader has changed
 	attached    bool
 	away        bool // the log, for this host and for those that read it
-	seeking     bool
+	discovering bool
 	chosen      bool // the leader wants this host to read the log
 	missed      int  // rounds in a row without an answer
 	followUntil time.Time
 	links       map[string]*peer.Link // by address
-	roll        *roll                 // of the newest lead of this host
+	members     *membership           // of the newest lead of this host
 	published   hint
 }
 
 // New returns an attachment whose Run must be called.
 func New(cfg Config) *Attachment {
-	return &Attachment{cfg: cfg, sought: make(chan struct{}), seeking: true, links: map[string]*peer.Link{}}
+	return &Attachment{cfg: cfg, discovered: make(chan struct{}), discovering: true, links: map[string]*peer.Link{}}
 }
 
 // Idle says whether this host need not read the log.
 func (a *Attachment) Idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.attached || a.seeking
+	return a.attached || a.discovering
 }
 
 // Attached says whether this host answers callers by asking other hosts.
@@ -96,9 +96,9 @@
 	return l
 }
 
-// Run attends to the hosts that read the log until ctx ends.
+// Run sends heartbeats to the hosts that read the log until ctx ends.
 func (a *Attachment) Run(ctx context.Context) {
-	a.seek(ctx)
+	a.discover(ctx)
 	for ctx.Err() == nil {
 		ledger.Sleep(ctx, a.round(ctx))
 	}
@@ -109,15 +109,15 @@
 	}
 }
 
-// seek looks for a host to ask before this process reads the log: after a loss of power all hosts would load it at once.
-func (a *Attachment) seek(ctx context.Context) {
-	defer close(a.sought)
+// discover looks for a host to ask before this process reads the log: after a loss of power all hosts would load it at once.
+func (a *Attachment) discover(ctx context.Context) {
+	defer close(a.discovered)
 	defer func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.seeking = false
+		a.discovering = false
 	}()
-	for end := time.Now().Add(seekFor); ctx.Err() == nil && time.Now().Before(end); ledger.Sleep(ctx, seekAgain) {
+	for end := time.Now().Add(discoverFor); ctx.Err() == nil && time.Now().Before(end); ledger.Sleep(ctx, discoverRetry) {
 		h, found, err := a.readHint(ctx)
 		if err != nil {
 			a.cfg.Logger.Debug("hint not read", "Error", err)
@@ -138,7 +138,7 @@
 			if a.Attached() {
 				return
 			}
-			ledger.Sleep(ctx, seekAgain)
+			ledger.Sleep(ctx, discoverRetry)
 		}
 	}
 }
@@ -158,11 +158,11 @@
 	return named
 }
 
-// round attends once to the leader, or else to a standby; it returns when to attend again.
+// round sends one heartbeat to the leader, or else to the standbys; it returns when to send the next.
 func (a *Attachment) round(ctx context.Context) time.Duration {
 	if a.cfg.Leading() {
 		a.lead(ctx)
-		return attendEvery
+		return heartbeatPeriod
 	}
 	var asked Member
 	heard := false // from a host whose view is too old
@@ -172,7 +172,7 @@
 			break
 		}
 		asked = Member{Host: l.Host, Address: l.Address}
-		r, err := a.attend(ctx, asked.Address)
+		r, err := a.heartbeat(ctx, asked.Address)
 		if err != nil {
 			break
 		}
@@ -186,13 +186,13 @@
 			return r.Every
 		}
 	}
-	r, m, ok := a.attendStandbys(ctx, asked.Address)
+	r, m, ok := a.heartbeatStandbys(ctx, asked.Address)
 	if ok {
 		a.answered(r, m)
-		return attendEvery
+		return heartbeatPeriod
 	}
 	if (heard || r.Reads) && a.Attached() && a.logAway(ctx) {
-		return attendAgain
+		return heartbeatRetry
 	}
 	return a.unanswered()
 }
@@ -216,10 +216,10 @@
 	return a.attached && a.away
 }
 
-// attendStandbys attends to all standbys but the one at the address that was asked already, and returns the first usable answer; without one it returns any from a host that reads the log.
-func (a *Attachment) attendStandbys(ctx context.Context, but string) (AttendReply, Member, bool) {
+// heartbeatStandbys sends a heartbeat to all standbys but the one at the address that was asked already, and returns the first usable answer; without one it returns any from a host that reads the log.
+func (a *Attachment) heartbeatStandbys(ctx context.Context, but string) (HeartbeatReply, Member, bool) {
 	type answer struct {
-		reply  AttendReply
+		reply  HeartbeatReply
 		member Member
 		err    error
 	}
@@ -232,11 +232,11 @@
 		}
 		n++
 		go func() {
-			r, err := a.attend(ctx, m.Address)
+			r, err := a.heartbeat(ctx, m.Address)
 			answers <- answer{r, m, err}
 		}()
 	}
-	var old AttendReply
+	var old HeartbeatReply
 	for range n {
 		an := <-answers
 		if an.err != nil {
@@ -264,17 +264,17 @@
 	return ms
 }
 
-func (a *Attachment) attend(ctx context.Context, address string) (AttendReply, error) {
+func (a *Attachment) heartbeat(ctx context.Context, address string) (HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, reads := a.cfg.Fold.Position()
-	var r AttendReply
-	err := a.link(address).Call(ctx, methodAttend, AttendArgs{Member: a.cfg.Self, Reads: reads}, &r)
+	var r HeartbeatReply
+	err := a.link(address).Call(ctx, methodHeartbeat, HeartbeatArgs{Member: a.cfg.Self, Reads: reads}, &r)
 	return r, err
 }
 
 // take takes in what another host knows of those that read the log.
-func (a *Attachment) take(r AttendReply) {
+func (a *Attachment) take(r HeartbeatReply) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if r.Leader.Epoch < a.leader.Epoch {
@@ -302,7 +302,7 @@
 }
 
 // answered notes that another host can be asked; a host that the leader has chosen goes on reading the log.
-func (a *Attachment) answered(r AttendReply, by Member) {
+func (a *Attachment) answered(r HeartbeatReply, by Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.missed, a.away, a.last = 0, false, by
@@ -327,12 +327,12 @@
 	defer a.mu.Unlock()
 	a.missed++
 	if !a.attached {
-		return attendEvery
+		return heartbeatPeriod
 	}
 	if a.missed >= missedMost {
 		a.detach("no host with a new view answers")
 	}
-	return attendAgain
+	return heartbeatRetry
 }
 
 // detach has this host read the log itself for a while; a.mu must be held.
--- a/standby/attachment_test.go
+++ b/standby/attachment_test.go
@@ -119,7 +119,7 @@
 	return rs
 }
 
-// site is entry hosts that stand for leader, read the log and attend, and do nothing else.
+// site is entry hosts that stand for leader, read the log and send heartbeats, and do nothing else.
 type site struct {
 	*is.I
 	t     *testing.T
@@ -201,8 +201,8 @@
 // ask asks any host that reads the log, and returns the error of the last one.
 func (h *testHost) ask(ctx context.Context) error {
 	return h.Ask(ctx, func(ctx context.Context, l *peer.Link) error {
-		var r AttendReply
-		if err := l.Call(ctx, methodAttend, AttendArgs{Member: h.cfg.Self}, &r); err != nil {
+		var r HeartbeatReply
+		if err := l.Call(ctx, methodHeartbeat, HeartbeatArgs{Member: h.cfg.Self}, &r); err != nil {
 			return err
 		}
 		if !r.usable() {
@@ -315,7 +315,7 @@
 			s.net.Cut(name+":1", false)
 			s.start(name)
 		}
-		time.Sleep(seekFor + 300*time.Millisecond)
+		time.Sleep(discoverFor + 300*time.Millisecond)
 		s.Equal(len(s.log.readers()), 1+standbys)
 		time.Sleep(5 * time.Second)
 		s.True(s.leader() != "")
--- a/standby/doc.go
+++ b/standby/doc.go
@@ -1,2 +1,2 @@
-// Package standby lets most entry hosts leave the log alone: the leader and a few standbys read it, and the others attend to them and ask them.
+// Package standby spares most entry hosts reading the log: the leader and a few standbys read it, and the others send them heartbeats and ask them.
 package standby
--- a/standby/lead.go
+++ b/standby/lead.go
@@ -8,25 +8,25 @@
 )
 
 // answer answers a member.
-func (a *Attachment) answer(args AttendArgs, now time.Time) AttendReply {
+func (a *Attachment) answer(args HeartbeatArgs, now time.Time) HeartbeatReply {
 	_, reads := a.cfg.Fold.Position()
-	r := AttendReply{Leader: a.Leader(), Reads: reads, Age: a.cfg.Fold.Age(), Leading: a.cfg.Leading()}
+	r := HeartbeatReply{Leader: a.Leader(), Reads: reads, Age: a.cfg.Fold.Age(), Leading: a.cfg.Leading()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r.Standbys = a.standbys
 	if !r.Leading {
 		return r
 	}
-	a.call(r.Leader.Epoch, now)
-	r.Follow = a.roll.attend(args.Member, args.Reads, now)
-	r.Every = a.roll.every()
+	a.beginMembership(r.Leader.Epoch, now)
+	r.Follow = a.members.heartbeat(args.Member, args.Reads, now)
+	r.Every = a.members.every()
 	return r
 }
 
-// call begins a new roll with each lead; a.mu must be held.
-func (a *Attachment) call(epoch ledger.Epoch, now time.Time) {
-	if a.roll == nil || a.roll.epoch != epoch {
-		a.roll = newRoll(epoch, a.standbys, now)
+// beginMembership begins a new list of members with each epoch of this host; a.mu must be held.
+func (a *Attachment) beginMembership(epoch ledger.Epoch, now time.Time) {
+	if a.members == nil || a.members.epoch != epoch {
+		a.members = newMembership(epoch, a.standbys, now)
 	}
 }
 
@@ -35,10 +35,10 @@
 	l := a.cfg.Fold.Leader()
 	a.mu.Lock()
 	a.attached, a.missed, a.leader = false, 0, l
-	a.call(l.Epoch, time.Now())
-	if a.roll.settle(a.cfg.Self, time.Now()) {
-		a.standbys = a.roll.standbys
-		a.cfg.Logger.Info("standbys chosen", "Epoch", l.Epoch, "Standbys", hosts(a.standbys), "Members", len(a.roll.members))
+	a.beginMembership(l.Epoch, time.Now())
+	if a.members.settle(a.cfg.Self, time.Now()) {
+		a.standbys = a.members.standbys
+		a.cfg.Logger.Info("standbys chosen", "Epoch", l.Epoch, "Standbys", hosts(a.standbys), "Members", len(a.members.members))
 	}
 	h := hint{l, a.standbys}
 	stale := !h.equal(a.published)
--- /dev/null
+++ b/standby/membership_test.go
@@ -0,0 +1,91 @@
+package standby
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/table"
+)
+
+func member(host, zone string, size float64) Member {
+	return Member{Host: host, Address: host + ":1", Zone: table.ZoneID(zone), Size: size}
+}
+
+func TestChoiceOfStandbys(t *testing.T) {
+	leader := member("a", "z1", 0.8)
+	large := func(host, zone string) presence { return presence{Member: member(host, zone, 0.8)} }
+	reading := func(a presence) presence {
+		a.reads = true
+		return a
+	}
+	small := presence{Member: member("s", "z4", 0.1), reads: true}
+	hidden := large("h", "z5")
+	hidden.Address = ""
+	for name, c := range map[string]struct {
+		present []presence
+		before  []Member
+		want    []string
+	}{
+		"nobody":                {nil, nil, []string{}},
+		"the leader itself":     {[]presence{large("a", "z1")}, nil, []string{}},
+		"no address":            {[]presence{hidden}, nil, []string{}},
+		"few":                   {[]presence{small, large("b", "z1")}, nil, []string{"b", "s"}},
+		"zones without one":     {[]presence{large("b", "z1"), large("c", "z2"), large("d", "z2"), large("e", "z3"), large("f", "z4")}, nil, []string{"c", "e", "f"}},
+		"large before small":    {[]presence{small, large("b", "z1"), large("c", "z1"), large("d", "z1")}, nil, []string{"b", "c", "d"}},
+		"those that read go on": {[]presence{reading(large("b", "z1")), reading(large("c", "z1")), reading(large("d", "z1")), large("e", "z2")}, nil, []string{"b", "c", "d"}},
+		"chosen before":         {[]presence{reading(large("b", "z1")), reading(large("c", "z1")), large("d", "z1"), large("e", "z2")}, []Member{member("d", "z1", 0.8), member("e", "z2", 0.8), member("gone", "z3", 0.8)}, []string{"b", "d", "e"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(hosts(choose(leader, c.present, c.before, standbys)), c.want)
+		})
+	}
+}
+
+// TestStandbysStayWhileTheLeaderChanges plays a new leader, which knows nobody yet, before members whose heartbeats come one after the other.
+func TestStandbysStayWhileTheLeaderChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	before := []Member{member("b", "z2", 0.8), member("c", "z3", 0.8)}
+	r := newMembership(2, before, now)
+	is.Equal(r.heartbeat(member("x", "z2", 0.1), false, now), false) // a small host comes first and stays idle
+	is.Equal(r.heartbeat(before[0], true, now), true)
+	is.Equal(r.settle(member("a", "z1", 0.8), now), false)
+	is.Equal(r.heartbeat(before[1], true, now.Add(time.Second)), true)
+	is.Equal(r.heartbeat(member("d", "z1", 0.8), false, now.Add(time.Second)), false)
+	is.Equal(r.settle(member("a", "z1", 0.8), now.Add(settleFor)), true)
+	is.Equal(hosts(r.standbys), []string{"b", "c", "d"})
+	is.Equal(r.heartbeat(member("x", "z2", 0.1), false, now.Add(settleFor)), false)
+	is.Equal(r.heartbeat(member("d", "z1", 0.8), false, now.Add(settleFor)), true)
+}
+
+func TestStandbyThatIsGoneIsReplaced(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newMembership(1, nil, now)
+	self := member("a", "z1", 0.8)
+	for i := range 5 {
+		r.heartbeat(member(fmt.Sprint("m", i), "z1", 0.8), true, now)
+	}
+	is.True(r.settle(self, now.Add(settleFor)))
+	is.Equal(hosts(r.standbys), []string{"m0", "m1", "m2"})
+	later := now.Add(settleFor + absentAfter*heartbeatPeriod)
+	for i := range 4 {
+		r.heartbeat(member(fmt.Sprint("m", i+1), "z1", 0.8), i < 2, later)
+	}
+	is.True(r.settle(self, later))
+	is.Equal(hosts(r.standbys), []string{"m1", "m2", "m3"})
+}
+
+// TestMembersCostTheLeaderTheSame plays the load of a thousand hosts.
+func TestMembersCostTheLeaderTheSame(t *testing.T) {
+	is := is.New(t)
+	r := newMembership(1, nil, time.Now())
+	for i := range 1000 {
+		r.heartbeat(member(fmt.Sprint(i), "z1", 0.1), false, time.Now())
+	}
+	calls := float64(len(r.members)) / r.every().Seconds()
+	is.True(calls <= 1/heartbeatSpacing.Seconds())
+}
--- a/standby/server.go
+++ b/standby/server.go
@@ -9,16 +9,16 @@
 // Service is the name under which a Server is served to other hosts.
 const Service = "Standby"
 
-const methodAttend = Service + ".Attend"
+const methodHeartbeat = Service + ".Heartbeat"
 
-// AttendArgs is what a member says of itself.
-type AttendArgs struct {
+// HeartbeatArgs is what a member says of itself.
+type HeartbeatArgs struct {
 	Member Member
 	Reads  bool // the log
 }
 
-// AttendReply is what a host knows of those that read the log.
-type AttendReply struct {
+// HeartbeatReply is what a host knows of those that read the log.
+type HeartbeatReply struct {
 	Leader   ledger.Leader
 	Standbys []Member
 	Reads    bool          // this host reads the log
@@ -29,7 +29,7 @@
 }
 
 // usable says whether the answering host can be asked instead of the log.
-func (r *AttendReply) usable() bool { return r.Reads && r.Age < viewOldest }
+func (r *HeartbeatReply) usable() bool { return r.Reads && r.Age < viewOldest }
 
 // Server answers members; net/rpc exposes its methods.
 type Server struct {
@@ -39,8 +39,8 @@
 // NewServer returns a server that answers for the host of a.
 func NewServer(a *Attachment) *Server { return &Server{a} }
 
-// Attend notes the caller and says who reads the log.
-func (s *Server) Attend(args AttendArgs, reply *AttendReply) error {
+// Heartbeat notes the caller and says who reads the log.
+func (s *Server) Heartbeat(args HeartbeatArgs, reply *HeartbeatReply) error {
 	*reply = s.a.answer(args, time.Now())
 	return nil
 }
