--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -119,3 +119,41 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Task.Job, table.JobID("endless"))
 }
+
+// TestNewWorkersFillAtOnce plays the load for which workers are added: all are full of lasting tasks, and quotes wait.
+func TestNewWorkersFillAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	var old, added []string
+	for i := range 20 {
+		old, added = append(old, fmt.Sprint("old", i)), append(added, fmt.Sprint("new", i))
+	}
+	r.list(old...)
+	lasting := step(20)
+	lasting.Need.CPU, lasting.Endless = 16000, true
+	r.submit("lasting", lasting)
+	is.Equal(len(r.start()), 20)
+	waits := 0
+	for i := range 40 {
+		s := step(8)
+		s.Need = table.Resources{CPU: 1000, Memory: 1 << 28}
+		r.submit(fmt.Sprintf("quote%02d", i), s)
+		waits += s.Count
+	}
+	is.Equal(len(r.start()), 0)
+	began := r.now
+	r.list(added...)
+	byWorker := map[table.WorkerID]int{}
+	for waits > 0 && r.now.Sub(began) < time.Second {
+		for _, o := range r.start() {
+			byWorker[o.Worker]++
+			waits--
+		}
+		r.now = r.now.Add(roundEvery)
+	}
+	is.Equal(waits, 0)
+	is.Equal(len(byWorker), len(added)) // all of them share the work
+	for _, n := range byWorker {
+		is.Equal(n, 16)
+	}
+}
