Run the race detector on standbys and maintenance

Cause: both packages share state between goroutines, and test.sh names the packages that it runs the detector on. Change: two names in the list.

--- a/test.sh
+++ b/test.sh
@@ -9,7 +9,7 @@
 [ -n "$red" ] && skip=(-skip "^($red)\$")
 
 # The race detector runs on the packages in which goroutines share state.
-race=$(go list ./... | grep -E '/(journal|peer|share|route|claim|entry|provider|burn|ledger|dispatch|intake|fleet|platform)$' || true)
+race=$(go list ./... | grep -E '/(journal|peer|share|route|claim|entry|provider|burn|ledger|dispatch|intake|fleet|platform|standby|maintenance)$' || true)
 rest=$(go list ./... | grep -vxF "${race:-none}")
 # shellcheck disable=SC2086
 if [ -n "$race" ]; then go test -race -count=1 "${skip[@]}" $race; fi
