Move latency-critical tasks together where best-effort images wait

Change: twice a second the leader plans to clear workers of the tasks that do not tolerate images that have waited for a second. A clearing is carried out if the processors gained over 10 s outweigh the interruption, if each task has a destination whose tolerance does not shrink, and within disruption budgets.

Second change: objectives and remaining paths are computed with the ratio of the longest run of a step to its declared duration, observed per queue.

--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -48,6 +48,7 @@
 	siteTarget     = 45   // milliseconds
 	siteHeavy      = 3.0  // load that an image that interferes adds when it uses a whole worker
 	siteLight      = 0.1
+	heavyImage     = "heavy"
 )
 
 // simulatedSite simulates the workers of a Scheduler.
@@ -76,8 +77,12 @@
 }
 
 // trueCoefficient returns the load that image bestEffort adds to tasks of image critical when it uses a whole worker.
-// Images whose numbers have the same parity interfere, except for best-effort images from number 4.
+// Images whose numbers have the same parity interfere, except for best-effort images from number 4; the heavy image
+// interferes with all.
 func trueCoefficient(bestEffort, critical string) float64 {
+	if bestEffort == heavyImage {
+		return siteHeavy
+	}
 	f, s := bestEffort[len(bestEffort)-1]-'0', critical[len(critical)-1]-'0'
 	if f >= 4 || f%2 != s%2 {
 		return siteLight
@@ -171,6 +176,20 @@
 	return l
 }
 
+// promptJobs counts the jobs that met their objective and those that had time to. Job fill-N of the given number of
+// jobs was submitted N times every after the given time.
+func (s *simulatedSite) promptJobs(from time.Time, every time.Duration, jobs int) (prompt, due int) {
+	const objective = 2*siteWork + time.Second
+	due = jobs - int(objective/every)
+	for id, at := range s.finalSince {
+		var n int
+		if _, err := fmt.Sscanf(string(id), "fill-%d", &n); err == nil && n < due && at.Sub(from)-time.Duration(n)*every <= objective {
+			prompt++
+		}
+	}
+	return prompt, due
+}
+
 // Simulates 40 s of a colocated site. Best-effort jobs must meet their objectives without making latency-critical
 // tasks miss their targets.
 func TestColocatedSiteMeetsObjectivesAndTargets(t *testing.T) {
@@ -194,15 +213,7 @@
 		}
 		s.tick()
 	}
-	const objective = 2*siteWork + time.Second
-	due := jobs - int(objective/every)
-	prompt := 0
-	for id, at := range s.finalSince {
-		var n int
-		if _, err := fmt.Sscanf(string(id), "fill-%d", &n); err == nil && n < due && at.Sub(s.startedAt)-time.Duration(n)*every <= objective {
-			prompt++
-		}
-	}
+	prompt, due := s.promptJobs(s.startedAt, every, jobs)
 	t.Logf("%d of %d jobs met their objective; best-effort tasks pushed latency-critical tasks over their target for %.2f%% of the time", prompt, due, 100*s.missedTime.Seconds()/s.criticalTime.Seconds())
 	is.True(prompt >= due*9/10)
 	is.True(s.missedTime < s.criticalTime/50)
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -13,6 +13,7 @@
 // Names of the handover records of the scheduler.
 const (
 	handoverModel        = "learned"
+	handoverDurations    = "durations"
 	handoverWorkerPrefix = "worker/" // followed by the worker id
 )
 
@@ -39,6 +40,8 @@
 			err = sched.restoreWorker(table.WorkerID(id), data, now)
 		case name == handoverModel:
 			err = sched.interference.restore(data)
+		case name == handoverDurations:
+			err = sched.durationRatios.restore(data)
 		}
 		if err != nil {
 			sched.cfg.Log.Error("cannot decode handover record", "Note", name, "Error", err)
@@ -60,15 +63,21 @@
 	return nil
 }
 
-// modelRecord returns the handover record of the interference model, so that the next leader need not estimate it
-// anew.
-func (sched *Scheduler) modelRecord() []ledger.Record {
-	data, err := sched.interference.encode()
-	if err != nil {
+// modelRecords returns the handover records of the interference model and of the duration ratios, so that the next
+// leader need not estimate them anew.
+func (sched *Scheduler) modelRecords() []ledger.Record {
+	var rs []ledger.Record
+	if data, err := sched.interference.encode(); err == nil {
+		rs = append(rs, ledger.HandoverRecord(handoverModel, data))
+	} else {
 		sched.cfg.Log.Error("cannot encode interference model; no handover record written", "Error", err)
-		return nil
 	}
-	return []ledger.Record{ledger.HandoverRecord(handoverModel, data)}
+	if r, err := sched.durationRatios.record(); err == nil {
+		rs = append(rs, r)
+	} else {
+		sched.cfg.Log.Error("cannot encode duration ratios; no handover record written", "Error", err)
+	}
+	return rs
 }
 
 // workerRecords returns the handover records of workers that were added, changed or removed.
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -110,11 +110,7 @@
 func (i *interferenceModel) tolerance(criticalImages map[string]int) float64 {
 	tolerated := 0
 	for bestEffort := range i.bestEffortImages {
-		tolerates := true
-		for critical := range criticalImages {
-			tolerates = tolerates && i.coefficient(bestEffort, critical) < mildCoefficient
-		}
-		if tolerates {
+		if i.allTolerate(criticalImages, bestEffort) {
 			tolerated++
 		}
 	}
@@ -124,6 +120,21 @@
 	return float64(tolerated) / float64(len(i.bestEffortImages))
 }
 
+// tolerates reports whether tasks of a best-effort image hardly interfere with those of a latency-critical one.
+func (i *interferenceModel) tolerates(critical, bestEffort string) bool {
+	return i.coefficient(bestEffort, critical) < mildCoefficient
+}
+
+// allTolerate reports whether all of the given latency-critical images tolerate a best-effort image.
+func (i *interferenceModel) allTolerate(criticalImages map[string]int, bestEffort string) bool {
+	for critical := range criticalImages {
+		if !i.tolerates(critical, bestEffort) {
+			return false
+		}
+	}
+	return true
+}
+
 // addImage adds a best-effort image to the model if s does not have it yet.
 func (i *interferenceModel) addImage(s *sensitivity, bestEffort string) {
 	if s.addImage(bestEffort) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -46,8 +46,10 @@
 	stopReason      string
 	notBefore       time.Time
 	lastFailedOn    table.WorkerID
-	moves           int // times it was moved by supervise
+	destination     table.WorkerID // of a move by consolidate; empty once it is placed
+	moves           int            // times it was moved by supervise
 	wasRunning      bool
+	throttled       bool // the run was throttled at some time
 }
 
 // group holds the tasks of one step of one occurrence.
@@ -60,7 +62,7 @@
 	unfinished        int // tasks that are not done
 	waitingTasks      int // tasks in phase waiting
 	perWorker         map[table.WorkerID]int
-	durations         []time.Duration             // of successful runs of tasks without a checkpoint
+	durations         []time.Duration             // of successful runs without a checkpoint or throttling
 	rack              table.RackID                // rack of the first task that was placed
 	load              load                        // by its users; of latency-critical tasks
 	unplacedSince     time.Time                   // since when tasks have waited for a place; zero if none do
@@ -77,8 +79,7 @@
 	queue               workload.Queue
 	spec                *workload.Spec
 	submitted           time.Time
-	deadline            time.Time // objective, computed from the declared estimates
-	work                float64   // declared millicore-milliseconds of one occurrence
+	work                float64 // declared millicore-milliseconds of one occurrence
 	state               workload.State
 	groups              map[int][]*group // by occurrence
 	nextOccurrence      int              // number of the next occurrence to open
@@ -95,9 +96,6 @@
 	for i := range s.Spec.Steps {
 		j.work += float64(s.Spec.Steps[i].Count) * declaredWork(&s.Spec.Steps[i])
 	}
-	criticalPath := time.Duration(j.criticalPath(nil)) * time.Millisecond
-	j.deadline = j.submitted.Add(time.Duration(max(1, j.queue.Stretch)*float64(criticalPath)) +
-		time.Duration(j.queue.Allowance)*time.Millisecond)
 	return j
 }
 
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -80,11 +80,12 @@
 		value = min(maxValue, valueBase+(1-valueBase)*j.work/usual)
 	}
 	r := rating{density: value / max(1, left)}
-	need := time.Duration(float64(j.criticalPath(gs)) * float64(time.Millisecond) * criticalPathMargin)
-	due := g.due()
+	need := time.Duration(float64(sched.usualDuration(j, j.criticalPath(gs))) * criticalPathMargin)
+	objective := sched.objective(j)
+	due := g.startsFrom().Add(objective)
 	switch end := now.Add(need); {
 	case !end.After(due):
-	case !end.After(due.Add(time.Duration((lateFactor - 1) * float64(j.deadline.Sub(j.submitted))))):
+	case !end.After(due.Add(time.Duration((lateFactor - 1) * float64(objective)))):
 		r.prospect = late
 	default:
 		r.prospect = tooLate
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -54,7 +54,7 @@
 		}
 		r.answerPolls(replies)
 		for _, j := range jobs {
-			if j.state == workload.Completed && !r.now.After(j.deadline) && j.statusChanged {
+			if j.state == workload.Completed && !r.now.After(j.submitted.Add(r.objective(j))) && j.statusChanged {
 				onTime++
 			}
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,10 +13,11 @@
 	weightRemote = 4.0 // in another rack than the data or the rest of the gang
 	// Keeps latency-critical tasks of one image together, since images tolerate different best-effort images.
 	weightImage     = 3.0
-	weightPressure  = 3.0 // load that best-effort tasks add to latency-critical tasks
-	weightTolerance = 2.0 // share of the best-effort images that a worker tolerates
-	weightRetry     = 3.0 // the worker that failed the task before
-	weightUnproven  = 1.0 // keeps a task that has failed off workers without a recent success
+	weightCleared   = 10.0 // more than all other terms for a latency-critical task
+	weightPressure  = 3.0  // load that best-effort tasks add to latency-critical tasks
+	weightTolerance = 2.0  // share of the best-effort images that a worker tolerates
+	weightRetry     = 3.0  // the worker that failed the task before
+	weightUnproven  = 1.0  // keeps a task that has failed off workers without a recent success
 	provenWindow    = 10 * time.Second
 	bestEffortLimit = 1.0 // share of the capacity up to which best-effort tasks are placed
 	weightFit       = 2.0 // prefers places that a task just fits in when capacity is scarce
@@ -38,6 +39,7 @@
 // Decide places waiting tasks; they are started once their records are in the log.
 func (sched *Scheduler) Decide(now time.Time) {
 	sched.supervise(now)
+	sched.consolidate(now)
 	sched.scarcity = sched.capacityScarcity(now)
 	var rejected []rejectedNeed
 	placed := 0
@@ -100,12 +102,12 @@
 	return gs
 }
 
-// due returns the objective of the occurrence that g belongs to.
-func (g *group) due() time.Time {
+// startsFrom returns the time from which the objective of the occurrence that g belongs to counts.
+func (g *group) startsFrom() time.Time {
 	if d := g.job.spec.Due(g.occurrence); !d.IsZero() {
-		return d.Add(g.job.deadline.Sub(g.job.submitted))
+		return d
 	}
-	return g.job.deadline
+	return g.job.submitted
 }
 
 func (g *group) hasPlaceableTask(now time.Time) bool {
@@ -239,7 +241,7 @@
 	t.run++
 	t.startResolvedAt = time.Time{}
 	w.assign(t, reserved)
-	t.startedAt = time.Time{}
+	t.startedAt, t.destination = time.Time{}, ""
 	t.group.job.dirty = true
 	sched.reserved = append(sched.reserved, t)
 }
@@ -312,7 +314,7 @@
 // neighborObstacle returns the obstacle that the tasks on w are to t, a best-effort task.
 func (sched *Scheduler) neighborObstacle(t *task, w *worker) obstacle {
 	s := t.group.step
-	room := bestEffortLimit*float64(w.info.Capacity.CPU) - w.committedCPU() - float64(w.bestEffortCPU)
+	room := w.bestEffortRoom()
 	switch {
 	case room < float64(s.Need.CPU) && (w.bestEffortCPU > 0 || room <= 0):
 		return obstacleRoom
@@ -344,6 +346,12 @@
 		// Packing latency-critical tasks leaves whole workers to best-effort tasks.
 		s = -float64(w.criticalCPU) / w.processors()
 		s += weightPressure * sched.plannedLoad(w, g.step.Image, nil)
+		if now.Before(w.clearedUntil) {
+			s += weightCleared
+		}
+		if t.destination == w.info.ID {
+			s -= weightCleared
+		}
 		if w.criticalTasks > 0 {
 			s += weightImage * (1 - float64(w.criticalByImage[g.step.Image])/float64(w.criticalTasks))
 		}
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -38,7 +38,7 @@
 	f.records = append(f.records, sched.droppedRecords...)
 	if len(f.records) > 0 && now.Sub(sched.modelWrittenAt) > modelWriteInterval && len(sched.interference.sensitivities) > 0 {
 		sched.modelWrittenAt = now
-		f.records = append(f.records, sched.modelRecord()...)
+		f.records = append(f.records, sched.modelRecords()...)
 	}
 	f.records = append(f.records, sched.workerRecords()...)
 	for _, h := range sched.handovers {
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -48,7 +48,7 @@
 
 func (sched *Scheduler) runSucceeded(w *worker, t *task, ran time.Duration, now time.Time) {
 	w.failStreak, w.quarantines, w.lastSuccessAt = 0, 0, now
-	if !t.startedAt.IsZero() && t.checkpoint == "" {
+	if !t.startedAt.IsZero() && t.checkpoint == "" && !t.throttled {
 		t.group.durations = append(t.group.durations, ran)
 	}
 	if t.group.step.Gang {
@@ -75,6 +75,9 @@
 	g.unfinished--
 	g.waitingTasks--
 	j.dirty = true
+	if g.unfinished == 0 {
+		sched.durationRatios.observe(g)
+	}
 	if j.state.Final() || g.unfinished > 0 {
 		return
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -29,13 +29,14 @@
 // It is not safe for concurrent use and makes no calls itself: PollOrders, Decide and the other order functions
 // return what to send, and the functions whose names end in Done take the outcomes.
 type Scheduler struct {
-	cfg          Config
-	jobs         map[table.JobID]*job
-	finalSince   map[table.JobID]time.Time // when each job became final
-	workers      map[table.WorkerID]*worker
-	queues       map[workload.QueueID]workload.Queue
-	interference *interferenceModel
-	typicalWork  queueWork
+	cfg            Config
+	jobs           map[table.JobID]*job
+	finalSince     map[table.JobID]time.Time // when each job became final
+	workers        map[table.WorkerID]*worker
+	queues         map[workload.QueueID]workload.Queue
+	interference   *interferenceModel
+	typicalWork    queueWork
+	durationRatios durationRatios
 
 	reserved       []*task // reserved since the last call of Flush
 	writing        []*task // unused; Flush passes the reserved tasks on in its Batch
@@ -49,7 +50,8 @@
 	awaitingApproval []*group // left with unplaced tasks by the last call of Decide
 	approvalsPending int      // approval requests in flight
 
-	scarcity float64 // how scarce capacity is, see capacityScarcity
+	scarcity       float64   // how scarce capacity is, see capacityScarcity
+	consolidatedAt time.Time // when latency-critical tasks were last considered for moves
 
 	superseded bool // a worker has refused an order because of the token of another leader
 
@@ -67,7 +69,7 @@
 	return &Scheduler{
 		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
-		interference: newInterferenceModel(), typicalWork: queueWork{}, acks: map[*worker]ResultNumber{},
+		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{}, acks: map[*worker]ResultNumber{},
 	}
 }
 
@@ -217,7 +219,7 @@
 	sched.finalSince[j.id] = now
 	c := j.summary(now)
 	sched.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
-		"Objective", j.deadline.Sub(j.submitted).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
+		"Objective", sched.objective(j).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
 		"Tasks", c.tasks, "Work", int(j.work/milliunitsPerCoreSecond), "Failures", c.failures, "Moves", c.moves, "Reruns", c.reruns)
 	j.each(func(t *task) {
 		switch t.phase {
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -50,6 +50,8 @@
 	whySlow      = "slower than its peers"
 	whyDraining  = "worker leaves"
 	whyEvacuated = "worker is emptied"
+	// Latency-critical tasks are moved together, see consolidate.
+	whyConsolidated = "consolidation"
 
 	whyInterference = "disturbs tasks that serve" // interferes with latency-critical tasks
 )
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -336,4 +336,5 @@
 		t.progressedAt = now
 	}
 	t.cpuPercent = o.Percent
+	t.throttled = t.throttled || o.Percent < fullPercent
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -15,6 +15,7 @@
 	handedOver   bool      // its handover record is written or scheduled
 	leavesAt     time.Time // when a draining worker leaves at the earliest
 	evacuating   bool      // being evacuated for the maintenance of its machine
+	clearedUntil time.Time // cleared of latency-critical tasks, see consolidate
 
 	token       FenceToken
 	contacted   bool // this leader has polled this incarnation
@@ -83,7 +84,7 @@
 	t.worker, t.phase, t.startUnknown = nil, waiting, false
 	t.group.waitingTasks++
 	t.cpuPercent, t.percent, t.stopSentAt, t.stopReason = fullPercent, 0, time.Time{}, ""
-	t.tailLatency, t.cpuUsage, t.throttlePending = 0, 0, false
+	t.tailLatency, t.cpuUsage, t.throttlePending, t.throttled = 0, 0, false, false
 }
 
 // charge adds what t uses to the totals of w, or subtracts it if sign is -1.
@@ -151,6 +152,11 @@
 	return float64(w.used.CPU-w.criticalCPU) + criticalCPUUse*float64(w.criticalCPU)
 }
 
+// bestEffortRoom returns the millicores left for best-effort tasks.
+func (w *worker) bestEffortRoom() float64 {
+	return bestEffortLimit*w.processors() - w.committedCPU() - float64(w.bestEffortCPU)
+}
+
 func (w *worker) free() table.Resources { return w.info.Capacity.Minus(w.used) }
 
 // quarantine keeps new tasks off w for a time that doubles with each quarantine; it returns false if w is in
