Elect the next leader at once, also while the log is slow

Change: a stopped leader finishes its append and then resigns, within the 600 ms that the resignation had; the standbys claim in one order, 0.25 s after each other; a claim no longer depends on the end of the topic. The epoch of the shared producer decides: the log takes a second claim under one epoch for a repetition, and the view tells who leads.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -107,7 +107,7 @@
 	})
 	h.elector = ledger.NewElector(ledger.ElectorConfig{
 		Log: cfg.Log, View: h.view, Reader: h.reader, Host: cfg.Settings.Host, Process: h.process,
-		Address: cfg.Settings.Relay, Size: cfg.Settings.Cores, Lead: h.lead, Logger: h.logger,
+		Address: cfg.Settings.Relay, Size: cfg.Settings.Cores, Rank: h.standby.ClaimRank, Lead: h.lead, Logger: h.logger,
 	})
 	h.jobs = intake.New(intake.Config{
 		View: h.view, Refresh: h.reader.Refresh, Query: h.standby.Query, ApprovalAvailable: cfg.Settings.ApprovalService != "", Logger: h.logger,
--- a/ledger/elector.go
+++ b/ledger/elector.go
@@ -17,6 +17,7 @@
 	leaderTimeout = 1500 * time.Millisecond
 	maxSizeDelay  = 800 * time.Millisecond // largest claim delay of a host with less than one core
 	maxJitter     = 250 * time.Millisecond // spreads the claims of hosts of equal size
+	claimStagger  = 250 * time.Millisecond // between the claims of standbys; longer than a read and an append
 	// Minimum number of reads to the end without a record of the leader, so that a host resumed from
 	// suspension does not act on stale data.
 	minReadsWithoutLeader = 2
@@ -32,6 +33,9 @@
 	Process string  // distinguishes this process from earlier ones on the host
 	Address string  // host:port that other hosts call for relayed records and queries; empty for none
 	Size    float64 // cores available to this host, may be a fraction; larger hosts claim leadership first
+	// Rank returns the position of this host among those that claim leadership before all others, from 0, and whether it
+	// has one; nil means that it has none.
+	Rank func() (rank int, known bool)
 	// Lead runs while this host leads; it must return once ctx ends.
 	Lead   func(ctx context.Context, w *Writer)
 	Logger *slog.Logger
@@ -93,31 +97,38 @@
 	return reads >= minReadsWithoutLeader && time.Since(lastRecord) > leaderTimeout
 }
 
-// claimDelay lets larger hosts claim first. Of simultaneous claims only one succeeds, because the append
-// requires an unchanged end of the topic.
+// claimDelay returns how long this host leaves a vacancy to hosts that claim before it: the standbys in their order,
+// else the larger hosts.
 func (e *Elector) claimDelay() time.Duration {
+	if e.cfg.Rank != nil {
+		if rank, known := e.cfg.Rank(); known {
+			return time.Duration(rank) * claimStagger
+		}
+	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(e.cfg.Process)) // a hash never returns an error
 	small := 1 - min(1, e.cfg.Size)
 	return time.Duration(small*small*float64(maxSizeDelay)) + time.Duration(h.Sum32())%maxJitter
 }
 
+// claim appends a leader record under the next epoch. Of simultaneous claims under one epoch the log keeps the first
+// and takes the others for repetitions; the view then tells who leads. The claim does not depend on the end of the
+// topic, which records of callers move faster than a slow log answers.
 func (e *Elector) claim(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	if err := e.cfg.Reader.Refresh(ctx); err != nil || !e.vacant() {
 		return
 	}
-	at, _ := e.cfg.View.Position()
 	l := Leader{Host: e.cfg.Host, Process: e.cfg.Process, Epoch: max(e.cfg.View.Leader().Epoch, e.claimed) + 1, Address: e.cfg.Address}
 	e.claimed = l.Epoch
 	r, err := encode(leaderKey, l)
 	if err == nil {
 		err = e.cfg.Log.Append(ctx, Append{
-			Topic: JobTopic, Producer: leaderProducer, Epoch: l.Epoch, At: at, HasAt: true, Records: []Record{r},
+			Topic: JobTopic, Producer: leaderProducer, Epoch: l.Epoch, Records: []Record{r},
 		})
 	}
-	e.cfg.Logger.Info("leadership claim sent", "Epoch", l.Epoch, "Position", at, "Error", err)
+	e.cfg.Logger.Info("leadership claim sent", "Epoch", l.Epoch, "Error", err)
 	if err != nil && fault.Of(err) != fault.OutcomeUnknown {
 		return
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -29,11 +29,12 @@
 	loseErr   error // returned after appending
 	readErr   error
 	appends   int
+	latency   time.Duration // of an append
 	changed   chan struct{}
 }
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{epochs: map[string]Epoch{}, next: map[string]int64{}, changed: make(chan struct{})}
+	return &memoryLog{epochs: map[string]Epoch{}, next: map[string]int64{}, changed: make(chan struct{}), latency: time.Millisecond}
 }
 
 func (m *memoryLog) log() Log { return Log{Append: m.append, Read: m.read, Newest: m.newest} }
@@ -46,16 +47,20 @@
 
 func (m *memoryLog) end() Position { return m.first + Position(len(m.records)) }
 
-func (m *memoryLog) append(_ context.Context, a Append) error {
-	time.Sleep(time.Millisecond)
+func (m *memoryLog) append(ctx context.Context, a Append) error {
+	m.mu.Lock()
+	latency := m.latency
+	m.mu.Unlock()
+	Sleep(ctx, latency)
+	if ctx.Err() != nil {
+		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "no answer")
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.appends++
 	switch {
 	case m.appendErr != nil:
 		return m.appendErr
-	case a.HasAt && a.At != m.end():
-		return fault.New(fault.Conflict, "ends at %d", m.end())
 	case a.Epoch < m.epochs[a.Producer]:
 		return fault.New(fault.Stale, "fenced")
 	case a.Epoch > m.epochs[a.Producer]:
@@ -264,10 +269,14 @@
 }
 
 func startCandidate(t *testing.T, m *memoryLog, name string) *candidate {
+	return startCandidateOf(t, m, name, 1, nil)
+}
+
+func startCandidateOf(t *testing.T, m *memoryLog, name string, size float64, rank func() (int, bool)) *candidate {
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &candidate{host: newHost(m), stop: cancel, done: make(chan struct{})}
 	e := NewElector(ElectorConfig{
-		Log: m.log(), View: c.view, Reader: c.reader, Host: name, Process: name + "-1", Size: 1, Logger: discardLogger,
+		Log: m.log(), View: c.view, Reader: c.reader, Host: name, Process: name + "-1", Size: size, Rank: rank, Logger: discardLogger,
 		Lead: func(ctx context.Context, w *Writer) {
 			c.mu.Lock()
 			c.leading, c.writer = true, w
@@ -331,6 +340,74 @@
 	})
 }
 
+// A leader that is stopped while the log still works on an append must resign after it, or the others wait for
+// leaderTimeout.
+func TestStoppedLeaderFinishesItsAppendAndResigns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		a, b := startCandidate(t, m, "a"), startCandidate(t, m, "b")
+		time.Sleep(2 * time.Second)
+		first, second := a, b
+		if b.isLeading() {
+			first, second = b, a
+		}
+		m.set(func() { m.latency = 200 * time.Millisecond })
+		written := false
+		first.currentWriter().Append([]Record{submission(is, "x")}, func() { written = true })
+		time.Sleep(50 * time.Millisecond)
+		first.stop()
+		<-first.done
+		is.True(written)
+		time.Sleep(leaderTimeout / 2)
+		is.True(second.isLeading())
+		stopAll(a, b)
+	})
+}
+
+// A small host must not leave a vacancy to larger ones that do not exist: the first standby claims at once.
+func TestFirstStandbyClaimsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		leader := startCandidate(t, m, "leader")
+		time.Sleep(2 * time.Second)
+		second := startCandidateOf(t, m, "second", 0.1, func() (int, bool) { return 1, true })
+		first := startCandidateOf(t, m, "first", 0.1, func() (int, bool) { return 0, true })
+		time.Sleep(time.Second)
+		leader.stop()
+		<-leader.done
+		time.Sleep(claimStagger)
+		is.True(first.isLeading())
+		is.True(!second.isLeading())
+		stopAll(leader, first, second)
+	})
+}
+
+// While nobody leads, hosts append the records of their callers themselves. On a slow log such appends must not make
+// every claim fail.
+func TestLeaderIsElectedWhileCallersAppendToSlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		m.latency = 200 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		for n := range 4 {
+			go func() {
+				for i := 0; ctx.Err() == nil; i++ {
+					// An error means that the test has ended.
+					_ = m.append(ctx, Append{Producer: fmt.Sprint("host", n), Epoch: 1, Sequence: int64(i), Records: []Record{submission(is, table.JobID(fmt.Sprint(n, "-", i)))}})
+				}
+			}()
+		}
+		a, b := startCandidate(t, m, "a"), startCandidate(t, m, "b")
+		time.Sleep(leaderTimeout)
+		is.Equal(countLeaders(a, b), 1)
+		cancel()
+		stopAll(a, b)
+	})
+}
+
 func TestSupersededLeaderCannotWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/ledger/log.go
+++ b/ledger/log.go
@@ -45,16 +45,13 @@
 	Producer string
 	Epoch    Epoch
 	Sequence int64 // number of the append within the epoch of its producer, for deduplication
-	At       Position
-	HasAt    bool // fail unless the topic ends at At
 	Records  []Record
 }
 
 // Log is the subset of the platform's log API that this package uses.
 //
-// Append fails with fault.Stale for an outdated epoch, with fault.Conflict if At is not the end of the topic,
-// with fault.Overloaded or fault.LogUnavailable if nothing was appended, and with fault.OutcomeUnknown
-// otherwise. Read fails with fault.NotFound if from is no longer retained.
+// Append fails with fault.Stale for an outdated epoch, with fault.Conflict for a sequence number that does not follow,
+// with fault.Overloaded or fault.LogUnavailable if nothing was appended, and with fault.OutcomeUnknown otherwise. Read fails with fault.NotFound if from is no longer retained.
 type Log struct {
 	Append func(ctx context.Context, a Append) error
 	Read   func(ctx context.Context, topic Topic, from Position, wait time.Duration) (Page, error)
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -12,7 +12,7 @@
 // predecessors.
 const leaderProducer = "leader"
 
-// resignTimeout bounds the append of the resignation record when a leader stops.
+// resignTimeout bounds the end of the append in flight and the append of the resignation record when a leader stops.
 const resignTimeout = 600 * time.Millisecond
 
 // Writer appends the records of the leader, with one append in flight at a time.
@@ -66,12 +66,18 @@
 func (w *Writer) run(ctx context.Context, stop func()) {
 	beat := time.NewTicker(heartbeatInterval)
 	defer beat.Stop()
+	// The log accepts the resignation only after the append in flight, so that one is not broken off.
+	appendCtx, cancel := endLater(ctx, resignTimeout)
+	defer cancel()
 	for {
+		if ctx.Err() != nil {
+			w.resign(appendCtx)
+			return
+		}
 		var b *batch
 		select {
 		case <-ctx.Done():
-			w.resign()
-			return
+			continue
 		case b = <-w.batches:
 		case <-beat.C:
 			if time.Since(w.Confirmed()) < heartbeatInterval {
@@ -79,7 +85,7 @@
 			}
 			b = &batch{done: func() {}}
 		}
-		if !w.append(ctx, b) {
+		if !w.append(appendCtx, b) {
 			stop()
 			return
 		}
@@ -123,15 +129,26 @@
 
 // resign appends a leader record without a host, so that other hosts claim leadership without waiting for
 // leaderTimeout.
-func (w *Writer) resign() {
+func (w *Writer) resign(ctx context.Context) {
 	if w.Superseded() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
-	defer cancel()
 	r, err := encode(leaderKey, Leader{Epoch: w.leader.Epoch})
 	if err == nil {
 		err = w.producer.appendNext(ctx, []Record{r})
 	}
 	w.cfg.Logger.Info("resigned", "Epoch", w.leader.Epoch, "Error", err)
 }
+
+// endLater returns a context that ends the given time after ctx has.
+func endLater(ctx context.Context, by time.Duration) (context.Context, context.CancelFunc) {
+	later, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		Sleep(later, by)
+		cancel()
+	})
+	return later, func() {
+		stop()
+		cancel()
+	}
+}
--- a/standby/node.go
+++ b/standby/node.go
@@ -1,6 +1,7 @@
 package standby
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -103,6 +104,16 @@
 	return l
 }
 
+// ClaimRank returns the position of this host among the standbys, the largest first, and whether it is one.
+func (n *Node) ClaimRank() (rank int, known bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	byClaim := slices.Clone(n.standbys)
+	slices.SortStableFunc(byClaim, func(a, b Member) int { return cmp.Compare(b.Size, a.Size) })
+	rank = slices.IndexFunc(byClaim, func(m Member) bool { return m.Host == n.cfg.Self.Host })
+	return rank, rank >= 0
+}
+
 // Run sends heartbeats to the log readers until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	n.discover(ctx)
--- a/standby/node_test.go
+++ b/standby/node_test.go
@@ -27,6 +27,7 @@
 	mu          sync.Mutex
 	topics      map[ledger.Topic][]ledger.Record
 	epochs      map[string]ledger.Epoch // by producer
+	next        map[string]int64        // sequence numbers, by producer
 	reads       map[string]int
 	unavailable func(host string) bool // reports whether the log refuses the calls of a host
 }
@@ -51,14 +52,14 @@
 				return fault.New(fault.Stale, "fenced")
 			}
 			rs := m.topics[a.Topic]
-			if a.HasAt && a.At != ledger.Position(len(rs)) {
-				return fault.New(fault.Conflict, "ends elsewhere")
+			if a.Producer != "" && a.Epoch == m.epochs[a.Producer] && a.Sequence < m.next[a.Producer] {
+				return nil // duplicate
 			}
 			for _, r := range a.Records {
 				r.Position = ledger.Position(len(rs))
 				rs = append(rs, r)
 			}
-			m.topics[a.Topic], m.epochs[a.Producer] = rs, a.Epoch
+			m.topics[a.Topic], m.epochs[a.Producer], m.next[a.Producer] = rs, a.Epoch, a.Sequence+1
 			return nil
 		},
 		Read: func(ctx context.Context, topic ledger.Topic, from ledger.Position, wait time.Duration) (ledger.Page, error) {
@@ -138,7 +139,7 @@
 func newCluster(t *testing.T, n int) *cluster {
 	c := &cluster{
 		I: is.New(t), t: t, net: pipenet.New(), hosts: map[string]*testHost{},
-		log: &memoryLog{topics: map[ledger.Topic][]ledger.Record{}, epochs: map[string]ledger.Epoch{}, reads: map[string]int{}, unavailable: func(string) bool { return false }},
+		log: &memoryLog{topics: map[ledger.Topic][]ledger.Record{}, epochs: map[string]ledger.Epoch{}, next: map[string]int64{}, reads: map[string]int{}, unavailable: func(string) bool { return false }},
 	}
 	for i := range n {
 		c.start(fmt.Sprint("h", i))
@@ -392,3 +393,16 @@
 		c.Equal(len(c.log.readers()), 1+standbys)
 	})
 }
+
+// Standbys of one size claim leadership in one order that all of them know, so that their claims do not collide.
+func TestStandbysClaimInOneOrder(t *testing.T) {
+	is := is.New(t)
+	chosen := []Member{{Host: "a", Size: 0.2}, {Host: "b", Size: 0.8}, {Host: "c", Size: 0.2}}
+	for host, want := range map[string]int{"b": 0, "a": 1, "c": 2, "other": -1} {
+		n := New(Config{Self: Member{Host: host}})
+		n.standbys = chosen
+		rank, known := n.ClaimRank()
+		is.Equal(rank, want)
+		is.Equal(known, want >= 0)
+	}
+}
