--- /dev/null
+++ b/dispatch/gang.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// placeGang places all tasks of a gang under one run number.
+func (sched *Scheduler) placeGang(g *group, now time.Time) (int, bool) {
+	top := g.tasks[0].run
+	for _, t := range g.tasks {
+		if t.phase != waiting || now.Before(t.notBefore) {
+			return 0, true // members of the last run have not ended yet
+		}
+		top = max(top, t.run)
+	}
+	checkpoint := newestCheckpoint(g)
+	g.rack = ""
+	places := make([]*worker, 0, len(g.tasks))
+	for _, t := range g.tasks {
+		w := sched.choose(t, now)
+		if w == nil {
+			break
+		}
+		places = append(places, w)
+		w.assign(t, reserved) // reserves the room, so that the next member cannot have it
+	}
+	for i, w := range places {
+		w.release(g.tasks[i])
+	}
+	if len(places) < len(g.tasks) {
+		return 0, false
+	}
+	for i, t := range g.tasks {
+		t.run, t.checkpoint = top, checkpoint
+		sched.reserve(t, places[i])
+	}
+	return len(g.tasks), true
+}
+
+// newestCheckpoint returns the newest checkpoint of the members of a gang, by length and then by its bytes; it is valid
+// for all of them.
+func newestCheckpoint(g *group) string {
+	best := ""
+	for _, t := range g.tasks {
+		if len(t.checkpoint) > len(best) || len(t.checkpoint) == len(best) && t.checkpoint > best {
+			best = t.checkpoint
+		}
+	}
+	return best
+}
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -69,12 +69,6 @@
 	return t.cpuUsage
 }
 
-// headroom is the additional load that the latency-critical tasks on a worker tolerate.
-type headroom struct {
-	current float64 // at the current load by their own users
-	atPeak  float64 // at the recent peak load by their own users
-}
-
 // updateThrottles feeds the interference model with the tail latencies of the latency-critical tasks on w, and
 // adjusts the CPU shares of the best-effort tasks there.
 func (sched *Scheduler) updateThrottles(w *worker, now time.Time) {
@@ -116,71 +110,6 @@
 	sched.moveThrottled(w, now)
 }
 
-// recordHeadroom records the headroom of tasks of one image under the load by their users; the minimum over the
-// tasks on w is kept.
-func (w *worker) recordHeadroom(image string, most float64, l *load) {
-	h := headroom{current: most - l.mean, atPeak: most - l.peak}
-	if before, ok := w.headrooms[image]; ok {
-		h.current, h.atPeak = min(h.current, before.current), min(h.atPeak, before.atPeak)
-	}
-	w.headrooms[image] = h
-}
-
-// headroomOf returns the headroom of the tasks of image on w, or the prior one if none has been measured.
-func (sched *Scheduler) headroomOf(w *worker, image string) headroom {
-	if h, ok := w.headrooms[image]; ok {
-		return h
-	}
-	most := sched.interference.sensitivityOf(image).loadAt(tailPlan)
-	return headroom{current: most - typicalPeakLoad, atPeak: most - typicalPeakLoad}
-}
-
-// pressure is the load that best-effort images add to tasks that miss their targets.
-type pressure struct {
-	byImage map[string]float64
-	most    float64 // largest of one image
-	excess  float64 // load above what the tasks tolerate
-}
-
-// pressureOn returns the pressure of the given shares of a worker on tasks that miss their targets.
-func (sched *Scheduler) pressureOn(missed map[string]*load, shares map[string]float64) pressure {
-	p := pressure{byImage: make(map[string]float64, len(shares))}
-	for critical, l := range missed {
-		for bestEffort, x := range shares {
-			p.byImage[bestEffort] = max(p.byImage[bestEffort], sched.interference.coefficient(bestEffort, critical)*x)
-			p.most = max(p.most, p.byImage[bestEffort])
-		}
-		p.excess = max(p.excess, l.mean+sched.interference.addedLoad(shares, critical)-sched.interference.sensitivityOf(critical).loadAt(tailLow))
-	}
-	return p
-}
-
-// attributeByShare attributes the pressure by CPU share when no image is known to interfere: the largest user is
-// the most likely cause.
-func (p *pressure) attributeByShare(shares map[string]float64) {
-	for bestEffort, x := range shares {
-		p.byImage[bestEffort] = x
-		p.most = max(p.most, x)
-	}
-}
-
-// mustYield reports whether an image adds so much load that it must be throttled.
-func (p *pressure) mustYield(bestEffort string) bool {
-	x := p.byImage[bestEffort]
-	return x > 0 && x >= pressureShare*p.most
-}
-
-// keptPart returns the part of their CPU share that the images to throttle may keep.
-func (p *pressure) keptPart() float64 {
-	sum := 0.0
-	for bestEffort, x := range p.byImage {
-		if p.mustYield(bestEffort) {
-			sum += x
-		}
-	}
-	return min(throttleMaxKept, max(0, 1-p.excess/max(sum, minPressure)))
-}
-
 // throttleDown throttles the images that add most to the load of the tasks that miss their targets, down to the load
 // that these tasks tolerate.
 func (sched *Scheduler) throttleDown(w *worker, missed map[string]*load, highest float64, now time.Time) {
@@ -215,17 +144,6 @@
 	w.throttledAt = now
 }
 
-// loadExplainsMisses reports whether the load by their own users alone is known to make the tasks miss their
-// targets.
-func loadExplainsMisses(model *interferenceModel, missed map[string]*load) bool {
-	for critical, l := range missed {
-		if l.mean < model.sensitivityOf(critical).loadAt(tailHigh) || l.variance > knownLoadVariance {
-			return false
-		}
-	}
-	return true
-}
-
 // throttleUp relaxes throttling: completely if the latency-critical tasks tolerate the best-effort tasks at full speed
 // even at their peak load, else in steps up to what they tolerate now.
 func (sched *Scheduler) throttleUp(w *worker, now time.Time) {
@@ -247,18 +165,6 @@
 	}
 }
 
-// tolerablePart returns the share of their full speed at which the latency-critical tasks on w tolerate the best-effort
-// tasks there now.
-func (sched *Scheduler) tolerablePart(w *worker) float64 {
-	part := 1.0
-	for critical := range w.criticalByImage {
-		if added := sched.plannedLoad(w, critical, nil); added > 0 {
-			part = min(part, max(0, sched.headroomOf(w, critical).current-headroomReserve)/added)
-		}
-	}
-	return part
-}
-
 // moveThrottled moves tasks that would stay throttled on w, if they have checkpoints.
 func (sched *Scheduler) moveThrottled(w *worker, now time.Time) {
 	if len(w.throttles) == 0 || sched.tolerable(w, nil) {
@@ -275,30 +181,6 @@
 	}
 }
 
-// plannedLoad returns the load that the best-effort tasks on w add at full speed to tasks of image critical,
-// including t unless it is nil.
-func (sched *Scheduler) plannedLoad(w *worker, critical string, t *task) float64 {
-	sum := 0.0
-	for bestEffort, cpu := range w.bestEffortByImage {
-		sum += sched.interference.coefficient(bestEffort, critical) * float64(cpu) / w.processors()
-	}
-	if t != nil {
-		sum += sched.interference.coefficient(t.group.step.Image, critical) * float64(t.group.step.Need.CPU) / w.processors()
-	}
-	return sum
-}
-
-// tolerable reports whether the latency-critical tasks on w meet their targets at their peak load with the
-// best-effort tasks there at full speed, including t unless it is nil.
-func (sched *Scheduler) tolerable(w *worker, t *task) bool {
-	for critical := range w.criticalByImage {
-		if sched.plannedLoad(w, critical, t) > max(minPressure, sched.headroomOf(w, critical).atPeak) {
-			return false
-		}
-	}
-	return true
-}
-
 // ThrottleOrders returns the orders that set the CPU shares of tasks to those of their image on their worker.
 func (sched *Scheduler) ThrottleOrders(_ time.Time) []ThrottleOrder {
 	var orders []ThrottleOrder
