Let a step without a place hold back steps of its own service only

Cause: alreadyRejected compared needs but not services, so a step that fits nowhere in one service kept equal or larger steps of all others from being placed in that round.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -12,6 +12,7 @@
 
 // rejectedNeed is the need of a step whose tasks found no place in this round.
 type rejectedNeed struct {
+	service    table.ServiceID
 	need       table.Resources
 	bestEffort bool
 	image      string // of best-effort tasks, since workers tolerate some images and not others
@@ -31,7 +32,7 @@
 		if placed >= maxPlaced {
 			return
 		}
-		need := needOf(g.step, g.job.queue.NeedsApproval)
+		need := needOf(g.step, g.job.queue)
 		if alreadyRejected(rejected, need) {
 			g.recordUnplaced(true, now)
 			continue
@@ -48,8 +49,11 @@
 	}
 }
 
-func needOf(s *workload.Step, needsApproval bool) rejectedNeed {
-	n := rejectedNeed{need: s.Need, bestEffort: s.BestEffort, plain: s.Label == "" && s.MaxPerWorker == 0 && !s.Gang && !needsApproval}
+func needOf(s *workload.Step, q workload.Queue) rejectedNeed {
+	n := rejectedNeed{
+		service: q.Service, need: s.Need, bestEffort: s.BestEffort,
+		plain: s.Label == "" && s.MaxPerWorker == 0 && !s.Gang && !q.NeedsApproval,
+	}
 	if s.BestEffort {
 		n.image = s.Image
 	}
@@ -59,7 +63,7 @@
 // alreadyRejected reports whether a step that needs no more than n found no place in this round.
 func alreadyRejected(rejected []rejectedNeed, n rejectedNeed) bool {
 	for _, r := range rejected {
-		if r.bestEffort == n.bestEffort && r.image == n.image && r.need.Fits(n.need) {
+		if r.service == n.service && r.bestEffort == n.bestEffort && r.image == n.image && r.need.Fits(n.need) {
 			return true
 		}
 	}
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -348,3 +348,18 @@
 	r.Decide(r.now)
 	is.True(len(r.StopOrders(r.now)) > 0)
 }
+
+// A step that fits nowhere in its service must not hold back a larger one of another service.
+func TestServicesDoNotBlockEachOther(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("w")
+	e := entryOf(r, "a-elsewhere")
+	e.Submission.Queue.ID, e.Submission.Queue.Service = "other", "without-workers"
+	e.Submission.Spec.Steps = []workload.Step{step(1)}
+	r.SetEntry(e, r.now)
+	r.submit("b", step(1))
+	orders := r.placeAndStart()
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Task.Job, table.JobID("b"))
+}
