--- a/commands/app.go
+++ b/commands/app.go
@@ -56,7 +56,7 @@
 		Flags:       globalFlags(),
 		Commands: []*cli.Command{
 			p.status(), p.jobs(), p.workers(), p.plan(), p.confirm(), p.drain(),
-			p.report(), p.submit(), p.request(), p.checkSettings(), p.fleet(),
+			p.report(), p.review(), p.submit(), p.request(), p.checkSettings(), p.fleet(),
 		},
 		Reader:         p.env.Stdin,
 		Writer:         p.env.Stdout,
--- /dev/null
+++ b/review/review_test.go
@@ -0,0 +1,44 @@
+package review
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const firstHost = `time=2026-12-04T10:00:00.000Z level=INFO msg=leading Epoch=1
+  12.0 host-a time=2026-12-04T10:00:01.000Z level=INFO msg="job final" Job=a Queue=q State=Completed After=1.5s Objective=2s Waited=100ms Failures=1 Moves=0 Reruns=0
+time=2026-12-04T10:00:02.000Z level=INFO msg="job final" Job=b Queue=q State=Completed After=5s Objective=2s Waited=3s Failures=0 Moves=1 Reruns=2
+time=2026-12-04T10:00:02.500Z level=INFO msg="moving run" Task=c.0.0.1 Why="slower than its peers"
+time=2026-12-04T10:00:03.000Z level=INFO msg="leadership ended" Epoch=1 Displaced=false
+not a log line
+`
+
+const secondHost = `time=2026-12-04T10:00:03.300Z level=INFO msg=leading Epoch=2
+time=2026-12-04T10:00:03.400Z level=INFO msg="job final" Job=b Queue=q State=Completed After=5s Objective=2s
+time=2026-12-04T10:00:04.000Z level=INFO msg=board Capacity=64000 Counted=32000 Fills=16000 WaitingFills=8000 WaitingOthers=0
+time=2026-12-04T10:00:07.000Z level=INFO msg=leading Epoch=3
+time=2026-12-04T10:00:08.000Z level=INFO msg="job final" Job=d Queue=q State=Failed After=1m2s Objective=2s
+`
+
+func TestReviewOfTwoHosts(t *testing.T) {
+	is := is.New(t)
+	r, err := Read(strings.NewReader(secondHost), strings.NewReader(firstHost))
+	is.NoErr(err)
+	q := r.Queues["q"]
+	is.Equal(q.OnTime.Jobs, 1)
+	is.Equal(q.Late, Outcome{Jobs: 1, After: 5 * time.Second, Objective: 2 * time.Second, Waited: 3 * time.Second, Moves: 1, Reruns: 2}) // b counts once
+	is.Equal(q.Failed, 1)
+	is.Equal(r.Stops["slower than its peers"], 1)
+	is.Equal(len(r.Changes), 3)
+	is.Equal(r.Changes[1].Vacant, 300*time.Millisecond)
+	is.True(r.Changes[1].Planned)
+	is.Equal(r.Changes[2].Vacant, 3*time.Second) // since the last line of a leader that was lost
+	is.True(!r.Changes[2].Planned)
+	is.Equal(r.Uses[0].Capacity, 64.0)
+	var out strings.Builder
+	is.NoErr(r.WriteText(&out))
+	is.True(strings.Contains(out.String(), "too late"))
+}
