Move a throttled run only where it ends earlier

Cause: a best-effort run that stayed throttled for half a second was stopped, whether another place was free or not; most had 40% left of 1.7 s, and a stop, a new place and the restart from the checkpoint take 1.1 s. Such moves were neither logged nor counted as moves of the task.

--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -363,3 +363,41 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Task.Job, table.JobID("b"))
 }
+
+// A move costs a stop and a restart from the checkpoint, so a throttled run is only moved where it ends earlier.
+func TestThrottledRunMovesOnlyIfItEndsEarlier(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		percent, share  int
+		otherWorkerFree bool
+		moves           bool
+	}{
+		{"nearly done at half speed", 90, 50, true, false},
+		{"just begun at a fifth", 10, 20, true, true},
+		{"paused", 90, 0, true, true},
+		{"paused without another place", 90, 0, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig()
+			r.addWorkers("a")
+			r.submit("s", criticalStep(1, "serve"))
+			r.placeAndStart()
+			bestEffort := step(1)
+			bestEffort.BestEffort, bestEffort.Image, bestEffort.Checkpoints = true, "fill", true
+			r.submit("f", bestEffort)
+			is.Equal(len(r.placeAndStart()), 1)
+			if c.otherWorkerFree {
+				r.addWorkers("b")
+			}
+			s := r.interference.sensitivityOf("serve")
+			s.addImage("fill")
+			s.mean[0] = 50
+			task, w := r.task(key("f", 0, 0)), r.workers["a"]
+			task.percent, task.cpuPercent = c.percent, c.share
+			w.setThrottle("fill", c.share, r.now.Add(-throttledMoveDelay))
+			r.moveThrottled(w, r.now)
+			is.Equal(task.stopReason == whyInterference, c.moves)
+		})
+	}
+}
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -26,6 +26,8 @@
 	usageWindow     = 700 * time.Millisecond // usage and tail latencies are reported for the last half second
 	// Time under throttling before a task is moved, since a peak of user load may be short.
 	throttledMoveDelay = 500 * time.Millisecond
+	// Usual time from the stop of a run until it goes on from its checkpoint elsewhere.
+	moveTime = 1100 * time.Millisecond
 )
 
 // throttle is the CPU share of the tasks of one image on one worker.
@@ -165,7 +167,7 @@
 	}
 }
 
-// moveThrottled moves tasks that would stay throttled on w, if they have checkpoints.
+// moveThrottled moves tasks that would stay throttled on w, if they have checkpoints and end earlier elsewhere.
 func (sched *Scheduler) moveThrottled(w *worker, now time.Time) {
 	if len(w.throttles) == 0 || sched.tolerable(w, nil) {
 		return
@@ -176,11 +178,28 @@
 		if !throttled || !s.BestEffort || !s.Checkpoints || t.phase != running || t.stopReason != "" || now.Sub(l.since) < throttledMoveDelay {
 			continue
 		}
+		if !sched.endsEarlierElsewhere(t, now) {
+			continue
+		}
 		t.stopReason = whyInterference
+		t.moves++
 		sched.counts.Moved++
+		sched.cfg.Log.Info("moving run", "Task", t.key.String(), "Run", t.run, "Worker", w.info.ID, "Why", whyInterference,
+			"Percent", t.percent, "Share", t.cpuPercent, "Ran", now.Sub(t.startedAt).Round(time.Millisecond))
 	}
 }
 
+// endsEarlierElsewhere reports whether a throttled run would end earlier in a place that is free now, in spite of the
+// time that a move takes.
+func (sched *Scheduler) endsEarlierElsewhere(t *task, now time.Time) bool {
+	left := t.group.step.Estimate * table.Millis(fullPercent-t.percent) / fullPercent
+	moved := left + table.Millis(moveTime.Milliseconds())
+	if t.cpuPercent > 0 && left*fullPercent/table.Millis(t.cpuPercent) <= moved {
+		return false
+	}
+	return sched.choose(t, now) != nil
+}
+
 // ThrottleOrders returns the orders that set the CPU shares of tasks to those of their image on their worker.
 func (sched *Scheduler) ThrottleOrders(_ time.Time) []ThrottleOrder {
 	var orders []ThrottleOrder
