--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"persimmonpick/fault"
 	"persimmonpick/table"
 )
 
@@ -84,6 +85,23 @@
 	})
 }
 
+// Latencies that cannot be decoded must not hide those that follow in the same snapshot.
+func TestUndecodableLatenciesHideNoOthers(t *testing.T) {
+	is := is.New(t)
+	r := newTestRecorder("a")
+	for _, kind := range []table.KindID{"check", "quote"} {
+		r.Observe(kind, "i", "w", 20*time.Millisecond, true, testStart)
+	}
+	s := r.Snapshot(testStart)
+	is.Equal(len(s.Latencies), 2)
+	damaged := s.Latencies[0].Kind
+	s.Latencies[0].Data = []byte("damaged")
+	total, err := Merge([]Snapshot{s})
+	is.Equal(fault.Of(err), fault.BadAnswer)
+	is.Equal(total.Latencies[damaged], nil)
+	is.Equal(total.Latencies[s.Latencies[1].Kind].TotalCount(), int64(1))
+}
+
 func gobRoundTrip(t *rapid.T, s Snapshot) Snapshot {
 	var buffer bytes.Buffer
 	var copied Snapshot
--- a/burn/merge.go
+++ b/burn/merge.go
@@ -19,8 +19,8 @@
 
 // Merge sums snapshots; of several snapshots of one incarnation only the newest counts.
 //
-// If latencies of a kind cannot be decoded or are out of range, Merge returns an error that names the kind and leaves
-// out the latencies that follow in the same snapshot. The total holds everything else.
+// If latencies of a kind cannot be decoded or are out of range, Merge leaves them out and returns an error that names
+// the kind. The total holds everything else.
 func Merge(snapshots []Snapshot) (Total, error) {
 	var errs []error
 	sums := map[int64]*bucket{}
@@ -70,10 +70,12 @@
 }
 
 func (t *Total) mergeLatencies(list []Latencies) error {
+	var errs []error
 	for _, l := range list {
 		h, err := hdrhistogram.Decode(l.Data)
 		if err != nil {
-			return fault.Wrap(err, fault.BadAnswer, "latencies of kind %s", l.Kind)
+			errs = append(errs, fault.Wrap(err, fault.BadAnswer, "latencies of kind %s", l.Kind))
+			continue
 		}
 		sum := t.Latencies[l.Kind]
 		if sum == nil {
@@ -81,8 +83,8 @@
 			t.Latencies[l.Kind] = sum
 		}
 		if dropped := sum.Merge(h); dropped > 0 {
-			return fault.New(fault.BadAnswer, "latencies of kind %s: %d values out of range", l.Kind, dropped)
+			errs = append(errs, fault.New(fault.BadAnswer, "latencies of kind %s: %d values out of range", l.Kind, dropped))
 		}
 	}
-	return nil
+	return errors.Join(errs...)
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -88,7 +88,7 @@
 	h.listeners.peersServer, err = peer.Serve(h.listeners.peers, peersTLS, peer.Handlers{
 		Heartbeat: h.group.HandleHeartbeat, Snapshot: h.handleSnapshot, Burn: h.handleBurn, Reports: h.handleReports,
 		Borrow: h.shares.HandleBorrow, Return: h.shares.HandleReturn, Recall: h.shares.HandleRecall,
-	})
+	}, h.log)
 	if err != nil {
 		return err
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -245,6 +245,20 @@
 	is.Equal(v.Leader(), Leader{})
 }
 
+// A status that cannot be decoded must not make a completed job look queued.
+func TestUnreadableStatusKeepsTheLastOne(t *testing.T) {
+	is := is.New(t)
+	v := NewView(discardLogger)
+	v.load(nil, 0, time.Now())
+	r, err := StatusRecord("x", workload.Status{State: workload.Completed})
+	is.NoErr(err)
+	v.applyPage(0, Page{Records: []Record{submission(is, "x"), r, {Key: r.Key, Value: []byte{0xff}}}, Next: 3, End: 3}, time.Now())
+	e, ok := v.Job("x")
+	is.True(ok)
+	is.Equal(e.Status.State, workload.Completed)
+	is.Equal(v.Pending("q"), 0)
+}
+
 // candidate is a host with an elector; it records whether it leads.
 type candidate struct {
 	host
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -246,11 +246,13 @@
 		e.CancelAt = c.At
 		return err
 	case kindStatus:
-		e.Status = workload.Status{}
-		if value == nil {
-			return nil
+		var s workload.Status
+		if value != nil {
+			if err := decode(value, &s); err != nil {
+				return err
+			}
 		}
-		return decode(value, &e.Status)
+		e.Status = s
 	case kindProgress:
 		e.Progress = value
 	}
--- a/peer/capacity_test.go
+++ b/peer/capacity_test.go
@@ -58,7 +58,7 @@
 		b.Fatal(err)
 	}
 	ln := &countingListener{Listener: inner}
-	s, err := Serve(ln, nil, h)
+	s, err := Serve(ln, nil, h, slog.New(slog.DiscardHandler))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/peer/group_test.go
+++ b/peer/group_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := Serve(ln, nil, h)
+	s, err := Serve(ln, nil, h, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,3 +104,29 @@
 	hear()
 	is.Equal(g.Working(), []table.SeatID{"a", "b"})
 }
+
+// flakyListener fails the first call of Accept, as a host that is short of file descriptors does.
+type flakyListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// A failed Accept must not end the server, or the host looks lost to its peers until it is restarted.
+func TestServerOutlivesFailedAccept(t *testing.T) {
+	is := is.New(t)
+	b := testGroup("", "b")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s, err := Serve(&flakyListener{Listener: ln}, nil, Handlers{Heartbeat: b.HandleHeartbeat}, slog.New(slog.DiscardHandler))
+	is.NoErr(err)
+	t.Cleanup(s.Close)
+	a := testGroup(ln.Addr().String(), "a")
+	is.NoErr(a.sendHeartbeat(context.Background(), "b", a.clients["b"]))
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -163,7 +163,7 @@
 	context.AfterFunc(ctx, func() { closeAndLog(ln, logger) })
 	slots := make(chan struct{}, maxLinkConns)
 	for {
-		conn, err := ln.Accept()
+		conn, err := acceptNext(ln, logger)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/rpc"
 	"sync"
@@ -18,6 +19,7 @@
 type Server struct {
 	rpc *rpc.Server
 	ln  net.Listener
+	log *slog.Logger
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
@@ -86,8 +88,8 @@
 }
 
 // Serve starts serving peers on ln, over TLS unless conf is nil; conf sets whether peers need certificates.
-func Serve(ln net.Listener, conf *tls.Config, h Handlers) (*Server, error) {
-	s := &Server{rpc: rpc.NewServer(), ln: ln, conns: map[net.Conn]bool{}}
+func Serve(ln net.Listener, conf *tls.Config, h Handlers, log *slog.Logger) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), ln: ln, log: log, conns: map[net.Conn]bool{}}
 	if err := s.rpc.RegisterName("Peer", &service{h}); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "cannot register the peer service")
 	}
@@ -100,7 +102,7 @@
 
 func (s *Server) accept() {
 	for {
-		conn, err := s.ln.Accept()
+		conn, err := acceptNext(s.ln, s.log)
 		if err != nil {
 			return
 		}
