Throttle best-effort tasks only while a tail is above its target

Cause: workers report tails in whole milliseconds, and the target of temp-watch is 18 ms. Throttling from 0.95 of the target thus began at 18 ms, where the users of the watch are still served in time; it halves the processors of the best-effort tasks for 0.7 s at least.

--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -285,6 +285,16 @@
 	is.Equal(len(r.placeAndStart()), 0) // nothing is added where a target is missed
 }
 
+// Tails are reported in whole milliseconds; a task whose tail is at its target is served in time.
+func TestOnlyTailsAboveTheTargetThrottle(t *testing.T) {
+	for tail, orders := range map[time.Duration]int{18 * time.Millisecond: 0, 19 * time.Millisecond: 2} {
+		is := is.New(t)
+		r, _ := newMixedRig(is)
+		r.answerPolls(map[string]PollReply{"a": mixedReply(tail, 1000)})
+		is.Equal(len(r.ThrottleOrders(r.now)), orders)
+	}
+}
+
 // An image with no known interference must still be throttled when nothing else explains a missed target.
 func TestHarmlessImagesAreThrottledWhenNothingElseExplainsAMiss(t *testing.T) {
 	is := is.New(t)
