Ask for approval once the first polls of a takeover are answered

Change: approval requests wait for first polls in flight, for 250 ms at most, so that a silent worker holds up nothing.

TestApprovalIsAskedOnceWorkersHaveBeenPolled failed before (1 request).

--- a/dispatch/approval.go
+++ b/dispatch/approval.go
@@ -22,6 +22,8 @@
 	approvalUsualWorkers   = 30
 	approvalWorkersPerTask = 3                      // workers per waiting task, since some are refused
 	approvalRetryDelay     = 250 * time.Millisecond // after a request that was refused or not answered
+	// Requests wait this long for the first answer of a worker, several times the usual latency of a poll.
+	firstPollWait = 250 * time.Millisecond
 	// A ticket must be valid for at least this long, so that the start order arrives in time.
 	minTicketValidity = 300 * time.Millisecond
 )
@@ -57,6 +59,9 @@
 // unplaced tasks, in the order in which Decide places them.
 func (sched *Scheduler) ApprovalOrders(now time.Time) []ApprovalOrder {
 	var orders []ApprovalOrder
+	if sched.awaitsFirstPolls(now) {
+		return nil
+	}
 	for _, g := range sched.awaitingApproval {
 		if sched.approvalsPending >= maxApprovalsInFlight {
 			break
@@ -78,6 +83,17 @@
 	return orders
 }
 
+// awaitsFirstPolls reports whether the first poll of a worker is in flight and likely to be answered soon. A request
+// made before would leave that worker out, so a new leader would make several for one step.
+func (sched *Scheduler) awaitsFirstPolls(now time.Time) bool {
+	for _, w := range sched.workers {
+		if w.listed && !w.contacted && w.missedPolls == 0 && w.pollsInFlight > 0 && now.Sub(w.firstPollAt) < firstPollWait {
+			return true
+		}
+	}
+	return false
+}
+
 // approvalCandidates returns the workers that have room for g but for which it has no valid ticket, best score
 // first.
 func (sched *Scheduler) approvalCandidates(g *group, now time.Time) []table.WorkerID {
--- a/dispatch/approval_test.go
+++ b/dispatch/approval_test.go
@@ -142,3 +142,24 @@
 	is.Equal(len(r.jobs["j"].groups[0][0].tasks), 1)
 	is.Equal(r.task(key("j", 0, 0)).worker.info.ID, table.WorkerID("w69"))
 }
+
+// A leader that has just taken over must not ask about the first worker that answers its poll and again about the rest,
+// but it must not wait for a silent worker either.
+func TestApprovalIsAskedOnceWorkersHaveBeenPolled(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	for _, id := range []string{"a", "b"} {
+		r.SetWorker(r.workerInfo(id), r.now)
+	}
+	polls := r.PollOrders(r.now, true)
+	is.Equal(len(polls), 2)
+	r.PollDone(polls[0], r.now, PollReply{Incarnation: 1}, nil, r.now)
+	r.submitNeedingApproval("j", step(1))
+	r.placeAndStart()
+	is.Equal(len(r.ApprovalOrders(r.now)), 0) // the first poll of the other worker is in flight
+	r.now = r.now.Add(firstPollWait)
+	r.placeAndStart()
+	orders := r.ApprovalOrders(r.now)
+	is.Equal(len(orders), 1)
+	is.Equal(len(orders[0].Workers), 1)
+}
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -39,6 +39,9 @@
 	default:
 		o.Wait = pollWaitRunning
 	}
+	if w.firstPollAt.IsZero() {
+		w.firstPollAt = now
+	}
 	w.urgent = false
 	w.pollsInFlight++
 	w.nextPollAt = now.Add(pollPause)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -27,6 +27,7 @@
 	leaseUntil      time.Time // bound on the lease; no run there outlasts it unless the lease is extended
 	pollSentAt      time.Time // of the newest poll that was applied
 	pollsInFlight   int
+	firstPollAt     time.Time // of this leader
 	nextPollAt      time.Time
 	urgent          bool                                    // the next poll must resolve an unknown outcome
 	strays          map[workload.TaskKey]workload.RunNumber // runs to stop that no task holds
