Count only steps that gain when workers are cleared

Cause, found by reading: blocked images of one service made workers of another be cleared, steps that need a label counted as blocked everywhere, and the processors of a cleared worker were taken off images that its remaining tasks do not tolerate. TestOnlyStepsThatGainClearWorkers covers the first two; the test of the spread site is unchanged.

--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -23,10 +23,11 @@
 	maxClearingTried   = 16                      // clearings tried per round, so that a round stays short
 )
 
-// blockedImage is a best-effort image whose tasks wait although processors are idle.
+// blockedImage is a best-effort image of a service whose tasks wait although processors are idle.
 type blockedImage struct {
-	image string
-	cpu   float64 // millicores that its waiting tasks need
+	service table.ServiceID
+	image   string
+	cpu     float64 // millicores that its waiting tasks need
 }
 
 // clearing is a plan to move latency-critical tasks off a worker, so that it tolerates blocked images.
@@ -34,6 +35,7 @@
 	w      *worker
 	image  string           // best-effort image that the tasks do not tolerate
 	tasks  []*task          // to be moved
+	kept   map[string]int   // latency-critical images that stay
 	moved  table.Millicores // that the tasks reserve
 	gained float64          // millicores that blocked images can use afterwards
 }
@@ -45,6 +47,11 @@
 	return milli / 1000
 }
 
+// admits reports whether tasks of b can run on the worker of c afterwards.
+func (c *clearing) admits(model *interferenceModel, b blockedImage) bool {
+	return b.service == c.w.info.Service && model.allTolerate(c.kept, b.image)
+}
+
 // consolidate moves latency-critical tasks together where best-effort images wait for lack of workers that tolerate
 // them, and gain more than the interruption costs.
 //
@@ -64,7 +71,8 @@
 		}
 		// Earlier clearings may have changed what is blocked, and used c.w as a destination.
 		current := sched.planClearing(c.w, c.image, blocked)
-		if current == nil || current.gain() <= 0 || len(current.tasks) > movable || now.Before(c.w.clearedUntil) || taken[c.w] != (table.Resources{}) {
+		_, isDestination := taken[c.w]
+		if current == nil || current.gain() <= 0 || len(current.tasks) > movable || now.Before(c.w.clearedUntil) || isDestination {
 			continue
 		}
 		destinations := sched.destinations(current, blocked, taken, now)
@@ -73,7 +81,7 @@
 		}
 		sched.carryOut(current, destinations, taken, now)
 		movable -= len(current.tasks)
-		blocked = reduceBlocked(blocked, current.gained)
+		blocked = sched.unblocked(blocked, current)
 	}
 }
 
@@ -96,20 +104,25 @@
 	return max(1, int(maxInterrupted*float64(critical))) - moving
 }
 
-// blockedImages returns the images of steps that have long waited for a place and can still be of use, in the order of
-// the processors that they need.
+// blockedImages returns the images of steps that have long waited for a place and can still be of use, those that need
+// most processors first. Steps that few workers can run for other reasons, such as a label, do not count.
 func (sched *Scheduler) blockedImages(now time.Time) []blockedImage {
-	cpu := map[string]float64{}
+	var blocked []blockedImage
 	for _, g := range sched.unplacedGroups() {
-		if g.step.BestEffort && now.Sub(g.unplacedSince) > consolidateDelay && sched.rate(g, now).prospect != tooLate {
-			cpu[g.step.Image] += float64(g.waitingTasks) * float64(g.step.Need.CPU)
+		q := g.job.queue
+		if !g.step.BestEffort || !needOf(g.step, q).plain || now.Sub(g.unplacedSince) <= consolidateDelay || sched.rate(g, now).prospect == tooLate {
+			continue
 		}
+		i := slices.IndexFunc(blocked, func(b blockedImage) bool { return b.service == q.Service && b.image == g.step.Image })
+		if i < 0 {
+			i = len(blocked)
+			blocked = append(blocked, blockedImage{service: q.Service, image: g.step.Image})
+		}
+		blocked[i].cpu += float64(g.waitingTasks) * float64(g.step.Need.CPU)
 	}
-	var blocked []blockedImage
-	for _, image := range slices.Sorted(maps.Keys(cpu)) {
-		blocked = append(blocked, blockedImage{image, cpu[image]})
-	}
-	slices.SortStableFunc(blocked, func(a, b blockedImage) int { return cmp.Compare(b.cpu, a.cpu) })
+	slices.SortFunc(blocked, func(a, b blockedImage) int {
+		return cmp.Or(cmp.Compare(b.cpu, a.cpu), cmp.Compare(a.service, b.service), cmp.Compare(a.image, b.image))
+	})
 	return blocked
 }
 
@@ -131,13 +144,17 @@
 	return unplaced
 }
 
-// reduceBlocked returns what stays blocked once the given millicores can be used.
-func reduceBlocked(blocked []blockedImage, cpu float64) []blockedImage {
+// unblocked returns what stays blocked once images can use what c gains.
+func (sched *Scheduler) unblocked(blocked []blockedImage, c *clearing) []blockedImage {
 	var left []blockedImage
+	gained := c.gained
 	for _, b := range blocked {
-		by := min(cpu, b.cpu)
-		cpu -= by
-		if b.cpu -= by; b.cpu > 0 {
+		if c.admits(sched.interference, b) {
+			by := min(gained, b.cpu)
+			gained -= by
+			b.cpu -= by
+		}
+		if b.cpu > 0 {
 			left = append(left, b)
 		}
 	}
@@ -152,6 +169,9 @@
 			continue
 		}
 		for _, b := range blocked {
+			if b.service != w.info.Service {
+				continue
+			}
 			if c := sched.planClearing(w, b.image, blocked); c != nil && c.gain() > 0 {
 				cs = append(cs, c)
 			}
@@ -166,14 +186,13 @@
 // planClearing plans to move the tasks that do not tolerate image off w. It returns nil if there are none, or if one
 // cannot be moved now.
 func (sched *Scheduler) planClearing(w *worker, image string, blocked []blockedImage) *clearing {
-	c := &clearing{w: w, image: image}
-	kept := map[string]int{}
+	c := &clearing{w: w, image: image, kept: map[string]int{}}
 	for _, t := range w.tasks {
 		s := t.group.step
 		switch {
 		case !s.LatencyCritical():
 		case sched.interference.tolerates(s.Image, image):
-			kept[s.Image]++
+			c.kept[s.Image]++
 		case !s.LongRunning || t.phase != running || t.percent != fullPercent || t.stopReason != "" || !t.withinDisruptionBudget():
 			return nil
 		default:
@@ -187,7 +206,7 @@
 	slices.SortFunc(c.tasks, func(a, b *task) int { return cmp.Compare(a.key.String(), b.key.String()) })
 	waiting := 0.0
 	for _, b := range blocked {
-		if sched.interference.allTolerate(kept, b.image) {
+		if c.admits(sched.interference, b) {
 			waiting += b.cpu
 		}
 	}
@@ -228,7 +247,7 @@
 		return true
 	}
 	for _, b := range blocked {
-		if !sched.interference.tolerates(critical, b.image) && sched.interference.allTolerate(w.criticalByImage, b.image) {
+		if b.service == w.info.Service && !sched.interference.tolerates(critical, b.image) && sched.interference.allTolerate(w.criticalByImage, b.image) {
 			return false
 		}
 	}
--- a/dispatch/consolidate_test.go
+++ b/dispatch/consolidate_test.go
@@ -150,3 +150,18 @@
 	r := newSpread(0, "a")
 	is.Equal(len(r.waitForConsolidation()), 0) // the only task has no other worker
 }
+
+// Steps of another service, and those that only labelled workers can run, must not make workers be cleared.
+func TestOnlyStepsThatGainClearWorkers(t *testing.T) {
+	for name, change := range map[string]func(*job){
+		"another service": func(j *job) { j.queue.Service = "elsewhere" },
+		"a label":         func(j *job) { j.spec.Steps[0].Label = "gold" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newSpread(0, "a", "b")
+			change(r.jobs["h"])
+			is.Equal(len(r.waitForConsolidation()), 0)
+		})
+	}
+}
