--- a/dispatch/consolidate_test.go
+++ b/dispatch/consolidate_test.go
@@ -151,16 +151,18 @@
 	is.Equal(len(r.waitForConsolidation()), 0) // the only task has no other worker
 }
 
-// Steps of another service, and those that only labelled workers can run, must not make workers be cleared.
-func TestOnlyStepsThatGainClearWorkers(t *testing.T) {
-	for name, change := range map[string]func(*job){
-		"another service": func(j *job) { j.queue.Service = "elsewhere" },
-		"a label":         func(j *job) { j.spec.Steps[0].Label = "gold" },
+// Steps of another service, and those that only labelled workers can run, must not make workers be cleared; nor must a
+// gang be broken, whose members all stop with one.
+func TestWorkersThatAreNotCleared(t *testing.T) {
+	for name, change := range map[string]func(*rig){
+		"another service": func(r *rig) { r.jobs["h"].queue.Service = "elsewhere" },
+		"a label":         func(r *rig) { r.jobs["h"].spec.Steps[0].Label = "gold" },
+		"a gang":          func(r *rig) { r.jobs["s"].spec.Steps[0].Gang = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := newSpread(0, "a", "b")
-			change(r.jobs["h"])
+			change(r)
 			is.Equal(len(r.waitForConsolidation()), 0)
 		})
 	}
