Follow falling user load sooner, and throttle less deeply

Cause: places are given up to what latency-critical tasks bear at the highest recent load of their users, which fell by 0.01 a second: after a peak of 0.63 of the load it took 20 s to count as usual again, twice the period of the swings. Each throttle order took at least half of the processors of an image.

Change: the peak falls by 0.03 a second, and throttled images keep up to 0.75.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -20,7 +20,7 @@
 	priorLoadVariance            = 0.04  // prior variance of the load by users
 	knownLoadVariance            = 0.002 // variance up to which the load by users counts as known
 	loadVariancePerSecond        = 0.01  // variance added per second, since users come and go
-	peakDecayPerSecond           = 0.01  // by which the peak load falls per second
+	peakDecayPerSecond           = 0.03  // by which the peak load falls per second
 	coefficientPrior             = 0.7   // prior coefficient: load added by an image that uses a whole worker
 	coefficientPriorVariance     = 1.5   // prior variance of a coefficient
 	coefficientVariancePerSecond = 0.002 // variance added per second, in case coefficients change
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -13,12 +13,12 @@
 	throttleInterval = 300 * time.Millisecond
 	// Time without high tail latencies before throttling is relaxed; longer than the window of the measurement.
 	throttleRelaxDelay = 700 * time.Millisecond
-	throttleMaxKept    = 0.5 // maximum part of its CPU share that a throttled image keeps
-	minCPUPercent      = 12  // percent; tasks with less are paused
-	throttleUpPercent  = 30  // percentage points by which a share is raised at a time
-	tailHigh           = 1.0 // share of the target above which best-effort tasks are throttled
-	tailLow            = 0.7 // share of the target below which throttling is relaxed
-	tailPlan           = 0.9 // share of the target up to which tasks are placed on the same worker
+	throttleMaxKept    = 0.75 // maximum part of its CPU share that a throttled image keeps
+	minCPUPercent      = 12   // percent; tasks with less are paused
+	throttleUpPercent  = 30   // percentage points by which a share is raised at a time
+	tailHigh           = 1.0  // share of the target above which best-effort tasks are throttled
+	tailLow            = 0.7  // share of the target below which throttling is relaxed
+	tailPlan           = 0.9  // share of the target up to which tasks are placed on the same worker
 	// Share of the largest pressure; images with at least this much are throttled.
 	pressureShare   = 0.4
 	minPressure     = 0.02                   // load; less pressure than this does not explain a miss
