--- a/review/review.go
+++ b/review/review.go
@@ -12,8 +12,9 @@
 	Messages map[string]int // lines that tell of throttling, clearing, lost or failed runs, by message
 	Uses     []Use
 
-	led     time.Time // newest line of a leader
-	vacated bool      // that leader has ended its leadership
+	epoch   string    // of the newest leader
+	led     time.Time // newest line of that leader
+	vacated bool      // it has ended its leadership
 }
 
 // Queue summarizes the jobs of one queue that became final.
@@ -77,9 +78,11 @@
 			c.Vacant = l.at.Sub(r.led)
 		}
 		r.Changes = append(r.Changes, c)
-		r.led, r.vacated = l.at, false
+		r.epoch, r.led, r.vacated = l.fields["Epoch"], l.at, false
 	case "leadership ended":
-		r.led, r.vacated = l.at, true
+		if l.fields["Epoch"] == r.epoch { // not of one that was superseded
+			r.led, r.vacated = l.at, true
+		}
 	case "board":
 		r.Uses = append(r.Uses, Use{
 			l.at, l.number("Capacity") / 1000, l.number("Counted") / 1000, l.number("Fills") / 1000, l.number("WaitingFills") / 1000, l.number("WaitingOthers") / 1000,
