--- /dev/null
+++ b/dispatch/blocked.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonpick/table"
+)
+
+// blockedImage is a best-effort image of a service whose tasks wait although processors are idle.
+type blockedImage struct {
+	service table.ServiceID
+	image   string
+	cpu     float64 // millicores that its waiting tasks need
+}
+
+// blockedImages returns the images of steps that have long waited for a place and can still be of use, those that need
+// most processors first. Steps that few workers can run for other reasons, such as a label, do not count.
+func (sched *Scheduler) blockedImages(now time.Time) []blockedImage {
+	var blocked []blockedImage
+	for _, g := range sched.unplacedGroups() {
+		q := g.job.queue
+		if !g.step.BestEffort || !needOf(g.step, q).plain || now.Sub(g.unplacedSince) <= consolidateDelay || sched.rate(g, now).prospect == tooLate {
+			continue
+		}
+		i := slices.IndexFunc(blocked, func(b blockedImage) bool { return b.service == q.Service && b.image == g.step.Image })
+		if i < 0 {
+			i = len(blocked)
+			blocked = append(blocked, blockedImage{service: q.Service, image: g.step.Image})
+		}
+		blocked[i].cpu += float64(g.waitingTasks) * float64(g.step.Need.CPU)
+	}
+	slices.SortFunc(blocked, func(a, b blockedImage) int {
+		return cmp.Or(cmp.Compare(b.cpu, a.cpu), cmp.Compare(a.service, b.service), cmp.Compare(a.image, b.image))
+	})
+	return blocked
+}
+
+// unplacedGroups returns the steps of which the last decision left tasks without a place.
+func (sched *Scheduler) unplacedGroups() []*group {
+	var unplaced []*group
+	for _, j := range sched.jobs {
+		if j.state.Final() {
+			continue
+		}
+		for _, gs := range j.groups {
+			for _, g := range gs {
+				if !g.unplacedSince.IsZero() {
+					unplaced = append(unplaced, g)
+				}
+			}
+		}
+	}
+	return unplaced
+}
