--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -16,7 +16,7 @@
 	// Time within which the processors gained must outweigh the interruption.
 	consolidateHorizon = 10 * time.Second
 	interruption       = 2500 * time.Millisecond // from the stop of a long-running task until it works elsewhere
-	interruptionWeight = 2.0                     // of a core-second of latency-critical work against one of best-effort work
+	interruptionWeight = 2.0                     // of an interrupted core-second against one that is gained
 	maxInterrupted     = 0.05                    // share of the latency-critical tasks that are stopped at a time
 	maxClearingTried   = 16                      // clearings tried per round, so that a round stays short
 )
