--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -39,7 +39,6 @@
 	durationRatios durationRatios
 
 	reserved       []*task // reserved since the last call of Flush
-	writing        []*task // unused; Flush passes the reserved tasks on in its Batch
 	acks           map[*worker]ResultNumber
 	droppedRecords []ledger.Record  // records to write that delete those of expired jobs
 	changedWorkers []*worker        // whose handover record must be written
