--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -411,3 +411,21 @@
 		})
 	}
 }
+
+// A worker whose answer to one poll is lost says nothing about its runs; they must neither be stopped as stalled nor
+// must the worker be quarantined.
+func TestSilentWorkerIsNotTakenForStalled(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(2))
+	r.placeAndStart()
+	r.answerPolls(nil)
+	silentFrom := r.now
+	for r.now.Sub(silentFrom) < pollWaitRunning+pollGrace+stallTimeout {
+		r.now = r.now.Add(10 * time.Millisecond)
+		r.Decide(r.now)
+		is.Equal(len(r.StopOrders(r.now)), 0)
+	}
+	is.True(!r.now.Before(r.workers["a"].quarantinedUntil))
+}
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -73,7 +73,8 @@
 		t.progressedAt = now
 		return ""
 	}
-	if now.Sub(t.progressedAt) > stallTimeout {
+	// Only reports without progress tell of a stall; a lost poll tells nothing.
+	if w.heardAt.Sub(t.progressedAt) > stallTimeout {
 		return whyStalled
 	}
 	if sched.isSlow(t, now) {
