--- a/burn/store.go
+++ b/burn/store.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxSnapshots bounds the retained snapshots; it has room for 9 seats whose hosts are replaced repeatedly, up to seven
-	// incarnations each, within one long window.
+	// maxSnapshots bounds the retained snapshots; it has room for 9 seats whose hosts are replaced repeatedly, up to
+	// seven incarnations each, within one long window.
 	maxSnapshots = 64
 	// maxSnapshotBytes bounds a snapshot accepted from a peer, as estimated by snapshotBytes.
 	maxSnapshotBytes = 8 << 20
--- a/dispatch/blocked.go
+++ b/dispatch/blocked.go
@@ -19,7 +19,7 @@
 // most processors first. Steps that few workers can run for other reasons, such as a label, do not count.
 func (sched *Scheduler) blockedImages(now time.Time) []blockedImage {
 	var blocked []blockedImage
-	for _, g := range sched.unplacedGroups() {
+	for _, g := range sched.openGroups(func(g *group) bool { return !g.unplacedSince.IsZero() }) {
 		q := g.job.queue
 		if !g.step.BestEffort || !needOf(g.step, q).plain || now.Sub(g.unplacedSince) <= consolidateDelay || sched.rate(g, now).prospect == tooLate {
 			continue
@@ -36,21 +36,3 @@
 	})
 	return blocked
 }
-
-// unplacedGroups returns the steps of which the last decision left tasks without a place.
-func (sched *Scheduler) unplacedGroups() []*group {
-	var unplaced []*group
-	for _, j := range sched.jobs {
-		if j.state.Final() {
-			continue
-		}
-		for _, gs := range j.groups {
-			for _, g := range gs {
-				if !g.unplacedSince.IsZero() {
-					unplaced = append(unplaced, g)
-				}
-			}
-		}
-	}
-	return unplaced
-}
--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -32,6 +32,9 @@
 	}
 	sched.consolidatedAt = now
 	movable := sched.movableTasks()
+	if movable <= 0 {
+		return
+	}
 	blocked := sched.blockedImages(now)
 	taken := map[*worker]table.Resources{} // by the clearings of this round
 	for tried, c := range sched.clearings(blocked, now) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -72,6 +72,13 @@
 
 // waitingGroups returns the steps with tasks to place, in the order in which they are placed.
 func (sched *Scheduler) waitingGroups(now time.Time) []*group {
+	gs := sched.openGroups(func(g *group) bool { return g.waitingTasks > 0 && g.ready() && g.hasPlaceableTask(now) })
+	sched.sortGroups(gs, now)
+	return gs
+}
+
+// openGroups returns the steps of jobs that are not final for which matches holds, in any order.
+func (sched *Scheduler) openGroups(matches func(*group) bool) []*group {
 	var gs []*group
 	for _, j := range sched.jobs {
 		if j.state.Final() {
@@ -79,13 +86,12 @@
 		}
 		for _, occurrence := range j.groups {
 			for _, g := range occurrence {
-				if g.waitingTasks > 0 && g.ready() && g.hasPlaceableTask(now) {
+				if matches(g) {
 					gs = append(gs, g)
 				}
 			}
 		}
 	}
-	sched.sortGroups(gs, now)
 	return gs
 }
 
--- a/entry/leaseagent.go
+++ b/entry/leaseagent.go
@@ -269,8 +269,9 @@
 
 // leaseExpired reports whether a revoked lease has certainly expired on its worker.
 //
-// Once the revocation has passed (peer.Fence.Passed), no host renews the lease. The last renewal may have been sent just
-// before, with an expiry of LeaseTerm later. The clocks of the sender and of the worker may each be off by ClockBound.
+// Once the revocation has passed (peer.Fence.Passed), no host renews the lease. The last renewal may have been sent
+// just before, with an expiry of LeaseTerm later. The clocks of the sender and of the worker may each be off by
+// ClockBound.
 func (a *leaseAgent) leaseExpired(id table.TaskID, l table.Lease, w *watchedWorker, now time.Time) bool {
 	k := leaseKey{id, l.Token}
 	at, ok := w.passedAt[k]
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -302,10 +302,11 @@
 	r.records = append(r.records, journal.Record{LeaseEnded: e})
 }
 
-// recordUnaccepted adds a record for a lease whose token the worker reports as never accepted and will no longer accept.
+// recordUnaccepted adds a record for a lease whose token the worker reports as never accepted and will no longer
+// accept.
 //
-// A worker that restarts forgets which tokens it accepted. A non-idempotent task whose start was announced may therefore
-// have run.
+// A worker that restarts forgets which tokens it accepted. A non-idempotent task whose start was announced may
+// therefore have run.
 func (r *reconciliation) recordUnaccepted(e *journal.LeaseEnded, l leaseInput) {
 	switch {
 	case !l.started:
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -24,7 +24,8 @@
 	View    *ledger.View
 	Refresh func(ctx context.Context) error // reads the log up to its end
 	Append  func(ctx context.Context, r ledger.Record) error
-	// Query queries another host. It fails with fault.NotReady if this host is to read the log itself; nil means always.
+	// Query queries another host. It fails with fault.NotReady if this host is to read the log itself; nil means
+	// always.
 	Query             func(ctx context.Context, call func(ctx context.Context, l *peer.Link) error) error
 	ApprovalAvailable bool // an approval service is configured
 	Logger            *slog.Logger
--- a/ledger/elector.go
+++ b/ledger/elector.go
@@ -33,8 +33,8 @@
 	Process string  // distinguishes this process from earlier ones on the host
 	Address string  // host:port that other hosts call for relayed records and queries; empty for none
 	Size    float64 // cores available to this host, may be a fraction; larger hosts claim leadership first
-	// Rank returns the position of this host among those that claim leadership before all others, from 0, and whether it
-	// has one; nil means that it has none.
+	// Rank returns the position of this host among those that claim leadership before all others, from 0, and whether
+	// it has one; nil means that it has none.
 	Rank func() (rank int, known bool)
 	// Lead runs while this host leads; it must return once ctx ends.
 	Lead   func(ctx context.Context, w *Writer)
--- a/ledger/log.go
+++ b/ledger/log.go
@@ -51,7 +51,8 @@
 // Log is the subset of the platform's log API that this package uses.
 //
 // Append fails with fault.Stale for an outdated epoch, with fault.Conflict for a sequence number that does not follow,
-// with fault.Overloaded or fault.LogUnavailable if nothing was appended, and with fault.OutcomeUnknown otherwise. Read fails with fault.NotFound if from is no longer retained.
+// with fault.Overloaded or fault.LogUnavailable if nothing was appended, and with fault.OutcomeUnknown otherwise.
+// Read fails with fault.NotFound if from is no longer retained.
 type Log struct {
 	Append func(ctx context.Context, a Append) error
 	Read   func(ctx context.Context, topic Topic, from Position, wait time.Duration) (Page, error)
--- a/operator/config.go
+++ b/operator/config.go
@@ -16,7 +16,8 @@
 	Propose func(ctx context.Context, records []journal.Record) (journal.Result, error)
 	// ReadTables runs read on the control goroutine; if it returns an error, read has not run and never will.
 	ReadTables func(ctx context.Context, read func(*table.Tables)) error
-	// CountApplied counts the entry hosts that have joined and not left, and those of them that applied the log up to off.
+	// CountApplied counts the entry hosts that have joined and not left, and those of them that applied the log up to
+	// off.
 	CountApplied func(ctx context.Context, off table.Offset) (applied, total int)
 	Hosts        func() []HostStatus
 	Report       func() burn.Report
--- a/provider/adapter.go
+++ b/provider/adapter.go
@@ -24,8 +24,8 @@
 type Log struct {
 	// Append appends data to a stream and returns its offset; after an error it may or may not have taken effect.
 	Append func(ctx context.Context, stream string, data []byte) (table.Offset, error)
-	// Read returns at most n entries from offset from on. It waits up to wait for one to arrive, and returns an error of
-	// kind fault.NotFound if from is no longer retained.
+	// Read returns at most n entries from offset from on. It waits up to wait for one to arrive, and returns an error
+	// of kind fault.NotFound if from is no longer retained.
 	Read func(ctx context.Context, stream string, from table.Offset, n int, wait time.Duration) (Page, error)
 }
 
@@ -116,8 +116,8 @@
 
 // Workers sends commands to workers; after an error a command may or may not have taken effect.
 type Workers struct {
-	// Start starts a task; a repeat with the same token has no effect. It returns an error of kind fault.Stale for an old
-	// or stopped token, and of kind fault.Capacity if the task does not fit.
+	// Start starts a task; a repeat with the same token has no effect. It returns an error of kind fault.Stale for an
+	// old or stopped token, and of kind fault.Capacity if the task does not fit.
 	Start func(ctx context.Context, w table.WorkerID, req StartRequest) error
 	// Renew extends leases; it ignores tokens that are not running.
 	Renew func(ctx context.Context, w table.WorkerID, rs []Renewal) error
--- a/scenario/site_test.go
+++ b/scenario/site_test.go
@@ -97,8 +97,8 @@
 	set(&t.SnapshotPeriod, 500*time.Millisecond)
 }
 
-// setField sets one field of the settings by its path, such as Timing.LeaseTerm. A value that is not valid JSON is taken
-// as a string.
+// setField sets one field of the settings by its path, such as Timing.LeaseTerm. A value that is not valid JSON is
+// taken as a string.
 func setField(cfg *settings.Settings, path, value string) error {
 	data, err := json.Marshal(cfg)
 	if err != nil {
@@ -162,8 +162,8 @@
 	}
 }
 
-// exportOperatorsURL sets environment variables with the URLs of the operators' listener of a host, for scripts that run
-// the command line.
+// exportOperatorsURL sets environment variables with the URLs of the operators' listener of a host, for scripts that
+// run the command line.
 func (w *scriptState) exportOperatorsURL(ts *testscript.TestScript, i int) {
 	url, err := w.site.OperatorsURL(i)
 	ts.Check(err)
--- a/scenario/work_test.go
+++ b/scenario/work_test.go
@@ -144,7 +144,8 @@
 	ts.Setenv(args[2], string(st.Tasks[0].Worker))
 }
 
-// cmdCall sends an HTTP request to a listener of a host: call GET e1 callers /v1/jobs/$JOB Status=404 Token=other-token.
+// cmdCall sends an HTTP request to a listener of a host: call GET e1 callers /v1/jobs/$JOB Status=404
+// Token=other-token.
 func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
 	plain, opts := splitOptions(args)
 	url := stateOf(ts).callersURL(ts, plain[1])
--- a/standins/harness/faults.go
+++ b/standins/harness/faults.go
@@ -120,8 +120,8 @@
 	return Fault{}, false
 }
 
-// Take returns the first fault that match accepts and counts one use of it; ended is closed when the fault ends. A fault
-// ends with its last use.
+// Take returns the first fault that match accepts and counts one use of it; ended is closed when the fault ends. A
+// fault ends with its last use.
 func (l *Faults) Take(match func(Fault) bool) (f Fault, ended <-chan struct{}, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standins/site/net.go
+++ b/standins/site/net.go
@@ -41,8 +41,8 @@
 	return nil
 }
 
-// SetPeers changes the proxies in both directions between entry hosts i and j, or between i and all other entry hosts if
-// j is negative.
+// SetPeers changes the proxies in both directions between entry hosts i and j, or between i and all other entry hosts
+// if j is negative.
 func (s *Site) SetPeers(i, j int, setting faultproxy.Setting) error {
 	var list []*faultproxy.Proxy
 	for pair, p := range s.network.peers {
--- a/standins/soak/callers.go
+++ b/standins/soak/callers.go
@@ -31,8 +31,8 @@
 	return &caller{hosts: hosts, checker: c, client: &http.Client{Timeout: callTimeout}, rnd: rand.New(rand.NewPCG(seed, n))}
 }
 
-// call sends a request to a random host. It returns the HTTP status, or 0 if there was no response, and the job state in
-// the response body.
+// call sends a request to a random host. It returns the HTTP status, or 0 if there was no response, and the job state
+// in the response body.
 func (c *caller) call(method, id string, body any) (int, string) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/standins/soak/faults.go
+++ b/standins/soak/faults.go
@@ -31,7 +31,8 @@
 	wg sync.WaitGroup
 }
 
-// run injects faults at exponentially distributed intervals until ctx is done. It returns when all of them are reverted.
+// run injects faults at exponentially distributed intervals until ctx is done. It returns when all of them are
+// reverted.
 func (t *injector) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(t.rnd.ExpFloat64()*float64(meanFaultInterval)))
