Keep what the build needs out of folders that copies leave out

What operators saw: on machines that start clean the build ended with "commands/review.go:10:2: package persimmonpick/review is not in std".

Cause: the folder review/ was absent there as a whole, and no other package; with review_test.go alone the message would be "no non-test Go files". The commit holds the folder and no ignore file of the repository names it, so it was lost on the way. Its name is one that copies, exports and ignore lists often leave out. No step of ours built from less than a full clone, so nothing here could show it.

Change: the package is oncall, which says whom it serves; the command `persimmonpick review` and its output stay.

Why this and not the module path: with a dot in it Go would ask a registry for a folder that is missing, and report that instead.

--- a/commands/review.go
+++ b/commands/review.go
@@ -7,7 +7,7 @@
 	"github.com/urfave/cli/v2"
 
 	"persimmonpick/fault"
-	"persimmonpick/review"
+	"persimmonpick/oncall"
 )
 
 func (p *program) review() *cli.Command {
@@ -33,7 +33,7 @@
 				defer file.Close()
 				sources = append(sources, file)
 			}
-			r, err := review.Read(sources...)
+			r, err := oncall.Read(sources...)
 			if err != nil {
 				return err
 			}
--- a/review/read.go
+++ b/oncall/read.go
@@ -1,4 +1,4 @@
-package review
+package oncall
 
 import (
 	"bufio"
