End a host whose listener has failed, and leave time within short grace periods

What callers would see: a host whose listener fails takes no more requests, but its process goes on, and may go on as the leader. A host with a grace period of less than 2.4 s cuts requests that are open when it is stopped.

Cause: Run waited for the elector, whose context ends only with a signal to the process. The margin before the kill, 1.2 s, was more than half of such a grace period, so the wait for open requests had ended before it began.

Change: the election has a context of its own, which ends when a listener fails; the leader then resigns as at a stop. The margin is at most a fifth of the grace period, which changes nothing from 6 s on. Config.Listen is the seam for the test.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -28,7 +28,8 @@
 	readInterval    = 150 * time.Millisecond  // between reads of the log by a host that does not lead
 	maxConfigAge    = 1800 * time.Millisecond // for answering that a route does not exist
 	readyMaxViewAge = 2500 * time.Millisecond // with an older view and a failing log, the host is not ready
-	stopMargin      = 1200 * time.Millisecond // between the end of the wait for open requests and the kill
+	stopMargin      = 1200 * time.Millisecond // between the end of the wait for open requests and the kill, at most
+	stopMarginPart  = 5                       // the margin is at most one of so many parts of the grace period
 	headerTimeout   = 5 * time.Second
 	idleTimeout     = 75 * time.Second // of keep-alive connections
 )
@@ -49,7 +50,8 @@
 	Machines       maintenance.Platform
 	Callers        func(h *Host) http.Handler // serves the callers' protocol
 	Readiness      func(h *Host) http.Handler
-	Dial           peer.DialFunc // connects to other hosts; nil for plain TCP
+	Dial           peer.DialFunc                                       // connects to other hosts; nil for plain TCP
+	Listen         func(network, address string) (net.Listener, error) // nil for net.Listen
 	Logger         *slog.Logger
 }
 
@@ -84,6 +86,9 @@
 // New returns a host; call Run to start it.
 func New(cfg Config) *Host {
 	h := &Host{cfg: cfg, logger: cfg.Logger, metrics: newMetrics(), waves: map[maintenance.WaveID]maintenance.Wave{}}
+	if h.cfg.Listen == nil {
+		h.cfg.Listen = net.Listen
+	}
 	h.process = cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	h.view = ledger.NewView(h.logger)
 	h.reader = ledger.NewReader(ledger.ReaderConfig{
@@ -165,7 +170,7 @@
 	}
 	failed := make(chan error, len(servers)+1)
 	for i, srv := range servers {
-		l, err := net.Listen("tcp", addresses[i])
+		l, err := h.cfg.Listen("tcp", addresses[i])
 		if err != nil {
 			return fault.Wrap(err, fault.Internal, "cannot listen on %s", addresses[i])
 		}
@@ -178,7 +183,9 @@
 	}
 	var leading sync.WaitGroup
 	h.startBackground(serveCtx)
-	leading.Go(func() { h.elector.Run(ctx) })
+	electionCtx, resign := context.WithCancel(ctx)
+	defer resign()
+	leading.Go(func() { h.elector.Run(electionCtx) })
 	h.logger.Info("serving", "Host", s.Host)
 	var err error
 	select {
@@ -187,6 +194,7 @@
 	}
 	h.stopping.Store(true)
 	h.logger.Info("stopping", "Host", s.Host, "Error", err)
+	resign()
 	leading.Wait()
 	h.drain(servers)
 	cancel()
@@ -199,7 +207,7 @@
 	if h.cfg.Settings.Relay == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", h.cfg.Settings.Relay)
+	l, err := h.cfg.Listen("tcp", h.cfg.Settings.Relay)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "cannot listen on %s", h.cfg.Settings.Relay)
 	}
@@ -240,13 +248,14 @@
 	h.logger.Info("configuration applied", "Version", c.Version, "Routes", len(c.Routes))
 }
 
-// drain closes each connection after its next response for half of the grace period, then shuts the servers down.
+// drain closes each connection after its next response, then shuts the servers down.
 func (h *Host) drain(servers []*http.Server) {
+	keepAlives, open := h.cfg.Settings.drainTimes()
 	for _, s := range servers {
 		s.SetKeepAlivesEnabled(false)
 	}
-	time.Sleep(h.cfg.Settings.grace() / 2)
-	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Settings.grace()/2-stopMargin)
+	time.Sleep(keepAlives)
+	ctx, cancel := context.WithTimeout(context.Background(), open)
 	defer cancel()
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -70,3 +70,10 @@
 	}
 	return s.StopGrace
 }
+
+// drainTimes divides the grace period: connections first end with their next response, then open requests are waited
+// for, and the rest is left until the kill.
+func (s Settings) drainTimes() (keepAlives, open time.Duration) {
+	half := s.grace() / 2
+	return half, half - min(stopMargin, s.grace()/stopMarginPart)
+}
