--- a/journal/assembler.go
+++ b/journal/assembler.go
@@ -1,6 +1,8 @@
 package journal
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"persimmonpick/fault"
@@ -11,6 +13,7 @@
 type Assembler struct {
 	partials map[snapshotKey]*partialSnapshot
 	newest   *table.Tables
+	added    uint64 // chunks added to partial snapshots
 }
 
 // snapshotKey identifies a snapshot. Hosts that write the same snapshot write identical chunks.
@@ -22,7 +25,8 @@
 
 // partialSnapshot is a snapshot of which some chunks have arrived.
 type partialSnapshot struct {
-	chunks map[int][]byte
+	chunks  map[int][]byte
+	addedAt uint64 // count of added chunks at its last one
 }
 
 // NewAssembler returns an empty Assembler.
@@ -46,7 +50,8 @@
 	}
 	key := snapshotKey{c.Offset, c.Whole, c.Count}
 	p := a.partial(key)
-	p.chunks[c.Index] = c.Data
+	a.added++
+	p.chunks[c.Index], p.addedAt = c.Data, a.added
 	if len(p.chunks) < c.Count {
 		return nil
 	}
@@ -54,38 +59,29 @@
 	return a.assemble(key, p)
 }
 
-// partial returns the partial snapshot of key. If it adds one above the limit, it evicts the oldest.
+// partial returns the partial snapshot of key. If it adds one above the limit, it evicts the one that has waited
+// longest for a chunk, whose writer has most likely stopped.
 func (a *Assembler) partial(key snapshotKey) *partialSnapshot {
 	if p := a.partials[key]; p != nil {
 		return p
 	}
+	if len(a.partials) >= maxPartialSnapshots {
+		delete(a.partials, a.stalestKey())
+	}
 	p := &partialSnapshot{chunks: map[int][]byte{}}
 	a.partials[key] = p
-	if len(a.partials) > maxPartialSnapshots {
-		delete(a.partials, a.oldestKey())
-	}
 	return p
 }
 
-// oldestKey returns the key of the partial snapshot with the lowest offset.
-func (a *Assembler) oldestKey() snapshotKey {
-	var found *snapshotKey
-	for key := range a.partials {
-		if found == nil || key.less(*found) {
-			found = &key
+func (a *Assembler) stalestKey() snapshotKey {
+	var found snapshotKey
+	least := uint64(math.MaxUint64)
+	for key, p := range a.partials {
+		if p.addedAt < least {
+			found, least = key, p.addedAt
 		}
 	}
-	return *found
-}
-
-func (k snapshotKey) less(o snapshotKey) bool {
-	if k.Offset != o.Offset {
-		return k.Offset < o.Offset
-	}
-	if k.Whole != o.Whole {
-		return k.Whole < o.Whole
-	}
-	return k.Count < o.Count
+	return found
 }
 
 func (a *Assembler) assemble(key snapshotKey, p *partialSnapshot) error {
--- a/journal/snapshot_test.go
+++ b/journal/snapshot_test.go
@@ -80,6 +80,37 @@
 	is.Equal(len(a.partials), maxPartialSnapshots)
 }
 
+// Writers that stopped midway leave newer snapshots that never become complete. An older one that is still being
+// written must be assembled beside them, whether it began before or after.
+func TestIncompleteSnapshotsDoNotKeepAnOlderOneFromBeingAssembled(t *testing.T) {
+	is := is.New(t)
+	old := largeTables(t, 2000)
+	chunks, err := EncodeSnapshot(old)
+	is.NoErr(err)
+	is.True(len(chunks) > 1)
+	incomplete := func(a *Assembler) {
+		for n := range maxPartialSnapshots + 1 {
+			newer, err := splitChunks(old.Applied+table.Offset(n+1), make([]byte, chunkSize+1))
+			is.NoErr(err)
+			is.NoErr(a.Add(newer[0]))
+		}
+	}
+	after, between := NewAssembler(), NewAssembler()
+	incomplete(after)
+	for _, c := range chunks {
+		is.NoErr(after.Add(c))
+	}
+	is.True(after.Newest() != nil)
+	is.NoErr(between.Add(chunks[0]))
+	for n, c := range chunks[1:] {
+		newer, err := splitChunks(old.Applied+table.Offset(n+1), make([]byte, chunkSize+1))
+		is.NoErr(err)
+		is.NoErr(between.Add(newer[0]))
+		is.NoErr(between.Add(c))
+	}
+	is.True(between.Newest() != nil)
+}
+
 // Guards against a snapshot with valid checksums whose entities would crash Apply.
 func TestSnapshotOfBrokenTables(t *testing.T) {
 	sound, err := EncodeSnapshot(largeTables(t, 2))
