Throttle again at the first poll that shows a miss

A worker where a target is missed takes nothing new, so tolerated misses block the places of short jobs.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -41,7 +41,6 @@
 	percent         int
 	progressedAt    time.Time // when percent last changed
 	tailLatency     time.Duration
-	onTargetAt      time.Time // when this leader last saw the tail latency within the target; the start of a run counts
 	cpuUsage        table.Millicores
 	stopSentAt      time.Time
 	stopReason      string
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -212,7 +212,7 @@
 // runStarted records that the run of t has started.
 func (sched *Scheduler) runStarted(t *task, now time.Time) {
 	t.phase, t.startUnknown, t.startResolvedAt = running, false, now
-	t.startedAt, t.progressedAt, t.onTargetAt, t.percent = now, now, now, 0
+	t.startedAt, t.progressedAt, t.percent = now, now, 0
 	t.wasRunning = true
 	j := t.group.job
 	if j.state == workload.Queued {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -15,7 +15,6 @@
 	LeaseTerm       time.Duration // of worker leases
 	StatusRetention time.Duration // how long the status of a final job is kept
 	RemoteFactor    float64       // how many times longer a task runs when its data is in another rack
-	MissLimit       time.Duration // how long best-effort tasks may keep a latency-critical one above its target; 0 for not at all
 	Log             *slog.Logger
 }
 
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -16,7 +16,7 @@
 	throttleMaxKept    = 0.75 // maximum part of its CPU share that a throttled image keeps
 	minCPUPercent      = 12   // percent; tasks with less are paused
 	throttleUpPercent  = 30   // percentage points by which a share is raised at a time
-	tailHigh           = 1.0  // share of the target above which a latency-critical task misses it
+	tailHigh           = 1.0  // share of the target above which best-effort tasks are throttled
 	tailLow            = 0.7  // share of the target below which throttling is relaxed
 	tailPlan           = 0.9  // share of the target up to which tasks are placed on the same worker
 	// Share of the largest pressure; images with at least this much are throttled.
@@ -28,11 +28,6 @@
 	throttledMoveDelay = 500 * time.Millisecond
 	// Usual time from the stop of a run until it goes on from its checkpoint elsewhere.
 	moveTime = 1100 * time.Millisecond
-	// Parts of the miss limit. Nothing is added beside a task that misses its target, and the runs there end; so most
-	// misses end without throttling. A long one leaves no time to approach the right CPU shares.
-	toleratedMiss = 0.25
-	longMiss      = 0.625
-	longMissKept  = 0.3 // maximum part of its CPU share that an image keeps in a long miss
 )
 
 // throttle is the CPU share of the tasks of one image on one worker.
@@ -85,7 +80,7 @@
 		return
 	}
 	measured := w.bestEffortShares((*task).measured)
-	highest, missed, longest := 0.0, map[string]*load{}, 0.0
+	highest, missed := 0.0, map[string]*load{}
 	w.headrooms = make(map[string]headroom, len(w.criticalByImage))
 	for _, t := range w.tasks {
 		if t.phase != running || !t.group.step.LatencyCritical() || t.tailLatency <= 0 || t.percent != fullPercent {
@@ -96,13 +91,7 @@
 		highest = max(highest, tail)
 		sched.interference.update(l, measured, image, tail, now)
 		w.recordHeadroom(image, sched.interference.sensitivityOf(image).loadAt(tailPlan), l)
-		if tail <= tailHigh {
-			t.onTargetAt = now
-			continue
-		}
-		miss := sched.partOfMissLimit(t, now)
-		longest = max(longest, miss)
-		if miss >= toleratedMiss && (missed[image] == nil || missed[image].mean < l.mean) {
+		if tail > tailHigh && (missed[image] == nil || missed[image].mean < l.mean) {
 			missed[image] = l
 		}
 	}
@@ -116,25 +105,16 @@
 	}
 	switch {
 	case len(missed) > 0 && now.Sub(w.throttledAt) >= throttleInterval:
-		sched.throttleDown(w, missed, highest, longest, now)
+		sched.throttleDown(w, missed, highest, now)
 	case now.Sub(w.tailLowSince) > throttleRelaxDelay && now.Sub(w.throttledAt) > throttleRelaxDelay:
 		sched.throttleUp(w, now)
 	}
 	sched.moveThrottled(w, now)
 }
 
-// partOfMissLimit returns how much of the miss limit, at most all of it, has passed since t was last seen within its
-// target. A miss that this leader did not see begin may have reached the limit, as has every miss if there is none.
-func (sched *Scheduler) partOfMissLimit(t *task, now time.Time) float64 {
-	if sched.cfg.MissLimit <= 0 {
-		return 1
-	}
-	return min(1, float64(now.Sub(t.onTargetAt))/float64(sched.cfg.MissLimit))
-}
-
 // throttleDown throttles the images that add most to the load of the tasks that miss their targets, down to the load
-// that these tasks tolerate. The longest miss is a part of the miss limit.
-func (sched *Scheduler) throttleDown(w *worker, missed map[string]*load, highest, longest float64, now time.Time) {
+// that these tasks tolerate.
+func (sched *Scheduler) throttleDown(w *worker, missed map[string]*load, highest float64, now time.Time) {
 	shares := w.bestEffortShares(func(t *task) table.Millicores { return t.uses(now) })
 	p := sched.pressureOn(missed, shares)
 	if p.most < minPressure {
@@ -144,9 +124,6 @@
 		p.attributeByShare(shares)
 	}
 	keep := p.keptPart()
-	if sched.cfg.MissLimit > 0 && longest >= longMiss {
-		keep = min(keep, longMissKept)
-	}
 	for bestEffort, x := range p.byImage {
 		if !p.mustYield(bestEffort) || w.cpuPercentOf(bestEffort) == 0 {
 			continue
@@ -156,7 +133,7 @@
 			l = 0
 		}
 		w.setThrottle(bestEffort, l, now)
-		sched.cfg.Log.Info("throttling best-effort tasks", "Worker", w.info.ID, "Image", bestEffort, "Percent", l, "Pressure", x, "TailByTarget", highest, "PartOfMissLimit", longest)
+		sched.cfg.Log.Info("throttling best-effort tasks", "Worker", w.info.ID, "Image", bestEffort, "Percent", l, "Pressure", x, "TailByTarget", highest)
 	}
 }
 
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -24,7 +24,6 @@
 	MaxLease            time.Duration // longest lease of a worker
 	StatusRetention     time.Duration // how long callers can query a finished job
 	RemoteFactor        float64       // run time of a task with remote data, relative to local data
-	MissLimit           time.Duration // how long best-effort tasks may keep a latency-critical one above its target
 }
 
 // Defaults and limits of optional settings.
@@ -43,7 +42,7 @@
 			return fault.New(fault.Invalid, "setting %s is missing", name)
 		}
 	}
-	if s.StopGrace < 0 || s.MaxLease < 0 || s.StatusRetention < 0 || s.Cores < 0 || s.MissLimit < 0 {
+	if s.StopGrace < 0 || s.MaxLease < 0 || s.StatusRetention < 0 || s.Cores < 0 {
 		return fault.New(fault.Invalid, "a setting is negative")
 	}
 	return nil
