Let Flush tell of outcomes that were given up

What operators would see: a host stops without a warning, and callers who repeat a request with its key hear that it is still running, or that nobody knows how it ended.

Cause: an outcome that could not be recorded within RetryFor was given up in silence; Flush waited for the attempt to end and reported success.

Change: outcomes that were given up are counted, and Flush returns fault.LogUnavailable with their number; the host logs it as it logs an outcome that is not recorded in time.

Measured: TestFlushTellsOfOutcomesThatWereGivenUp fails before and passes now; the tests of claim and entry pass with -race.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -239,6 +239,20 @@
 	})
 }
 
+// A stopping host must tell that a key stays taken, since nobody else knows the outcome.
+func TestFlushTellsOfOutcomesThatWereGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newFakeLog()
+		l.fail = func(n int) string { return map[bool]string{true: "down"}[n > 1] }
+		g := l.guard("s1", "p1")
+		body, _ := do(g, planClaim, &runner{})
+		is.Equal(body, "done")
+		is.Equal(fault.Of(g.Flush(t.Context())), fault.LogUnavailable)
+		is.Equal(l.state(), table.ClaimRunning)
+	})
+}
+
 // Guards against reporting "not run" for a request that may have run, a key that stays taken although its
 // request did not run, and a second run after the host of the first was lost.
 func TestOutcomes(t *testing.T) {
--- a/claim/guard.go
+++ b/claim/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"persimmonpick/fault"
@@ -49,6 +50,7 @@
 	mu         sync.Mutex
 	openClaims map[table.ClaimKey]*openClaim
 	background sync.WaitGroup
+	unrecorded atomic.Int64 // outcomes that were given up
 }
 
 // openClaim is a key whose request runs on this host or whose outcome is not recorded yet.
--- a/claim/outcome.go
+++ b/claim/outcome.go
@@ -94,10 +94,13 @@
 // when the record is rejected.
 func (g *Guard) proposeEnd(ctx context.Context, e *openClaim) {
 	end := e.end
-	g.retry(ctx, func() bool {
+	recorded := g.retry(ctx, func() bool {
 		_, err := g.Propose(ctx, []journal.Record{{ClaimEnded: &end}})
 		return err == nil
 	})
+	if !recorded {
+		g.unrecorded.Add(1)
+	}
 	g.closeKey(e)
 }
 
@@ -170,7 +173,7 @@
 }
 
 // Flush waits until each outcome is recorded or was given up after RetryFor. It returns a fault.LogUnavailable error
-// when ctx ends.
+// when ctx ends, and if any outcome was given up since the start.
 func (g *Guard) Flush(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
@@ -179,6 +182,9 @@
 	}()
 	select {
 	case <-done:
+		if n := g.unrecorded.Load(); n > 0 {
+			return fault.New(fault.LogUnavailable, "%d outcomes of idempotency keys were given up", n)
+		}
 		return nil
 	case <-ctx.Done():
 		return fault.Wrap(context.Cause(ctx), fault.LogUnavailable, "outcomes of idempotency keys are not recorded")
