Count limited requests as errors, and unplaceable jobs on the proposer alone

What operators would see: persimmonpick_errors_total does not rise while a host rejects requests because too many are in flight; after a change of the proposer the sum of persimmonpick_jobs_that_fit_nowhere over the hosts counts jobs twice, for as long as the former one lives.

Cause: the limit wrote its answer past the counter, and a host that stops being the proposer never set its gauge again.

Change: one function answers and counts errors to callers; a host that is not the proposer exports 0.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -59,7 +59,7 @@
 		n := serving.Add(1)
 		defer serving.Add(-1)
 		if n > int64(limit) {
-			answer.Error(w, fault.New(fault.Overloaded, "more than %d requests in flight", limit))
+			c.answerError(w, fault.New(fault.Overloaded, "more than %d requests in flight", limit))
 			return
 		}
 		c.host.metrics.inFlight.Inc()
@@ -92,12 +92,17 @@
 func (c *callerAPI) withTeam(next teamHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if err := c.serveTeam(w, r, next); err != nil {
-			c.host.metrics.errors.WithLabelValues(fault.Of(err).String()).Inc()
-			answer.Error(w, err)
+			c.answerError(w, err)
 		}
 	}
 }
 
+// answerError writes an error as the response to a caller, and counts it.
+func (c *callerAPI) answerError(w http.ResponseWriter, err error) {
+	c.host.metrics.errors.WithLabelValues(fault.Of(err).String()).Inc()
+	answer.Error(w, err)
+}
+
 // serveTeam identifies the team by its bearer token and calls next for it.
 func (c *callerAPI) serveTeam(w http.ResponseWriter, r *http.Request, next teamHandler) error {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/entry/proposer.go
+++ b/entry/proposer.go
@@ -91,6 +91,7 @@
 // tasks run beside which instances, so that reports can be attributed to them when the host becomes the proposer.
 func (p *proposer) runFollower(t *table.Tables, now time.Time) {
 	p.findUnplaceable(t, now)
+	p.reportUnplaceable(nil, 0) // the proposer reports them
 	if now.Sub(p.lastPlacement) < maxPlacementInterval {
 		return
 	}
