Do not take a pause for the rate of grants

Cause: the queue measures the time between grants in windows that end with the first grant after 50 ms. After a pause in which no slot could be used, as when a host leaves or joins, that window held one grant, so a pause of 300 ms counted as 300 ms a grant, and with some requests in the queue every further one was refused until later windows had lowered the average.

Change: the first grant after a pause (longer than 50 ms and than three times the usual latency) puts off the end of the window once, so that it counts the grants that follow. Where slots are in use for long nothing changes.

--- a/route/queue.go
+++ b/route/queue.go
@@ -9,11 +9,14 @@
 )
 
 const (
-	// rateWindow is the period over which the rate of grants is measured. Grants come in bursts, which can be as
-	// short as one request.
+	// rateWindow is the shortest period over which the rate of grants is measured. Grants come in bursts, which can
+	// be as short as one request.
 	rateWindow = 50 * time.Millisecond
 	// maxRateAge is how long a measured rate remains valid while the queue is empty.
 	maxRateAge = time.Second
+	// pauseFactor is the multiple of the usual latency above which the time without a grant is a pause: with at least
+	// one slot in use a grant comes about once in that latency.
+	pauseFactor = 3
 	// waitMargin allows for the error of the estimate: a request that is refused late has waited in vain.
 	waitMargin = 1.15
 )
@@ -42,6 +45,8 @@
 	grantInterval   time.Duration // average time between grants while requests wait; 0 if unknown
 	grantsInWindow  int           // grants since windowStart
 	windowStart     time.Time     // start of the current measurement
+	windowEnd       time.Time     // the first grant from then on ends the current measurement
+	windowExtended  bool          // windowEnd was put off after a pause
 	lastGrant       time.Time     // last grant, or when the first request began to wait
 }
 
@@ -95,25 +100,35 @@
 		q.grantInterval = 0
 	}
 	q.lastGrant = now
+	q.startWindow(now)
+}
+
+func (q *queue) startWindow(now time.Time) {
 	q.windowStart = now
+	q.windowEnd = now.Add(rateWindow)
+	q.windowExtended = false
 	q.grantsInWindow = 0
 }
 
-// recordGrant updates the measured rate of grants.
-func (q *queue) recordGrant(now time.Time) {
+// recordGrant updates the measured rate of grants. The first grant after a pause, as when a slot owner was silent, does
+// not tell how fast further ones come, so the measurement goes on, but not again after a second pause.
+func (q *queue) recordGrant(now time.Time, usual time.Duration) {
+	paused := usual > 0 && now.Sub(q.lastGrant) > max(rateWindow, pauseFactor*usual)
 	q.lastGrant = now
 	q.grantsInWindow++
-	elapsed := now.Sub(q.windowStart)
-	if elapsed < rateWindow {
+	if paused && !q.windowExtended {
+		q.windowEnd = now.Add(rateWindow)
+		q.windowExtended = true
+	}
+	if now.Before(q.windowEnd) {
 		return
 	}
-	interval := elapsed / time.Duration(q.grantsInWindow)
+	interval := now.Sub(q.windowStart) / time.Duration(q.grantsInWindow)
 	if q.grantInterval > 0 {
 		interval = (interval + q.grantInterval) / 2
 	}
 	q.grantInterval = interval
-	q.windowStart = now
-	q.grantsInWindow = 0
+	q.startWindow(now)
 }
 
 // remove removes w and reports false if it was granted a slot already.
@@ -140,14 +155,15 @@
 	return q.waiting[0], len(q.waiting)
 }
 
-// grantTo passes g to w if w is still the first waiter, and reports whether it did.
-func (q *queue) grantTo(w *waiter, g grant) bool {
+// grantTo passes g to w if w is still the first waiter, and reports whether it did. usual is the usual latency, or 0 if
+// unknown.
+func (q *queue) grantTo(w *waiter, g grant, usual time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.waiting) == 0 || q.waiting[0] != w {
 		return false
 	}
-	q.recordGrant(time.Now())
+	q.recordGrant(time.Now(), usual)
 	q.waiting[0] = nil
 	q.waiting = q.waiting[1:]
 	w.ready <- g
--- a/route/slot.go
+++ b/route/slot.go
@@ -68,7 +68,7 @@
 		}
 		instances := r.instances(id)
 		if g, ok := r.tryLocalSlot(s, instances, w.req, w.tried); ok {
-			if !s.queue.grantTo(w, g) {
+			if !s.queue.grantTo(w, g, s.typicalLatency()) {
 				g.release()
 			}
 			continue
