Close callers' connections after a response once a host is stopping

Cause: responses sent during DrainDelay kept the connection open. Shutdown then closes it as idle, also if the caller has begun to send the next request.

Change: from SIGTERM on each response closes its connection, so that callers that go on sending do so on new ones until the listener closes.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -43,7 +43,18 @@
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer.Error(w, fault.New(fault.NotFound, "no such path: %s", r.URL.Path))
 	})
-	return c.limitInFlight(r)
+	return c.closeWhileStopping(c.limitInFlight(r))
+}
+
+// closeWhileStopping wraps next and closes each connection after its next response once the host is stopping. When the
+// server shuts down it closes the others, also if a caller has begun to send on one.
+func (c *callerAPI) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.host.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // limitInFlight wraps next and rejects requests above the limit MaxInFlight, which operators can change. Health checks
