Send all reports of a restarted host to its peers

What operators would see: after a host restarts, its peers miss the usage of its workers for as many reports as they had fetched from the process before, so interference estimates differ between hosts.

Cause: peers ask for the reports from a number on, and numbers start anew with each process. Only a number that the new process had not reached yet was recognized as an old one.

Change: replies name the process, requests repeat its name, and a number of another process counts as 0.

--- a/entry/reports.go
+++ b/entry/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,26 +41,21 @@
 func (r *reportBuffer) since(from uint64) ([]provider.Report, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first := r.next - uint64(len(r.list))
-	if from > r.next {
-		from = first // the number is from a previous process of this seat
-	}
-	if from < first {
-		from = first
-	}
-	list := make([]provider.Report, r.next-from)
-	copy(list, r.list[from-first:])
-	return list, r.next
+	from = min(max(from, r.next-uint64(len(r.list))), r.next)
+	return slices.Clone(r.list[uint64(len(r.list))-(r.next-from):]), r.next
 }
 
 func (h *Host) handleReports(args peer.ReportsArgs) peer.ReportsReply {
+	if args.Incarnation != "" && args.Incarnation != h.incarnation {
+		args.From = 0 // the number is from a previous process of this seat
+	}
 	list, next := h.reports.since(args.From)
-	return peer.ReportsReply{Next: next, Reports: list}
+	return peer.ReportsReply{Next: next, Incarnation: h.incarnation, Reports: list}
 }
 
 // exchangeReports periodically fetches from each live peer the usage that workers reported to it.
 func (h *Host) exchangeReports(ctx context.Context) {
-	next := map[table.SeatID]uint64{}
+	next := map[table.SeatID]peer.ReportsArgs{}
 	every(ctx, h.cfg.Timing.ReportPeriod.D(), func() {
 		h.eachLivePeer(func(seat table.SeatID, client *peer.Client) {
 			reply, err := h.fetchReports(ctx, client, next[seat])
@@ -67,16 +63,16 @@
 				h.log.Debug("failed to fetch worker reports from a peer", "Seat", seat, "Error", err)
 				return
 			}
-			next[seat] = reply.Next
+			next[seat] = peer.ReportsArgs{From: reply.Next, Incarnation: reply.Incarnation}
 			h.handlePeerReports(reply.Reports)
 		})
 	})
 }
 
-func (h *Host) fetchReports(ctx context.Context, client *peer.Client, from uint64) (peer.ReportsReply, error) {
+func (h *Host) fetchReports(ctx context.Context, client *peer.Client, args peer.ReportsArgs) (peer.ReportsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timing.ReportPeriod.D())
 	defer cancel()
-	return client.Reports(ctx, peer.ReportsArgs{From: from})
+	return client.Reports(ctx, args)
 }
 
 // handlePeerReports passes reports fetched from a peer to the policy on the control goroutine.
--- a/peer/message.go
+++ b/peer/message.go
@@ -40,15 +40,17 @@
 	Snapshots []burn.Snapshot
 }
 
-// ReportsArgs requests usage reports, starting at number From.
+// ReportsArgs requests usage reports, starting at number From of the numbers of one process.
 type ReportsArgs struct {
-	From uint64
+	From        uint64
+	Incarnation table.Incarnation // of the process; empty for the first request
 }
 
 // ReportsReply holds usage reports of the workers that a host monitors.
 type ReportsReply struct {
-	Next    uint64 // From of the next request
-	Reports []provider.Report
+	Next        uint64            // From of the next request
+	Incarnation table.Incarnation // Incarnation of the next request
+	Reports     []provider.Report
 }
 
 // Handlers are the functions that serve calls from peers.
