Forget replaced instances with the first pick of a new view

What callers would see: an instance that fails is not ejected, since ejected ones that are gone use up EjectFloor, and the usual latency is that of instances that are gone.

Cause: states were pruned only when there were more of them than instances. After as many instances were replaced as there were states, nothing was.

Change: states are pruned with each new view, which is told by its first instance, since views are not changed once they are published.

Measured: TestReplacedInstancesDoNotCountAsEjected fails before (2 ejected) and passes now; the tests of route pass with -race.

--- a/route/service.go
+++ b/route/service.go
@@ -19,8 +19,9 @@
 
 	mu            sync.Mutex
 	states        map[table.InstanceID]*instanceState
-	instanceCount int           // instances in the newest view
-	median        time.Duration // median of the instances' average latencies
+	newest        *table.Instance // first instance of the newest view, which tells it from others
+	instanceCount int             // instances in the newest view
+	median        time.Duration   // median of the instances' average latencies
 	medianAt      time.Time
 	ejectedCount  int // number of ejected instances
 	// permutation holds the indices of the instances in some order. It is reused between picks.
@@ -42,10 +43,14 @@
 
 // update removes the state of instances that are gone and sets instanceCount, the base of EjectFloor.
 func (s *service) update(instances []table.Instance) {
-	s.instanceCount = len(instances)
-	if len(s.states) <= len(instances) {
+	sameView := len(instances) == s.instanceCount && (len(instances) == 0 || &instances[0] == s.newest)
+	if sameView && len(s.states) <= len(instances) {
 		return
 	}
+	s.instanceCount = len(instances)
+	if len(instances) > 0 {
+		s.newest = &instances[0]
+	}
 	keep := map[table.InstanceID]bool{}
 	for _, inst := range instances {
 		keep[inst.ID] = true
