--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -143,7 +143,7 @@
 	is.Equal(*confirmed[1].Intent.Drain, table.Drain{Worker: "w1"})
 	is.Equal(run("", false, "-operators", url, "drain", "-yes", "r1").code, ExitOK)
 	is.Equal(run("", false, "-operators", url, "jobs", "resolve", "-yes", "j1/0", "Rerun").code, ExitOK)
-	is.Equal(confirmed[3].Intent.Outcome, operator.OutcomeRerun)
+	is.Equal(confirmed[3].Intent.Outcome, journal.ResolveRerun)
 }
 
 // Guards against a plan for one field of a kind or team that resets the other fields.
--- a/operator/check.go
+++ b/operator/check.go
@@ -13,14 +13,6 @@
 // maxNameBytes limits the names of kinds, teams, services and plans.
 const maxNameBytes = 128
 
-// Outcomes that an operator may set for a task in state Unknown.
-const (
-	OutcomeRerun     = "Rerun"     // it did not complete and may run again
-	OutcomeFinished  = "Finished"  // it completed
-	OutcomeFailed    = "Failed"    // it must not run again
-	OutcomeCancelled = "Cancelled" // it is no longer needed
-)
-
 // Check returns an error of kind fault.Invalid if in is malformed; it does not look at the tables.
 func Check(in journal.Intent) error {
 	if err := checkFields(in); err != nil {
@@ -157,8 +149,8 @@
 
 func checkResolve(in journal.Intent) error {
 	switch in.Outcome {
-	case OutcomeRerun, OutcomeFinished, OutcomeFailed, OutcomeCancelled:
+	case journal.ResolveRerun, journal.ResolveFinished, journal.ResolveFailed, journal.ResolveCancelled:
 		return nil
 	}
-	return invalid("Outcome: must be %s, %s, %s or %s", OutcomeRerun, OutcomeFinished, OutcomeFailed, OutcomeCancelled)
+	return invalid("Outcome: must be %s, %s, %s or %s", journal.ResolveRerun, journal.ResolveFinished, journal.ResolveFailed, journal.ResolveCancelled)
 }
--- a/operator/effects.go
+++ b/operator/effects.go
@@ -110,7 +110,7 @@
 }
 
 func resolveEffects(task table.Task, outcome string) []string {
-	if outcome == OutcomeRerun {
+	if outcome == journal.ResolveRerun {
 		return []string{
 			fmt.Sprintf("task %s of job %s runs again", task.ID, task.Job),
 			"if it did run on the lost worker, it runs twice: confirm only if you know that it did not or was undone",
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -42,7 +42,7 @@
 	if p == nil {
 		return result, nil
 	}
-	if p.Base != Version(c.t, p.Intent) {
+	if p.Base != journal.EntityVersion(c.t, &p.Intent) {
 		result.Kinds[0] = fault.Stale
 		return result, nil
 	}
@@ -237,7 +237,7 @@
 		{journal.Intent{Type: journal.RemoveTeam, Team: &table.Team{ID: "nobody"}}, fault.NotFound},
 		{journal.Intent{Type: journal.RemoveTeam, Team: &table.Team{ID: "a"}}, fault.Conflict}, // has an unfinished job
 		{journal.Intent{Type: journal.ResolveTask, Task: "j1/0", Outcome: "Maybe"}, fault.Invalid},
-		{journal.Intent{Type: journal.ResolveTask, Task: "j1/0", Outcome: OutcomeRerun}, fault.Invalid}, // not Unknown
+		{journal.Intent{Type: journal.ResolveTask, Task: "j1/0", Outcome: journal.ResolveRerun}, fault.Invalid}, // not Unknown
 	}
 	for _, test := range tests {
 		_, err := MakePlan(c.t, test.in)
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -31,7 +31,7 @@
 		return Plan{}, err
 	}
 	in = withoutVersion(in)
-	p := Plan{Intent: in, Base: Version(t, in), Changes: diff(t, in), Effects: effects(t, in)}
+	p := Plan{Intent: in, Base: journal.EntityVersion(t, &in), Changes: diff(t, in), Effects: effects(t, in)}
 	if len(p.Changes) == 0 {
 		p.Effects = append([]string{"nothing changes"}, p.Effects...)
 	}
@@ -135,7 +135,7 @@
 
 // resolvedState returns the state of an Unknown task after an operator has set its outcome.
 func resolvedState(outcome string) string {
-	if outcome == OutcomeRerun {
+	if outcome == journal.ResolveRerun {
 		return string(table.TaskPending)
 	}
 	return outcome
