Write the review of logs as a page with plots

Change: `persimmonpick review -html FILE`. The review counts the jobs that became final in every two seconds. What draws plots moves from burn to a package of its own, timeline, which both pages use; rows of the text and of the page come from one function.

--- a/burn/page.go
+++ b/burn/page.go
@@ -70,6 +70,5 @@
 	if err != nil {
 		return plotted{}, err
 	}
-	// The plots contain only numbers and times, so they need no escaping.
-	return plotted{k, template.HTML(burn), template.HTML(requests)}, nil
+	return plotted{k, burn, requests}, nil
 }
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -202,3 +202,17 @@
 		is.True(strings.Contains(string(page), start)) // kind
 	}
 }
+
+// The command reads logs without any entry host, and writes the page beside its output.
+func TestReviewWritesAPage(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "review.html")
+	log := `time=2026-12-04T10:00:01.000Z level=INFO msg="job final" Job=a Queue=q State=Completed After=1s Objective=2s`
+	got := run(log, false, "review", "-html", file, "-")
+	is.Equal(got.code, ExitOK)
+	is.True(strings.Contains(got.stdout, "on time"))
+	page, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), "<svg"))
+	is.Equal(run("", false, "review").code, ExitUsage)
+}
--- a/commands/report.go
+++ b/commands/report.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"io"
 	"os"
 
 	"github.com/urfave/cli/v2"
@@ -24,7 +25,7 @@
 				return err
 			}
 			if name := c.String("html"); name != "" {
-				if err := writeHTMLFile(name, r); err != nil {
+				if err := writeHTMLFile(name, r.WriteHTML); err != nil {
 					return err
 				}
 			}
@@ -33,12 +34,13 @@
 	}
 }
 
-func writeHTMLFile(name string, r burn.Report) error {
+// writeHTMLFile writes a page to a file.
+func writeHTMLFile(name string, write func(io.Writer) error) error {
 	file, err := os.Create(name)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "write the page")
 	}
-	err = r.WriteHTML(file)
+	err = write(file)
 	if closeErr := file.Close(); err == nil && closeErr != nil {
 		err = fault.Wrap(closeErr, fault.Internal, "write the page")
 	}
--- a/oncall/review.go
+++ b/oncall/review.go
@@ -11,6 +11,7 @@
 	Stops    map[string]int // runs that were stopped, by reason
 	Messages map[string]int // lines that tell of throttling, clearing, lost or failed runs, by message
 	Uses     []Use
+	Ends     []Ends
 
 	epoch   string    // of the newest leader
 	led     time.Time // newest line of that leader
@@ -46,6 +47,15 @@
 	Capacity, Reserved, BestEffort, WaitingBestEffort, WaitingOthers float64
 }
 
+// Ends counts the jobs that became final within endsInterval from At on, by outcome.
+type Ends struct {
+	At                            time.Time
+	OnTime, Late, TooLate, Failed int
+}
+
+// endsInterval is the time over which ends of jobs are counted.
+const endsInterval = 2 * time.Second
+
 // lateFactor is the number of objectives after which a job is of no use.
 const lateFactor = 3
 
@@ -100,20 +110,25 @@
 		r.Queues[l.fields["Queue"]] = q
 	}
 	after, objective := l.duration("After"), l.duration("Objective")
+	ends := r.endsAt(l.at)
 	var o *Outcome
 	switch {
 	case l.fields["State"] == "Failed":
 		q.Failed++
+		ends.Failed++
 		return
 	case l.fields["State"] == "Cancelled":
 		q.Cancelled++
 		return
 	case after <= objective:
 		o = &q.OnTime
+		ends.OnTime++
 	case after <= lateFactor*objective:
 		o = &q.Late
+		ends.Late++
 	default:
 		o = &q.TooLate
+		ends.TooLate++
 	}
 	o.Jobs++
 	o.After += after
@@ -123,3 +138,12 @@
 	o.Moves += int(l.number("Moves"))
 	o.Reruns += int(l.number("Reruns"))
 }
+
+// endsAt returns the counts of the interval that a line falls in; lines come in the order of their times.
+func (r *Review) endsAt(at time.Time) *Ends {
+	start := at.Truncate(endsInterval)
+	if n := len(r.Ends); n == 0 || r.Ends[n-1].At.Before(start) {
+		r.Ends = append(r.Ends, Ends{At: start})
+	}
+	return &r.Ends[len(r.Ends)-1]
+}
--- a/oncall/review_test.go
+++ b/oncall/review_test.go
@@ -44,3 +44,33 @@
 	is.NoErr(r.WriteText(&out))
 	is.True(strings.Contains(out.String(), "too late"))
 }
+
+func TestEndsOfJobsAreCountedByInterval(t *testing.T) {
+	is := is.New(t)
+	r, err := Read(strings.NewReader(secondHost), strings.NewReader(firstHost))
+	is.NoErr(err)
+	start := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	is.Equal(r.Ends, []Ends{{At: start, OnTime: 1}, {At: start.Add(2 * time.Second), Late: 1}, {At: start.Add(8 * time.Second), Failed: 1}})
+}
+
+// Names in logs come from callers, so the page must escape them.
+func TestPageShowsPlotsAndEscapesNames(t *testing.T) {
+	is := is.New(t)
+	r, err := Read(strings.NewReader(secondHost), strings.NewReader(firstHost),
+		strings.NewReader(`time=2026-12-04T10:00:09.000Z level=INFO msg="job final" Job=e Queue="<script>" State=Completed After=1s Objective=2s`))
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(r.WriteHTML(&out))
+	is.Equal(strings.Count(out.String(), "<svg"), 3)
+	is.True(!strings.Contains(out.String(), "<script>"))
+	is.True(strings.Contains(out.String(), "&lt;script&gt;"))
+}
+
+func TestPageOfEmptyLogsHasNoPlots(t *testing.T) {
+	is := is.New(t)
+	r, err := Read(strings.NewReader(""))
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(r.WriteHTML(&out))
+	is.Equal(strings.Count(out.String(), "<svg"), 0)
+}
--- a/oncall/text.go
+++ b/oncall/text.go
@@ -19,14 +19,9 @@
 	p("QUEUE\tOUTCOME\tJOBS\tAFTER\tOBJECTIVE\tWAITED\tFAILURES\tMOVES\tRERUNS\n")
 	for _, name := range slices.Sorted(maps.Keys(r.Queues)) {
 		q := r.Queues[name]
-		for _, row := range []struct {
-			name string
-			Outcome
-		}{{"on time", q.OnTime}, {"late", q.Late}, {"too late", q.TooLate}} {
-			n := max(1, row.Jobs)
-			mean := func(d time.Duration) time.Duration { return (d / time.Duration(n)).Round(10 * time.Millisecond) }
-			p("%s\t%s\t%d\t%v\t%v\t%v\t%.2f\t%.2f\t%.2f\n", name, row.name, row.Jobs, mean(row.After), mean(row.Objective), mean(row.Waited),
-				float64(row.Failures)/float64(n), float64(row.Moves)/float64(n), float64(row.Reruns)/float64(n))
+		for _, row := range outcomeRows(name, q) {
+			p("%s\t%s\t%d\t%v\t%v\t%v\t%.2f\t%.2f\t%.2f\n", row.Queue, row.Outcome, row.Jobs, row.After, row.Objective, row.Waited,
+				row.Failures, row.Moves, row.Reruns)
 		}
 		p("%s\tfailed\t%d\n%s\tcancelled\t%d\n", name, q.Failed, name, q.Cancelled)
 	}
@@ -35,10 +30,8 @@
 		p("%s\t%s\t%v\t%v\n", c.At.Format(time.TimeOnly+".000"), c.Epoch, c.Vacant.Round(10*time.Millisecond), c.Planned)
 	}
 	p("\nSTOPPED OR LOGGED\tTIMES\n")
-	for _, counts := range []map[string]int{r.Stops, r.Messages} {
-		for _, name := range slices.Sorted(maps.Keys(counts)) {
-			p("%s\t%d\n", name, counts[name])
-		}
+	for _, row := range r.countRows() {
+		p("%s\t%d\n", row.Name, row.Times)
 	}
 	p("\nPROCESSORS AT\tCAPACITY\tRESERVED\tBEST EFFORT\tWAITING BEST EFFORT\tWAITING OTHERS\n")
 	var last time.Time
--- /dev/null
+++ b/timeline/doc.go
@@ -0,0 +1,2 @@
+// Package timeline plots figures over time for the pages that operators read.
+package timeline
