--- a/oncall/page.go
+++ b/oncall/page.go
@@ -68,35 +68,35 @@
 
 // usePlot plots the processors in use.
 func (r Review) usePlot() timeline.Plot {
-	return r.plotUses(map[timeline.Color]func(Use) float64{
-		timeline.Neutral: func(u Use) float64 { return u.Capacity },
-		timeline.First:   func(u Use) float64 { return u.Reserved },
-		timeline.Good:    func(u Use) float64 { return u.BestEffort },
-	})
+	capacity := r.useLine(timeline.Neutral, func(u Use) float64 { return u.Capacity })
+	capacity.Dashed = true
+	return plotOf(r.useTimes(), capacity,
+		r.useLine(timeline.First, func(u Use) float64 { return u.Reserved }),
+		r.useLine(timeline.Good, func(u Use) float64 { return u.BestEffort }))
 }
 
 // waitPlot plots the processors that waiting tasks need.
 func (r Review) waitPlot() timeline.Plot {
-	return r.plotUses(map[timeline.Color]func(Use) float64{
-		timeline.Good:  func(u Use) float64 { return u.WaitingBestEffort },
-		timeline.First: func(u Use) float64 { return u.WaitingOthers },
-	})
+	return plotOf(r.useTimes(),
+		r.useLine(timeline.Good, func(u Use) float64 { return u.WaitingBestEffort }),
+		r.useLine(timeline.First, func(u Use) float64 { return u.WaitingOthers }))
 }
 
-func (r Review) plotUses(values map[timeline.Color]func(Use) float64) timeline.Plot {
+func (r Review) useTimes() []time.Time {
 	var at []time.Time
 	for _, u := range r.Uses {
 		at = append(at, u.At)
 	}
-	var lines []timeline.Line
-	for _, color := range slices.Sorted(maps.Keys(values)) {
-		l := timeline.Line{Color: color, Dashed: color == timeline.Neutral, At: at}
-		for _, u := range r.Uses {
-			l.Values = append(l.Values, values[color](u))
-		}
-		lines = append(lines, l)
+	return at
+}
+
+// useLine returns a line over all uses.
+func (r Review) useLine(color timeline.Color, value func(Use) float64) timeline.Line {
+	l := timeline.Line{Color: color, At: r.useTimes()}
+	for _, u := range r.Uses {
+		l.Values = append(l.Values, value(u))
 	}
-	return plotOf(at, lines...)
+	return l
 }
 
 // plotOf returns a plot of lines that share their times; it has no lines if there are no times.
--- a/route/queue.go
+++ b/route/queue.go
@@ -110,8 +110,8 @@
 	q.grantsInWindow = 0
 }
 
-// recordGrant updates the measured rate of grants. The first grant after a pause, as when a slot owner was silent, does
-// not tell how fast further ones come, so the measurement goes on, but not again after a second pause.
+// recordGrant updates the measured rate of grants. The first grant after a pause, as when a slot owner was silent,
+// does not tell how fast further ones come, so the measurement goes on, but not again after a second pause.
 func (q *queue) recordGrant(now time.Time, usual time.Duration) {
 	paused := usual > 0 && now.Sub(q.lastGrant) > max(rateWindow, pauseFactor*usual)
 	q.lastGrant = now
@@ -155,8 +155,8 @@
 	return q.waiting[0], len(q.waiting)
 }
 
-// grantTo passes g to w if w is still the first waiter, and reports whether it did. usual is the usual latency, or 0 if
-// unknown.
+// grantTo passes g to w if w is still the first waiter, and reports whether it did. usual is the usual latency, or
+// 0 if unknown.
 func (q *queue) grantTo(w *waiter, g grant, usual time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
