Remove a worker that an implausible list lacks only after a lease term

Cause: of the workers that an implausible list lacks, those that any host could not reach were removed at once, with their instances. A single call that took too long was enough, and a worker that is removed stays away for as long as the list is wrong.

Change: the worker must have been unreachable for a lease term, from list to list. Its leases have ended by then in any case, and until then requests avoid its instances as they do those of any instance that fails.

--- a/entry/hostlist.go
+++ b/entry/hostlist.go
@@ -28,6 +28,8 @@
 	lastCompared time.Time // AsOf of the list compared last
 	proposing    bool      // records were proposed and are not applied yet
 	shrunk       bool      // the list compared last lacked more than ListDropShare
+
+	unreachableSince map[table.WorkerID]time.Time // of missing workers, while shrunk
 }
 
 // poll fetches the list every HostListPeriod until ctx ends.
@@ -111,8 +113,9 @@
 // removals returns records that remove the workers and instances missing from the list.
 //
 // A list that is suddenly much shorter may be wrong. If more than ListDropShare is missing, only workers that a live
-// host reports as unreachable are removed, with their instances.
-func (h *hostList) removals(t *table.Tables, list provider.HostList, _ time.Time) []journal.Record {
+// host has reported as unreachable for a lease term are removed, with their instances: their tasks have ended by then,
+// while a worker that was merely slow to answer would stay away for as long as the list is wrong.
+func (h *hostList) removals(t *table.Tables, list provider.HostList, now time.Time) []journal.Record {
 	workers := missingWorkers(t, list)
 	instances := missingInstances(t, list)
 	short := exceedsShare(len(workers), liveWorkers(t), h.cfg.Policy.ListDropShare) ||
@@ -122,11 +125,11 @@
 		h.log.Warn("host list plausibility changed",
 			"Believed", !short, "MissingWorkers", len(workers), "MissingInstances", len(instances))
 	}
-	unreachable := h.unreachable()
+	lost := h.lostWorkers(workers, short, now)
 	gone := map[table.WorkerID]bool{}
 	var rs []journal.Record
 	for _, id := range workers {
-		if !short || unreachable[id] {
+		if !short || lost[id] {
 			gone[id] = true
 			rs = append(rs, journal.Record{WorkerGone: &journal.WorkerGone{ID: id}})
 		}
@@ -139,6 +142,26 @@
 	return rs
 }
 
+// lostWorkers returns those of the missing workers that have been unreachable for a lease term, as far as lists were too
+// short since then.
+func (h *hostList) lostWorkers(missing []table.WorkerID, short bool, now time.Time) map[table.WorkerID]bool {
+	since := map[table.WorkerID]time.Time{}
+	lost := map[table.WorkerID]bool{}
+	unreachable := h.unreachable()
+	for _, id := range missing {
+		if !short || !unreachable[id] {
+			continue
+		}
+		since[id] = now
+		if at, ok := h.unreachableSince[id]; ok {
+			since[id] = at
+		}
+		lost[id] = now.Sub(since[id]) >= h.cfg.Timing.LeaseTerm.D()
+	}
+	h.unreachableSince = since
+	return lost
+}
+
 func exceedsShare(missing, known int, share float64) bool {
 	return float64(missing) > share*float64(known)
 }
