--- a/route/response_test.go
+++ b/route/response_test.go
@@ -55,6 +55,36 @@
 	}
 }
 
+// Guards against a short body that is passed on as complete: the backend server closes the connection after each number
+// of bytes of its response.
+func TestResponsesCutAtEveryOffset(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for cut := range len(answer) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					b := newBackends(1, func(table.InstanceID, int, *http.Request) (string, bool) { return answer[:cut], false })
+					r := b.router(t, func(c *Config) { c.RetryBudget = 0 })
+					_, err := r.Serve(t.Context(), nonIdempotentRequest("a"))
+					is.Equal(fault.Of(err), fault.OutcomeUnknown) // it may have run
+					_, err = r.Serve(t.Context(), idempotentRequest("b"))
+					is.True(fault.Of(err) == fault.BadAnswer || fault.Of(err) == fault.BackendFailed)
+				})
+			}
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBackends(1, func(table.InstanceID, int, *http.Request) (string, bool) { return answer, false })
+				whole, err := b.router(t, nil).Serve(t.Context(), nonIdempotentRequest("a"))
+				is.NoErr(err)
+				is.Equal(string(whole.Body), "body")
+			})
+		})
+	}
+}
+
 // Guards against a late response being returned for the next request when the backend server echoes no request id.
 func TestLateAnswerIsNotGivenToNextRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,8 +36,8 @@
 }
 
 // cmdLoad sends quote requests in the background: load start NAME e1 [Every=5ms], then
-// load stop NAME [Broken=0] [Only200=true]. Broken is the number of requests without a complete response. Stop fails
-// if no request succeeded.
+// load stop NAME [Broken=0] [Only200=true] [Without=NoInstance]. Broken is the number of requests without a complete
+// response, Without an error code that no response may have. Stop fails if no request succeeded.
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
 	w := stateOf(ts)
 	plain, opts := splitOptions(args)
@@ -61,6 +62,11 @@
 	if opts["Only200"] == "true" && len(l.statuses) != 1 {
 		ts.Fatalf("got statuses other than 200: %v, with the messages %.2000q", l.statuses, slices.Sorted(maps.Keys(l.messages)))
 	}
+	for status, n := range l.statuses {
+		if code := opts["Without"]; code != "" && strings.HasSuffix(status, code) {
+			ts.Fatalf("%d responses %s: %v", n, status, l.statuses)
+		}
+	}
 	if l.statuses["200"] == 0 {
 		ts.Fatalf("no request succeeded: %v", l.statuses)
 	}
