--- a/entry/hostlist.go
+++ b/entry/hostlist.go
@@ -142,8 +142,8 @@
 	return rs
 }
 
-// lostWorkers returns those of the missing workers that have been unreachable for a lease term, as far as lists were too
-// short since then.
+// lostWorkers returns those of the missing workers that have been unreachable for a lease term, as far as lists were
+// too short since then.
 func (h *hostList) lostWorkers(missing []table.WorkerID, short bool, now time.Time) map[table.WorkerID]bool {
 	since := map[table.WorkerID]time.Time{}
 	lost := map[table.WorkerID]bool{}
--- a/route/response_test.go
+++ b/route/response_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// Guards against a short body that is passed on as complete: the backend server closes the connection after each number
-// of bytes of its response.
+// Guards against a short body that is passed on as complete: the backend server closes the connection after each
+// number of bytes of its response.
 func TestResponsesCutAtEveryOffset(t *testing.T) {
 	for name, answer := range map[string]string{
 		"length": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
