--- a/commands/report.go
+++ b/commands/report.go
@@ -15,7 +15,7 @@
 		Name:        "report",
 		Usage:       "show burn rates of the error budgets and what spent them",
 		Description: "Example: persimmonpick report -html report.html",
-		Flags:       []cli.Flag{&cli.StringFlag{Name: "html", Usage: "also write an HTML page with plots to this file"}},
+		Flags:       []cli.Flag{htmlFlag},
 		Action: func(c *cli.Context) error {
 			if err := requireArgs(c, 0); err != nil {
 				return err
@@ -24,18 +24,23 @@
 			if err := fetch(c, "/v1/report", &r); err != nil {
 				return err
 			}
-			if name := c.String("html"); name != "" {
-				if err := writeHTMLFile(name, r.WriteHTML); err != nil {
-					return err
-				}
+			if err := writePage(c, r.WriteHTML); err != nil {
+				return err
 			}
 			return p.show(c, r, r.WriteText)
 		},
 	}
 }
 
-// writeHTMLFile writes a page to a file.
-func writeHTMLFile(name string, write func(io.Writer) error) error {
+// htmlFlag names the file of writePage.
+var htmlFlag = &cli.StringFlag{Name: "html", Usage: "also write an HTML page with plots to this file"}
+
+// writePage writes a page to the file that htmlFlag names, if any.
+func writePage(c *cli.Context, write func(io.Writer) error) error {
+	name := c.String(htmlFlag.Name)
+	if name == "" {
+		return nil
+	}
 	file, err := os.Create(name)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "write the page")
--- a/commands/review.go
+++ b/commands/review.go
@@ -16,7 +16,7 @@
 		Usage:       "summarize the logs of entry hosts: late jobs, changes of the leader, stopped runs",
 		ArgsUsage:   "LOG...",
 		Description: "Example: persimmonpick review -html review.html host-1.log host-2.log; - reads the standard input",
-		Flags:       []cli.Flag{&cli.StringFlag{Name: "html", Usage: "also write an HTML page with plots to this file"}},
+		Flags:       []cli.Flag{htmlFlag},
 		Action: func(c *cli.Context) error {
 			if c.NArg() == 0 {
 				return newUsageError("name the log files to review")
@@ -38,10 +38,8 @@
 			if err != nil {
 				return err
 			}
-			if name := c.String("html"); name != "" {
-				if err := writeHTMLFile(name, r.WriteHTML); err != nil {
-					return err
-				}
+			if err := writePage(c, r.WriteHTML); err != nil {
+				return err
 			}
 			return p.show(c, r, r.WriteText)
 		},
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -41,8 +41,9 @@
 func (r *reportBuffer) since(from uint64) ([]provider.Report, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	from = min(max(from, r.next-uint64(len(r.list))), r.next)
-	return slices.Clone(r.list[uint64(len(r.list))-(r.next-from):]), r.next
+	first := r.next - uint64(len(r.list))
+	from = min(max(from, first), r.next)
+	return slices.Clone(r.list[from-first:]), r.next
 }
 
 func (h *Host) handleReports(args peer.ReportsArgs) peer.ReportsReply {
--- a/oncall/page.go
+++ b/oncall/page.go
@@ -49,18 +49,15 @@
 
 // jobPlot plots the jobs that became final, by outcome.
 func (r Review) jobPlot() timeline.Plot {
-	var at []time.Time
-	for _, e := range r.Ends {
-		at = append(at, e.At)
-	}
 	line := func(color timeline.Color, value func(Ends) int) timeline.Line {
-		l := timeline.Line{Color: color, At: at}
+		l := timeline.Line{Color: color}
 		for _, e := range r.Ends {
+			l.At = append(l.At, e.At)
 			l.Values = append(l.Values, float64(value(e)))
 		}
 		return l
 	}
-	return plotOf(at,
+	return plotOf(
 		line(timeline.Good, func(e Ends) int { return e.OnTime }),
 		line(timeline.Second, func(e Ends) int { return e.Late }),
 		line(timeline.Bad, func(e Ends) int { return e.TooLate + e.Failed }))
@@ -70,37 +67,31 @@
 func (r Review) usePlot() timeline.Plot {
 	capacity := r.useLine(timeline.Neutral, func(u Use) float64 { return u.Capacity })
 	capacity.Dashed = true
-	return plotOf(r.useTimes(), capacity,
+	return plotOf(capacity,
 		r.useLine(timeline.First, func(u Use) float64 { return u.Reserved }),
 		r.useLine(timeline.Good, func(u Use) float64 { return u.BestEffort }))
 }
 
 // waitPlot plots the processors that waiting tasks need.
 func (r Review) waitPlot() timeline.Plot {
-	return plotOf(r.useTimes(),
+	return plotOf(
 		r.useLine(timeline.Good, func(u Use) float64 { return u.WaitingBestEffort }),
 		r.useLine(timeline.First, func(u Use) float64 { return u.WaitingOthers }))
 }
 
-func (r Review) useTimes() []time.Time {
-	var at []time.Time
-	for _, u := range r.Uses {
-		at = append(at, u.At)
-	}
-	return at
-}
-
 // useLine returns a line over all uses.
 func (r Review) useLine(color timeline.Color, value func(Use) float64) timeline.Line {
-	l := timeline.Line{Color: color, At: r.useTimes()}
+	l := timeline.Line{Color: color}
 	for _, u := range r.Uses {
+		l.At = append(l.At, u.At)
 		l.Values = append(l.Values, value(u))
 	}
 	return l
 }
 
 // plotOf returns a plot of lines that share their times; it has no lines if there are no times.
-func plotOf(at []time.Time, lines ...timeline.Line) timeline.Plot {
+func plotOf(lines ...timeline.Line) timeline.Plot {
+	at := lines[0].At
 	if len(at) == 0 {
 		return timeline.Plot{}
 	}
