Log jobs of which nothing runs, with the reason

The log named the obstacles of a waiting step after 8 s only, and neither quarantines nor workers that do not answer. A line "job idle" now follows 2 s after nothing of a job runs though a task's turn has come, at most one in 3 s a job and four in half a second: phase, worker and lease of the task, free capacity, quarantines by reason, obstacles.

--- /dev/null
+++ b/dispatch/idle_test.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"persimmonpick/table"
+	"persimmonpick/workload"
+)
+
+// quarantineAll quarantines the given workers as at the end of a fault that has made them fail n times before.
+func (r *rig) quarantineAll(n int, ids ...table.WorkerID) {
+	for _, id := range ids {
+		w := r.workers[id]
+		w.quarantines = n
+		w.quarantine(r.now, "failures in a row")
+	}
+}
+
+// runFor answers polls, decides and starts what is placed for the given time; it returns the start orders.
+func (r *rig) runFor(d time.Duration) []StartOrder {
+	var starts []StartOrder
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.answerPolls(nil)
+		r.Tick(r.now)
+		starts = append(starts, r.placeAndStart()...)
+	}
+	return starts
+}
+
+func TestIdleJobIsLoggedWithItsObstacles(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	var log bytes.Buffer
+	r.cfg.Log = slog.New(slog.NewTextHandler(&log, nil))
+	r.addWorkers("a", "b")
+	r.submit("j", workload.Step{Count: 1, Need: table.Resources{CPU: 64000, Memory: 1 << 30}, Estimate: 1000})
+	r.quarantineAll(0, "a")
+	r.runFor(2600 * time.Millisecond)
+	is.Equal(strings.Count(log.String(), "job idle"), 1)
+	is.True(strings.Contains(log.String(), `Quarantined="map[failures in a row:1]" Obstacles="map[NotUsable:1 TooLarge:1]"`))
+	r.runFor(3500 * time.Millisecond)
+	is.Equal(strings.Count(log.String(), "job idle"), 2) // one line per idleLogInterval
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -19,6 +19,11 @@
 	done
 )
 
+var phaseNames = [...]string{"Waiting", "Reserved", "Starting", "Running", "Stopping", "Done"}
+
+// String returns the name of p.
+func (p phase) String() string { return phaseNames[p] }
+
 // held reports whether a task in phase p occupies a worker.
 func (p phase) held() bool { return p > waiting && p < done }
 
@@ -49,7 +54,8 @@
 	destination     table.WorkerID // of a move by consolidate; empty once it is placed
 	moves           int            // times it was moved by supervise
 	wasRunning      bool
-	throttled       bool // the run was throttled at some time
+	throttled       bool      // the run was throttled at some time
+	idleSince       time.Time // since when it has not run though its turn has come; zero if it runs or must wait
 }
 
 // group holds the tasks of one step of one occurrence.
@@ -84,8 +90,10 @@
 	groups              map[int][]*group // by occurrence
 	nextOccurrence      int              // number of the next occurrence to open
 	finishedOccurrences int
-	dirty               bool // progress record must be written
-	statusChanged       bool // status record must be written
+	dirty               bool      // progress record must be written
+	statusChanged       bool      // status record must be written
+	idleSince           time.Time // since when nothing of it has run though a task's turn has come
+	idleLoggedAt        time.Time
 }
 
 func newJob(id table.JobID, s *workload.Submission) *job {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -55,6 +55,7 @@
 	superseded bool // a worker has refused an order because of the token of another leader
 
 	statusLoggedAt time.Time
+	idleCheckedAt  time.Time
 	modelWrittenAt time.Time // when the interference model was last written to the log
 }
 
@@ -268,6 +269,7 @@
 	for _, j := range sched.jobs {
 		sched.openDueOccurrences(j, now)
 	}
+	sched.logIdle(now)
 	sched.logStatus(now)
 }
 
