Let starved tasks go to workers in quarantine

Callers of deferred work saw tasks wait for up to 24 s after all workers had failed for a time, though the workers were sound again: LOST, a long-running task that does not run with capacity for it.

Cause: a quarantine ruled a worker out whether another was left or not, it lasted its full time whatever the worker did, and doubled with each repeat. After a fault of all workers 47 of 48 stayed out of use.

A task is starved once its job has had nothing at work for 1.5 s, or once it is long-running and has not run for as long itself. Starved tasks may go to a worker in quarantine, one in 1.5 s a worker and only where nothing else fits, and the first success of such a run ends the quarantine. A worker that fails all it starts still gets no more than that.

--- a/dispatch/approval.go
+++ b/dispatch/approval.go
@@ -103,7 +103,7 @@
 	}
 	var ps []place
 	for _, w := range sched.workers {
-		if w.usable(now) && sched.obstacle(t, w, now) == obstacleNoTicket {
+		if w.accepts(t, now) && sched.obstacle(t, w, now) == obstacleNoTicket {
 			ps = append(ps, place{w, sched.score(t, w, now)})
 		}
 	}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -32,7 +32,7 @@
 	}
 	for i, t := range g.tasks {
 		t.run, t.checkpoint = top, checkpoint
-		sched.reserve(t, places[i])
+		sched.reserve(t, places[i], now)
 	}
 	return len(g.tasks), true
 }
--- a/dispatch/idle.go
+++ b/dispatch/idle.go
@@ -23,15 +23,16 @@
 	since time.Time
 }
 
-// logIdle logs the work that has been idle for idleLogDelay, with what each obstacle rules out and why workers are
-// in quarantine.
-func (sched *Scheduler) logIdle(now time.Time) {
+// checkIdle marks the tasks of idle work as starved, and logs work that has been idle for idleLogDelay with what each
+// obstacle rules out and why workers are in quarantine.
+func (sched *Scheduler) checkIdle(now time.Time) {
 	if now.Sub(sched.idleCheckedAt) < idleCheckInterval {
 		return
 	}
 	sched.idleCheckedAt = now
 	logged := 0
 	for _, i := range sched.idleJobs(now) {
+		i.markStarved(now)
 		j := i.task.group.job
 		if now.Sub(i.since) < idleLogDelay || now.Sub(j.idleLoggedAt) < idleLogInterval {
 			continue
@@ -92,12 +93,28 @@
 func (t *task) updateIdle(now time.Time) {
 	switch {
 	case t.phase == done || t.atWork() || !t.group.ready():
-		t.idleSince = time.Time{}
+		t.idleSince, t.starved = time.Time{}, false
 	case t.idleSince.IsZero():
 		t.idleSince = now
 	}
 }
 
+// markStarved marks the first idle task of each step as starved if their job has been idle for starvedDelay, and with
+// it all members of a gang; a long-running task is starved once it has been idle for as long itself.
+func (i idleWork) markStarved(now time.Time) {
+	if now.Sub(i.since) < starvedDelay {
+		return
+	}
+	marked := map[*group]bool{}
+	i.task.group.job.each(func(t *task) {
+		g := t.group
+		if t.phase != waiting || t.idleSince.IsZero() || now.Sub(t.idleSince) < starvedDelay || marked[g] && !g.step.Gang && !g.step.LongRunning {
+			return
+		}
+		marked[g], t.starved = true, true
+	})
+}
+
 func (sched *Scheduler) logIdleWork(i idleWork, now time.Time) {
 	t, g := i.task, i.task.group
 	attrs := []any{
@@ -119,7 +136,7 @@
 		}
 		free += max(0, w.free().CPU)
 		capacity += w.info.Capacity.CPU
-		if now.Before(w.quarantinedUntil) {
+		if w.quarantined(now) {
 			quarantined[w.quarantineReason]++
 		}
 	}
--- a/dispatch/idle_test.go
+++ b/dispatch/idle_test.go
@@ -47,3 +47,43 @@
 	r.runFor(3500 * time.Millisecond)
 	is.Equal(strings.Count(log.String(), "job idle"), 2) // one line per idleLogInterval
 }
+
+func TestTaskDoesNotWaitForQuarantinesOfAllWorkers(t *testing.T) {
+	is := is.New(t)
+	for _, long := range []bool{false, true} {
+		r := newRig()
+		r.addWorkers("a", "b")
+		r.quarantineAll(3, "a", "b")
+		s := step(1)
+		s.LongRunning = long
+		r.submit("j", s)
+		is.Equal(len(r.runFor(3*time.Second)), 1)
+	}
+}
+
+func TestQuarantineEndsWithTheFirstSuccessInIt(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("before", step(1))
+	r.placeAndStart()
+	r.quarantineAll(3, "a")
+	r.submit("j", step(2))
+	is.Equal(len(r.runFor(time.Second)), 0)
+	r.answerPolls(map[string]PollReply{"a": {Ended: []TaskResult{{Number: 1, Task: key("before", 0, 0), Run: 1, Cause: EndDone}}}})
+	is.Equal(len(r.runFor(1200*time.Millisecond)), 1) // a run from before the quarantine proves nothing
+	r.answerPolls(map[string]PollReply{"a": {Ended: []TaskResult{{Number: 2, Task: key("j", 0, 0), Run: 1, Cause: EndDone}}}})
+	is.Equal(len(r.placeAndStart()), 1)
+}
+
+func TestQuarantinedWorkerGetsOneStarvedTaskAtATime(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.quarantineAll(3, "a")
+	for _, id := range []string{"i", "j", "k"} {
+		r.submit(id, step(1))
+	}
+	is.Equal(len(r.runFor(starvedDelay+probeInterval)), 1)
+	is.Equal(len(r.runFor(probeInterval)), 1)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"persimmonpick/table"
@@ -33,7 +34,7 @@
 			return
 		}
 		need := needOf(g.step, g.job.queue)
-		if alreadyRejected(rejected, need) {
+		if !g.hasStarvedTask() && alreadyRejected(rejected, need) {
 			g.recordUnplaced(true, now)
 			continue
 		}
@@ -118,14 +119,14 @@
 	if g.step.Gang {
 		return sched.placeGang(g, now)
 	}
-	n := 0
+	n := sched.placeStarved(g, now)
 	var places []place
 	for _, t := range g.tasks {
 		if t.phase != waiting || now.Before(t.notBefore) {
 			continue
 		}
 		var w *worker
-		if t.failures > 0 {
+		if t.failures > 0 || t.starved {
 			w = sched.choose(t, now) // its own failures count
 		} else {
 			if places == nil {
@@ -136,12 +137,31 @@
 		if w == nil {
 			return n, false
 		}
-		sched.reserve(t, w)
+		sched.reserve(t, w, now)
 		n++
 	}
 	return n, true
 }
 
+// placeStarved places the starved tasks of g, which may go where others may not, and returns how many found a place.
+func (sched *Scheduler) placeStarved(g *group, now time.Time) int {
+	n := 0
+	for _, t := range g.tasks {
+		if !t.starved || t.phase != waiting || now.Before(t.notBefore) {
+			continue
+		}
+		if w := sched.choose(t, now); w != nil {
+			sched.reserve(t, w, now)
+			n++
+		}
+	}
+	return n
+}
+
+func (g *group) hasStarvedTask() bool {
+	return slices.ContainsFunc(g.tasks, func(t *task) bool { return t.starved })
+}
+
 // place is a worker that fits the tasks of a step, with its score.
 type place struct {
 	w     *worker
@@ -152,7 +172,7 @@
 func (sched *Scheduler) places(t *task, now time.Time) []place {
 	ps := make([]place, 0, len(sched.workers))
 	for _, w := range sched.workers {
-		if w.usable(now) && sched.fits(t, w, now) {
+		if w.offered(t, now) && sched.fits(t, w, now) {
 			ps = append(ps, place{w, sched.score(t, w, now)})
 		}
 	}
@@ -185,7 +205,11 @@
 	}
 }
 
-func (sched *Scheduler) reserve(t *task, w *worker) {
+func (sched *Scheduler) reserve(t *task, w *worker, now time.Time) {
+	if w.quarantined(now) {
+		w.probedAt = now
+		sched.cfg.Log.Info("starved task placed in quarantine", "Task", t.key.String(), "Worker", w.info.ID, "Why", w.quarantineReason, "Until", w.quarantinedUntil)
+	}
 	t.run++
 	t.startResolvedAt = time.Time{}
 	w.assign(t, reserved)
@@ -199,7 +223,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range sched.workers {
-		if !w.usable(now) || !sched.fits(t, w, now) {
+		if !w.offered(t, now) || !sched.fits(t, w, now) {
 			continue
 		}
 		s := sched.score(t, w, now)
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		w := t.worker
-		if !extend || !w.usable(now) || t.group.job.state.Final() {
+		if !extend || !w.accepts(t, now) || t.group.job.state.Final() {
 			sched.requeue(t, now, refusedBackoff)
 			sched.breakGang(t, "member not started")
 			continue
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -48,6 +48,9 @@
 
 func (sched *Scheduler) runSucceeded(w *worker, t *task, ran time.Duration, now time.Time) {
 	w.failStreak, w.quarantines, w.lastSuccessAt = 0, 0, now
+	if w.endQuarantine(t.startedAt, now) {
+		sched.cfg.Log.Info("worker quarantine ended", "Worker", w.info.ID, "Task", t.key.String(), "Why", w.quarantineReason)
+	}
 	if !t.startedAt.IsZero() && t.checkpoint == "" && !t.throttled {
 		t.group.durations = append(t.group.durations, ran)
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -269,7 +269,7 @@
 	for _, j := range sched.jobs {
 		sched.openDueOccurrences(j, now)
 	}
-	sched.logIdle(now)
+	sched.checkIdle(now)
 	sched.logStatus(now)
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -44,7 +44,9 @@
 
 	failStreak       int
 	quarantines      int
+	quarantinedAt    time.Time
 	quarantinedUntil time.Time
+	probedAt         time.Time // when a task was last placed in spite of a quarantine
 	quarantineReason string
 	lastSuccessAt    time.Time
 	// Of best-effort tasks, by image; images without an entry are not throttled.
@@ -133,10 +135,24 @@
 	return time.Duration(float64(term)*(1+clockDrift)) + leaseSlack
 }
 
-// usable reports whether w may get new tasks.
-func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.info.Draining && !w.evacuating && w.contacted && w.missedPolls == 0 && !now.Before(w.quarantinedUntil) &&
-		now.Sub(w.heardAt) < maxPollAge
+// usable reports whether w may get any new task that fits.
+func (w *worker) usable(now time.Time) bool { return w.reachable(now) && !w.quarantined(now) }
+
+// reachable reports whether w stays and answers, in quarantine or not.
+func (w *worker) reachable(now time.Time) bool {
+	return w.listed && !w.info.Draining && !w.evacuating && w.contacted && w.missedPolls == 0 && now.Sub(w.heardAt) < maxPollAge
+}
+
+func (w *worker) quarantined(now time.Time) bool { return now.Before(w.quarantinedUntil) }
+
+// accepts reports whether w may get t; in quarantine only starved tasks are accepted.
+func (w *worker) accepts(t *task, now time.Time) bool {
+	return w.reachable(now) && (t.starved || !w.quarantined(now))
+}
+
+// offered reports whether t may be placed on w now; in quarantine one task is placed in probeInterval.
+func (w *worker) offered(t *task, now time.Time) bool {
+	return w.accepts(t, now) && (!w.quarantined(now) || now.Sub(w.probedAt) >= probeInterval)
 }
 
 // estimatedUse returns the estimated processor use, best-effort tasks included, as a share of the capacity.
@@ -163,12 +179,23 @@
 // quarantine keeps new tasks off w for a time that doubles with each quarantine; it returns false if w is in
 // quarantine already.
 func (w *worker) quarantine(now time.Time, why string) bool {
-	if now.Before(w.quarantinedUntil) {
+	if w.quarantined(now) {
 		return false
 	}
 	w.quarantines++
+	w.quarantinedAt = now
 	w.quarantinedUntil = now.Add(min(longestQuarantine, firstQuarantine<<min(w.quarantines-1, quarantineDoublings)))
 	w.quarantineReason = why
 	w.failStreak = 0
 	return true
 }
+
+// endQuarantine ends the quarantine of w, since a run that started in it has succeeded; it returns false if there is
+// none.
+func (w *worker) endQuarantine(startedAt, now time.Time) bool {
+	if !w.quarantined(now) || !startedAt.After(w.quarantinedAt) {
+		return false
+	}
+	w.quarantinedUntil = time.Time{}
+	return true
+}
