Place starved best-effort tasks beside any neighbor while processors are idle

A best-effort task was placed only where the latency-critical tasks tolerate its image at full speed. Where none do, the last task of a job waited without end: clearing a worker for it gains too little, and a job that is far too late is not considered for it at all.

One task a step is enough to keep a job at work.

TestTaskThatNoNeighborToleratesStartsWhileProcessorsAreIdle failed before: idle_test.go:112: 0 != 1.

--- a/dispatch/idle.go
+++ b/dispatch/idle.go
@@ -30,6 +30,7 @@
 		return
 	}
 	sched.idleCheckedAt = now
+	sched.updateIdleServices(now)
 	logged := 0
 	for _, i := range sched.idleJobs(now) {
 		i.markStarved(now)
@@ -45,6 +46,21 @@
 	}
 }
 
+// updateIdleServices updates which services have processors to spare.
+func (sched *Scheduler) updateIdleServices(now time.Time) {
+	capacity, assigned := map[table.ServiceID]table.Millicores{}, map[table.ServiceID]table.Millicores{}
+	for _, w := range sched.workers {
+		if w.reachable(now) {
+			capacity[w.info.Service] += w.info.Capacity.CPU
+			assigned[w.info.Service] += w.used.CPU + w.bestEffortCPU
+		}
+	}
+	sched.idleServices = make(map[table.ServiceID]bool, len(capacity))
+	for s, c := range capacity {
+		sched.idleServices[s] = float64(assigned[s]) < maxIdleUse*float64(c)
+	}
+}
+
 // idleJobs updates since when each task has not run though its turn has come, and returns what is idle, the longest
 // first.
 func (sched *Scheduler) idleJobs(now time.Time) []idleWork {
--- a/dispatch/idle_test.go
+++ b/dispatch/idle_test.go
@@ -87,3 +87,34 @@
 	is.Equal(len(r.runFor(starvedDelay+probeInterval)), 1)
 	is.Equal(len(r.runFor(probeInterval)), 1)
 }
+
+// untoleratedRig returns a rig on whose workers latency-critical tasks run that do not tolerate image "heavy", and the
+// step of a task of that image.
+func untoleratedRig(cores table.Millicores) (*rig, workload.Step) {
+	r := newRig()
+	r.addWorkers("a", "b")
+	c := criticalStep(2, "serve")
+	c.Need.CPU, c.MaxPerWorker = cores, 1
+	r.submit("s", c)
+	r.placeAndStart()
+	s := r.interference.sensitivityOf("serve")
+	s.addImage("heavy")
+	s.mean[s.index["heavy"]] = 20
+	heavy := step(3)
+	heavy.BestEffort, heavy.Image, heavy.Estimate = true, "heavy", 100
+	return r, heavy
+}
+
+func TestTaskThatNoNeighborToleratesStartsWhileProcessorsAreIdle(t *testing.T) {
+	is := is.New(t)
+	r, heavy := untoleratedRig(4000)
+	r.submit("h", heavy)
+	is.Equal(len(r.runFor(3*time.Second)), 1) // enough to keep its job at work
+}
+
+func TestNeighborsAreSparedWhileProcessorsAreInUse(t *testing.T) {
+	is := is.New(t)
+	r, heavy := untoleratedRig(12000)
+	r.submit("h", heavy)
+	is.Equal(len(r.runFor(5*time.Second)), 0)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -56,7 +56,7 @@
 	wasRunning      bool
 	throttled       bool      // the run was throttled at some time
 	idleSince       time.Time // since when it has not run though its turn has come; zero if it runs or must wait
-	starved         bool      // has waited for so long that it may go to a worker in quarantine
+	starved         bool      // has waited for so long that it may go to a worker in quarantine or beside any neighbor
 }
 
 // group holds the tasks of one step of one occurrence.
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -64,6 +64,8 @@
 	switch {
 	case room < float64(s.Need.CPU) && (w.bestEffortCPU > 0 || room <= 0):
 		return obstacleRoom
+	case t.starved && sched.idleServices[w.info.Service]:
+		return noObstacle // throttling protects the latency-critical tasks
 	case w.worstTail > tailHigh || w.cpuPercentOf(s.Image) != fullPercent || !sched.tolerable(w, t):
 		return obstacleNeighbors
 	}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -45,6 +45,9 @@
 	case g.step.BestEffort:
 		// Workers that tolerate most images are left to the images that few others tolerate.
 		s = w.estimatedUse() + weightTolerance*w.tolerance
+		if w.worstTail > tailHigh || w.cpuPercentOf(g.step.Image) != fullPercent {
+			s += weightPressure // only a starved task may go there
+		}
 		for image := range w.criticalByImage {
 			s += weightPressure * sched.interference.coefficient(g.step.Image, image) * float64(g.step.Need.CPU) / w.processors()
 		}
