Write the handover record of a worker anew once its incarnation has changed

A leader that learned of a restart from a poll, before the worker list named it, kept the old incarnation in the handover record for good. The next leader restored it from there, and took for one that it knows a worker which had started again.

SetWorker compared the new entry with what the leader knew of the worker, and PollDone and workerRestarted had put the incarnation of the poll there already, so nothing seemed to have changed. It now compares with what the record holds.

On the code before:

scheduler_test.go:311: not true: next.workers["a"] != nil // the record was written again --- FAIL: TestHandoverRecordNamesTheIncarnationThatAPollHasShown

--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -59,7 +59,7 @@
 		ID: id, Service: n.Service, Address: n.Address, Zone: n.Zone, Rack: n.Rack, Labels: n.Labels,
 		Capacity: n.Capacity, Incarnation: n.Incarnation,
 	}
-	w.handedOver = true
+	w.handedOver, w.recorded = true, w.info
 	return nil
 }
 
@@ -102,11 +102,12 @@
 
 // recordWorkerChange schedules a handover record for w unless it has one with the same address, incarnation, capacity,
 // service and rack.
-func (sched *Scheduler) recordWorkerChange(w *worker, before WorkerInfo) {
-	if w.handedOver && before.Address == w.info.Address && before.Incarnation == w.info.Incarnation && before.Capacity == w.info.Capacity &&
-		before.Service == w.info.Service && before.Rack == w.info.Rack {
+func (sched *Scheduler) recordWorkerChange(w *worker) {
+	r := w.recorded
+	if w.handedOver && r.Address == w.info.Address && r.Incarnation == w.info.Incarnation && r.Capacity == w.info.Capacity &&
+		r.Service == w.info.Service && r.Rack == w.info.Rack {
 		return
 	}
-	w.handedOver = true
+	w.handedOver, w.recorded = true, w.info
 	sched.changedWorkers = append(sched.changedWorkers, w)
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -164,9 +164,8 @@
 	if !w.listed {
 		sched.cfg.Log.Info("worker listed", "Worker", info.ID, "Labels", info.Labels, "CPU", info.Capacity.CPU, "Memory", info.Capacity.Memory, "Rack", info.Rack, "Zone", info.Zone)
 	}
-	before := w.info
 	w.info, w.listed, w.missingSince = info, true, time.Time{}
-	sched.recordWorkerChange(w, before)
+	sched.recordWorkerChange(w)
 }
 
 // RemoveWorker marks a worker as missing from the worker list.
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -293,6 +293,39 @@
 	return r.workerRecords()[0].Value
 }
 
+// A poll may tell of a new incarnation before the worker list does.
+func TestHandoverRecordNamesTheIncarnationThatAPollHasShown(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.place()
+	r.now = r.now.Add(pollPause)
+	o := r.PollOrders(r.now, true)[0]
+	r.PollDone(o, r.now, PollReply{Incarnation: 2}, nil, r.now)
+	info := r.workerInfo("a")
+	info.Incarnation = 2
+	r.SetWorker(info, r.now)
+
+	next := newRig()
+	next.RestoreHandover(handoverRecords(r.Flush(r.now)), next.now)
+	is.True(next.workers["a"] != nil) // the record was written again
+	is.Equal(next.workers["a"].info.Incarnation, table.UnixMillis(2))
+}
+
+// handoverRecords returns the handover records of a batch by name.
+func handoverRecords(f *Batch) map[string][]byte {
+	records := map[string][]byte{}
+	if f == nil {
+		return records
+	}
+	for _, rec := range f.records {
+		if name, ok := strings.CutPrefix(rec.Key, "N"); ok {
+			records[name] = rec.Value
+		}
+	}
+	return records
+}
+
 func TestFencedLeaderIsSuperseded(t *testing.T) {
 	is := is.New(t)
 	r := newRig()
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -12,10 +12,11 @@
 	info         WorkerInfo
 	listed       bool // in the worker list
 	missingSince time.Time
-	handedOver   bool      // its handover record is written or scheduled
-	leavesAt     time.Time // when a draining worker leaves at the earliest
-	evacuating   bool      // being evacuated for the maintenance of its machine
-	clearedUntil time.Time // cleared of latency-critical tasks, see consolidate
+	handedOver   bool       // its handover record is written or scheduled
+	recorded     WorkerInfo // in its handover record
+	leavesAt     time.Time  // when a draining worker leaves at the earliest
+	evacuating   bool       // being evacuated for the maintenance of its machine
+	clearedUntil time.Time  // cleared of latency-critical tasks, see consolidate
 
 	token       FenceToken
 	contacted   bool // this leader has polled this incarnation
