End the lease of a leaving worker as it leaves, and hand its end over

Its run had been stopped on a leaving worker, the end never reached the log, and the leader changed. The next leader knew from the log that the task ran there and not that the worker was leaving, so it waited until no earlier leader could have extended the lease, 4 s and one term after the take-over.

The leader now extends the lease of a leaving worker only until the worker may leave (one term at least), and writes that end into its handover record: the time on the worker's own clock, which later leaders obey too, and the time that is left until then.

The same bound frees the tasks for the present leader. The bound holds for one incarnation; an incarnation that was leaving is not used again, whatever its entry says.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,6 +69,7 @@
 func NewDispatcher(cfg DispatcherConfig) *Dispatcher {
 	cfg.Scheduler.Log = cfg.Log
 	cfg.Scheduler.Epoch = cfg.Writer.Epoch()
+	cfg.Scheduler.HandoverReadAt = cfg.View.HandoverReadAt
 	return &Dispatcher{cfg: cfg, scheduler: NewScheduler(cfg.Scheduler), events: make(chan func(time.Time), maxEvents)}
 }
 
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -27,8 +27,22 @@
 	Capacity    table.Resources  `cbor:"5,keyasint"`
 	Incarnation table.UnixMillis `cbor:"6,keyasint,omitempty"`
 	Zone        table.ZoneID     `cbor:"7,keyasint,omitempty"`
+	// Of a leaving worker: no leader extends the lease of this incarnation beyond LeaseEnd, which the clock of the
+	// worker has reached at most LeaseEndsIn after this record was written.
+	LeaseEnd    WorkerClock  `cbor:"8,keyasint,omitempty"`
+	LeaseEndsIn table.Millis `cbor:"9,keyasint,omitempty"`
 }
 
+// leaseBound bounds the lease of one incarnation of a leaving worker.
+type leaseBound struct {
+	incarnation table.UnixMillis // 0 if there is no bound
+	end         WorkerClock
+	endsIn      table.Millis // at most, from when the bound was set
+}
+
+// covers reports whether b bounds the lease of the given incarnation.
+func (b leaseBound) covers(i table.UnixMillis) bool { return b.incarnation != 0 && b.incarnation == i }
+
 // RestoreHandover loads the handover records of the last leader. A worker in them is polled if tasks are assigned to
 // it, but gets no new tasks before it is listed.
 func (sched *Scheduler) RestoreHandover(records map[string][]byte, now time.Time) {
@@ -60,9 +74,43 @@
 		Capacity: n.Capacity, Incarnation: n.Incarnation,
 	}
 	w.handedOver, w.recorded = true, w.info
+	if n.LeaseEnd != 0 && n.Incarnation != 0 {
+		sched.restoreLeaseBound(w, leaseBound{n.Incarnation, n.LeaseEnd, n.LeaseEndsIn}, now)
+	}
 	return nil
 }
 
+func (sched *Scheduler) restoreLeaseBound(w *worker, b leaseBound, now time.Time) {
+	readAt := now
+	if sched.cfg.HandoverReadAt != nil {
+		if at := sched.cfg.HandoverReadAt(handoverWorkerPrefix + string(w.info.ID)); !at.IsZero() {
+			readAt = at
+		}
+	}
+	w.leaseBound = b
+	if end := readAt.Add(time.Duration(b.endsIn) * time.Millisecond); end.Before(w.leaseUntil) {
+		w.leaseUntil = end
+	}
+	sched.cfg.Log.Info("lease of leaving worker is bounded", "Worker", w.info.ID, "EndsIn", w.leaseUntil.Sub(now).Round(time.Millisecond))
+}
+
+// boundLease bounds the lease of a leaving worker to the time until it may leave, and schedules a handover record of
+// it. The bound is a time on the worker's clock, since those of hosts differ and may stop.
+func (sched *Scheduler) boundLease(w *worker, now time.Time) {
+	i := w.info.Incarnation
+	// A poll may have shown a newer incarnation than the one that the list says is leaving.
+	if !w.info.Draining || w.clockAt.IsZero() || i == 0 || i != w.recorded.Incarnation || w.leaseBound.covers(i) {
+		return
+	}
+	ahead := now.Sub(w.clockAt) + max(w.leavesAt.Sub(now), sched.cfg.LeaseTerm)
+	end := w.clockAt.Add(maxLeaseDuration(ahead))
+	if w.leaseUntil.After(end) {
+		end = w.leaseUntil
+	}
+	w.leaseBound = leaseBound{i, w.clock + WorkerClock(ahead/time.Millisecond), table.Millis(end.Sub(now)/time.Millisecond) + 1}
+	sched.changedWorkers = append(sched.changedWorkers, w)
+}
+
 // modelRecords returns the handover records of the interference model and of the duration ratios, so that the next
 // leader need not estimate them anew.
 func (sched *Scheduler) modelRecords() []ledger.Record {
@@ -89,7 +137,13 @@
 	sched.removedWorkers = nil
 	for _, w := range sched.changedWorkers {
 		i := w.info
-		data, err := cbor.Marshal(workerHandover{i.Service, i.Address, i.Rack, i.Labels, i.Capacity, i.Incarnation, i.Zone})
+		n := workerHandover{
+			Service: i.Service, Address: i.Address, Rack: i.Rack, Labels: i.Labels, Capacity: i.Capacity, Incarnation: i.Incarnation, Zone: i.Zone,
+		}
+		if w.leaseBound.covers(i.Incarnation) {
+			n.LeaseEnd, n.LeaseEndsIn = w.leaseBound.end, w.leaseBound.endsIn
+		}
+		data, err := cbor.Marshal(n)
 		if err != nil {
 			sched.cfg.Log.Error("cannot encode worker; no handover record written", "Worker", i.ID, "Error", err)
 			continue
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -77,8 +77,8 @@
 	w.missedPolls, w.heardAt, w.pollSentAt = 0, now, sent
 	w.clock, w.clockAt = l.Clock, now
 	if !w.contacted {
-		// Earlier leaders can no longer extend the lease.
-		if bound := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)); bound.Before(w.leaseUntil) {
+		// Earlier leaders can no longer extend the lease. What is known of it is of the incarnation in the record.
+		if bound := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)); bound.Before(w.leaseUntil) || l.Incarnation > w.info.Incarnation {
 			w.leaseUntil = bound
 		}
 		w.contacted = true
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -15,7 +15,9 @@
 	LeaseTerm       time.Duration // of worker leases
 	StatusRetention time.Duration // how long the status of a final job is kept
 	RemoteFactor    float64       // how many times longer a task runs when its data is in another rack
-	Log             *slog.Logger
+	// HandoverReadAt returns when a handover record was first read; nil means when it is restored.
+	HandoverReadAt func(name string) time.Time
+	Log            *slog.Logger
 }
 
 // milliunitsPerCoreSecond converts millicores times milliseconds to core-seconds.
@@ -138,14 +140,19 @@
 	w := sched.workers[id]
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id}, sched.firstToken())
-		// An earlier leader may have extended the lease until it noticed that a newer leader had superseded it.
-		w.leaseUntil = now.Add(supersededExtension + maxLeaseDuration(sched.cfg.LeaseTerm))
+		w.leaseUntil = sched.inheritedLeaseEnd(now)
 		w.missingSince = now
 		sched.workers[id] = w
 	}
 	return w
 }
 
+// inheritedLeaseEnd returns when a lease has ended that an earlier leader may have extended until it noticed that a
+// newer leader had superseded it.
+func (sched *Scheduler) inheritedLeaseEnd(now time.Time) time.Time {
+	return now.Add(supersededExtension + maxLeaseDuration(sched.cfg.LeaseTerm))
+}
+
 func (sched *Scheduler) firstToken() FenceToken { return FenceToken(sched.cfg.Epoch) * tokensPerEpoch }
 
 // SetWorker applies an entry of the worker list.
@@ -157,6 +164,11 @@
 	if info.Incarnation > w.info.Incarnation && w.contacted {
 		sched.workerRestarted(w, info.Incarnation, now)
 	}
+	if info.Incarnation > w.info.Incarnation && !w.contacted && w.leaseBound.incarnation != 0 {
+		w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
+	}
+	// An incarnation that drains is never ready again, and its lease is not extended any more.
+	info.Draining = info.Draining || w.leaseBound.covers(info.Incarnation)
 	if info.Draining && !w.info.Draining {
 		w.leavesAt = now.Add(info.LeavesIn)
 		sched.cfg.Log.Info("worker is draining", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
@@ -229,10 +241,12 @@
 	})
 }
 
-// Tick removes workers that have been missing for missingGrace and whose lease has ended, removes final jobs after
-// their retention, requeues the runs that were lost with a lease, and opens the occurrences that are due.
+// Tick bounds the leases of leaving workers, removes workers that have been missing for missingGrace and whose lease
+// has ended, removes final jobs after their retention, requeues the runs that were lost with a lease, and opens the
+// occurrences that are due.
 func (sched *Scheduler) Tick(now time.Time) {
 	for id, w := range sched.workers {
+		sched.boundLease(w, now)
 		if w.listed && !w.missingSince.IsZero() && now.Sub(w.missingSince) > missingGrace {
 			w.listed = false
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -25,6 +25,7 @@
 
 	clock           WorkerClock // at clockAt
 	clockAt         time.Time
+	leaseBound      leaseBound
 	leaseUntil      time.Time // bound on the lease; no run there outlasts it unless the lease is extended
 	pollSentAt      time.Time // of the newest poll that was applied
 	pollsInFlight   int
@@ -115,12 +116,18 @@
 }
 
 // leaseUntilFor returns the lease to request and updates leaseUntil; it returns 0 while the worker's clock is
-// unknown.
+// unknown, and once its lease may not be extended any more.
 func (w *worker) leaseUntilFor(now time.Time, term time.Duration) WorkerClock {
 	if w.clockAt.IsZero() {
 		return 0
 	}
 	ahead := now.Sub(w.clockAt) + term
+	if w.leaseBound.covers(w.info.Incarnation) {
+		ahead = min(ahead, time.Duration(w.leaseBound.end-w.clock)*time.Millisecond)
+	}
+	if ahead <= 0 {
+		return 0
+	}
 	// The worker's clock may run slow, so its lease may outlast the term on this host's clock.
 	end := w.clockAt.Add(maxLeaseDuration(ahead))
 	if end.After(w.leaseUntil) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -489,6 +489,26 @@
 	})
 }
 
+// A log that drops its history makes readers load a snapshot, which must not make known records look new.
+func TestHandoverRecordKeepsTheTimeOfItsFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := NewView(discardLogger)
+		first := time.Now()
+		same, changed := HandoverRecord("same", []byte("a")), HandoverRecord("changed", []byte("a"))
+		v.load([]Record{same, changed}, 2, first)
+		time.Sleep(time.Second)
+		v.applyPage(2, Page{Records: []Record{same}, Next: 3, End: 3}, time.Now())
+		time.Sleep(time.Second)
+		v.load([]Record{same, HandoverRecord("changed", []byte("b"))}, 5, time.Now())
+		is.Equal(v.HandoverReadAt("same"), first)
+		is.Equal(v.HandoverReadAt("changed"), first.Add(2*time.Second))
+		v.Unload()
+		v.load([]Record{same}, 5, time.Now())
+		is.Equal(v.HandoverReadAt("same"), first.Add(2*time.Second))
+	})
+}
+
 // Reads hang while the log is unavailable, as on dead connections, and the topic is idle. A reader that
 // long-polls after a failure would notice the recovery only after the full wait.
 func TestReaderDetectsLogRecoveryPromptly(t *testing.T) {
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"log/slog"
 	"maps"
 	"sync"
@@ -36,13 +37,14 @@
 	readsWithoutLeader int       // reads that reached the end since leaderSeen
 	onChange           func(Entry)
 	handover           map[string][]byte
+	handoverReadAt     map[string]time.Time // when the data in handover was first read
 }
 
 // NewView returns an empty View.
 func NewView(logger *slog.Logger) *View {
 	return &View{
 		logger: logger, entries: map[table.JobID]*Entry{}, pending: map[workload.QueueID]int{}, snapshotPositions: map[string]Position{},
-		handover: map[string][]byte{},
+		handover: map[string][]byte{}, handoverReadAt: map[string]time.Time{},
 	}
 }
 
@@ -79,7 +81,7 @@
 // clear drops all entries and handover records; v.mu must be held.
 func (v *View) clear() {
 	v.entries, v.pending, v.snapshotPositions = map[table.JobID]*Entry{}, map[workload.QueueID]int{}, map[string]Position{}
-	v.handover = map[string][]byte{}
+	v.handover, v.handoverReadAt = map[string][]byte{}, map[string]time.Time{}
 }
 
 // Job returns a copy of the entry of id, or false if its submission has not been read.
@@ -118,6 +120,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
+	handover, readAt := v.handover, v.handoverReadAt
 	v.clear()
 	for _, r := range records {
 		v.apply(r, now)
@@ -125,6 +128,11 @@
 			v.snapshotPositions[r.Key] = r.Position
 		}
 	}
+	for name, data := range v.handover {
+		if before, ok := handover[name]; ok && bytes.Equal(before, data) {
+			v.handoverReadAt[name] = readAt[name]
+		}
+	}
 	v.position, v.loaded, v.confirmed = end, true, began
 	if v.onChange != nil {
 		for _, e := range v.entries {
@@ -177,7 +185,7 @@
 		return
 	case kindHandover:
 		v.leaderSeen = now
-		v.applyHandover(string(id), r.Value)
+		v.applyHandover(string(id), r.Value, now)
 		return
 	}
 	e := v.entries[id]
@@ -298,10 +306,21 @@
 	return maps.Clone(v.handover)
 }
 
-func (v *View) applyHandover(name string, data []byte) {
+// HandoverReadAt returns when the data of a handover record was first read, by a snapshot or a page.
+func (v *View) HandoverReadAt(name string) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.handoverReadAt[name]
+}
+
+func (v *View) applyHandover(name string, data []byte, now time.Time) {
 	if data == nil {
 		delete(v.handover, name)
+		delete(v.handoverReadAt, name)
 		return
 	}
+	if before, ok := v.handover[name]; !ok || !bytes.Equal(before, data) {
+		v.handoverReadAt[name] = now
+	}
 	v.handover[name] = data
 }
