Give up tasks that crash every worker that starts them

Cause: Scheduler.loseRun counts nothing on the task. A run that is lost by a crash is requeued at once, so the same task takes down the next worker.

Now the crashes in a row under which a task had an unproven run are counted, and written with the job's progress before the next start. A run that is listed twice, a second apart on its worker's clock, or that fails, shows that the task does not crash its worker and ends the row. The count is raised when the end of an incarnation shows (replaced, restarted, gone, silent past its lease) and taken back if the run is listed after all or the incarnation answers again; so each start of such a task is counted before the next one, whichever leader sends it. After two crashes a task is a suspect: never on a worker where another suspect is unproven, by preference where no run is unproven, and others are placed elsewhere meanwhile. It is given up, and its job failed, after three crashes if no other run can have caused the last one, after four if no other suspect can have, after five anyway. So it is started five times at most.

The counts have a key of their own in the progress record, since its task entries are arrays of fixed length that earlier code could not read if longer.

A leader wrote no handover record for an incarnation that it first heard of in a poll reply; it does now, as the next leader compares with it.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -50,6 +50,13 @@
 	moves           int            // times it was moved by supervise
 	wasRunning      bool
 	throttled       bool // the run was throttled at some time
+
+	crashes  int           // worker crashes in a row that it may have caused
+	crash    crashEvidence // counted for the run
+	listed   bool          // the run was listed, first at listedAt
+	listedAt WorkerClock
+	proven   bool // the run does not crash its worker
+	watched  bool // counted in worker.watched
 }
 
 // group holds the tasks of one step of one occurrence.
@@ -229,6 +236,9 @@
 				if t.run > 0 {
 					p.Tasks = append(p.Tasks, t.progress())
 				}
+				if t.crashes > 0 && t.phase != done {
+					p.Crashes = append(p.Crashes, workload.TaskCrashes{Occurrence: g.occurrence, Step: g.index, Index: t.key.Index, Crashes: t.crashes})
+				}
 			}
 		}
 	}
@@ -252,17 +262,30 @@
 	return m
 }
 
+// recordedGroup returns the step that an entry of a progress record names, or nil if there is none.
+func (j *job) recordedGroup(occurrence, step, index int) *group {
+	if occurrence < 0 || occurrence >= j.spec.Occurrences() {
+		return nil
+	}
+	gs := j.openOccurrence(occurrence)
+	if step < 0 || step >= len(gs) || index < allTasks || index >= len(gs[step].tasks) {
+		return nil
+	}
+	return gs[step]
+}
+
 // restore applies the entries of p to a new job; find returns the worker with the given id.
 func (j *job) restore(p workload.Progress, find func(table.WorkerID) *worker) {
-	for _, m := range p.Tasks {
-		if m.Occurrence < 0 || m.Occurrence >= j.spec.Occurrences() {
-			continue
+	for _, c := range p.Crashes {
+		if g := j.recordedGroup(c.Occurrence, c.Step, c.Index); g != nil && c.Index != allTasks {
+			g.tasks[c.Index].crashes = max(0, c.Crashes)
 		}
-		gs := j.openOccurrence(m.Occurrence)
-		if m.Step < 0 || m.Step >= len(gs) || m.Index < allTasks || m.Index >= len(gs[m.Step].tasks) {
+	}
+	for _, m := range p.Tasks {
+		g := j.recordedGroup(m.Occurrence, m.Step, m.Index)
+		if g == nil {
 			continue
 		}
-		g := gs[m.Step]
 		if m.Index == allTasks {
 			for _, t := range g.tasks {
 				t.phase = done
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -17,6 +17,7 @@
 	obstacleSize         obstacle = "TooLarge" // even if the worker were empty
 	obstacleRoom         obstacle = "NoRoom"
 	obstacleMaxPerWorker obstacle = "EnoughOfStep"
+	obstacleSuspect      obstacle = "Suspect"   // another task there may crash it, and so may this one
 	obstacleNeighbors    obstacle = "Neighbors" // latency-critical tasks there do not tolerate it
 	obstacleNotApproved  obstacle = "NotApproved"
 	obstacleNoTicket     obstacle = "NoTicket" // the worker is not approved yet, or its ticket has expired
@@ -45,6 +46,8 @@
 		return obstacleRoom
 	case g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID] >= g.step.MaxPerWorker:
 		return obstacleMaxPerWorker
+	case w.watched > 0 && t.suspect():
+		return obstacleSuspect
 	}
 	if g.step.BestEffort {
 		if o := sched.neighborObstacle(t, w); o != noObstacle {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -43,7 +43,7 @@
 		if !all && g.job.queue.NeedsApproval {
 			sched.awaitingApproval = append(sched.awaitingApproval, g)
 		}
-		if !all && need.plain {
+		if !all && need.plain && g.waitsForRoom(now) {
 			rejected = append(rejected, need)
 		}
 	}
@@ -118,28 +118,32 @@
 	if g.step.Gang {
 		return sched.placeGang(g, now)
 	}
-	n := 0
+	n, all := 0, true
 	var places []place
 	for _, t := range g.tasks {
 		if t.phase != waiting || now.Before(t.notBefore) {
 			continue
 		}
 		var w *worker
-		if t.failures > 0 {
-			w = sched.choose(t, now) // its own failures count
+		if t.failures > 0 || t.suspect() {
+			w = sched.choose(t, now) // its own failures and crashes count
 		} else {
 			if places == nil {
 				places = sched.places(t, now)
 			}
 			w = sched.takeBest(places, t, now)
 		}
+		if w == nil && t.suspect() {
+			all = false
+			continue
+		}
 		if w == nil {
 			return n, false
 		}
 		sched.reserve(t, w)
 		n++
 	}
-	return n, true
+	return n, all
 }
 
 // place is a worker that fits the tasks of a step, with its score.
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -81,9 +81,15 @@
 		if bound := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)); bound.Before(w.leaseUntil) {
 			w.leaseUntil = bound
 		}
+		before := w.info
+		if before.Incarnation != 0 && l.Incarnation > before.Incarnation {
+			sched.workerCrashed(w, crashRestarted)
+		}
 		w.contacted = true
 		w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
+		sched.recordWorkerChange(w, before)
 	}
+	sched.answersAgain(w)
 	w.nextPollAt = now.Add(max(pollPause, pollPausePerWorker*time.Duration(len(sched.workers))))
 	for _, e := range l.Ended {
 		if e.Number > w.appliedResult {
@@ -116,10 +122,11 @@
 	if w.missingSince.IsZero() {
 		w.missingSince = now
 	}
+	sched.workerCrashed(w, crashReplaced)
 	w.listed, w.leaseUntil = false, now
 	for _, t := range w.tasks {
 		if t.phase != reserved {
-			sched.loseRun(t, now, "worker replaced")
+			sched.loseRun(t, now, crashReplaced)
 		}
 	}
 }
@@ -207,6 +214,7 @@
 		t.checkpoint = r.Checkpoint // written with the next record of the job
 	}
 	t.tailLatency, t.cpuUsage = r.Tail, r.CPU
+	t.worker.runListed(t, r)
 }
 
 // runStarted records that the run of t has started.
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -19,6 +19,7 @@
 		return
 	}
 	sched.counts.Ended++
+	t.crashRefuted()
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
@@ -97,6 +98,7 @@
 	sched.counts.Failed++
 	j := t.group.job
 	t.failures++
+	t.crashes = 0 // its worker has lived on
 	t.lastFailedOn = w.info.ID
 	w.failStreak++
 	sched.cfg.Log.Info("run failed", "Task", t.key.String(), "Run", t.run, "Worker", w.info.ID, "Failures", t.failures, "WorkerStreak", w.failStreak)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -61,6 +61,9 @@
 // Counts holds the cumulative counts of scheduling events, for metrics.
 type Counts struct {
 	Starts, Refused, Unknown, Ended, Failed, Stalled, Moved, Lost, Completed, Cancelled int
+
+	Crashes int // workers that crashed under runs that may be the cause
+	GivenUp int // tasks that crash their workers
 }
 
 // NewScheduler returns a Scheduler without jobs and workers.
@@ -154,8 +157,12 @@
 	if w.info.Incarnation != 0 && info.Incarnation < w.info.Incarnation {
 		return // entry of an earlier incarnation
 	}
-	if info.Incarnation > w.info.Incarnation && w.contacted {
+	switch {
+	case info.Incarnation <= w.info.Incarnation || w.info.Incarnation == 0:
+	case w.contacted:
 		sched.workerRestarted(w, info.Incarnation, now)
+	default:
+		sched.workerCrashed(w, crashRestarted) // after the last leader heard it
 	}
 	if info.Draining && !w.info.Draining {
 		w.leavesAt = now.Add(info.LeavesIn)
@@ -184,7 +191,10 @@
 // runs under a higher token tells which runs were lost.
 func (sched *Scheduler) workerRestarted(w *worker, incarnation table.UnixMillis, now time.Time) {
 	sched.cfg.Log.Info("worker restarted", "Worker", w.info.ID, "Born", incarnation, "Before", w.info.Incarnation, "Tasks", len(w.tasks))
+	sched.workerCrashed(w, crashRestarted)
+	before := w.info
 	w.info.Incarnation = incarnation
+	sched.recordWorkerChange(w, before)
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult = false, time.Time{}, 0, 0
 	w.token++
 	w.pollSentAt = now
@@ -205,11 +215,17 @@
 	sched.requeue(t, now, 0)
 }
 
-// requeue takes t off its worker and makes it wait for the given time before it is placed again.
+// requeue takes t off its worker and makes it wait for the given time before it is placed again, longer if its worker
+// has crashed repeatedly.
 func (sched *Scheduler) requeue(t *task, now time.Time, wait time.Duration) {
-	t.worker.release(t)
+	w, evidence := t.worker, t.crash
+	w.release(t)
+	if evidence != noCrash {
+		wait += time.Duration(max(0, t.crashes-1)) * crashPause
+	}
 	t.notBefore = now.Add(wait)
 	t.group.job.dirty = true
+	sched.settleCrash(t, evidence, w, now)
 }
 
 // finishJob makes a job final and stops its running tasks.
@@ -240,8 +256,9 @@
 		if w.missingSince.IsZero() || now.Before(w.leaseUntil) || now.Sub(w.missingSince) < missingGrace {
 			continue
 		}
+		sched.workerCrashed(w, crashGone)
 		for _, t := range w.tasks {
-			sched.loseRun(t, now, "worker gone, lease ended")
+			sched.loseRun(t, now, crashGone)
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
@@ -252,9 +269,10 @@
 	for _, w := range sched.workers {
 		// The lease of an unreachable worker has ended, so nothing runs there, whether it is listed or not.
 		if w.missedPolls > 0 && now.After(w.leaseUntil) {
+			sched.workerCrashed(w, crashSilent)
 			for _, t := range w.tasks {
 				if t.phase != starting {
-					sched.loseRun(t, now, "worker silent, lease ended")
+					sched.loseRun(t, now, crashSilent)
 				}
 			}
 		}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -61,6 +61,7 @@
 	if g.step.OneRack && g.rack != "" && g.rack != w.info.Rack {
 		s += weightRemote * (sched.cfg.RemoteFactor - 1)
 	}
+	s += w.suspicion(t)
 	if t.failures == 0 {
 		return s
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -16,6 +16,9 @@
 	leavesAt     time.Time // when a draining worker leaves at the earliest
 	evacuating   bool      // being evacuated for the maintenance of its machine
 	clearedUntil time.Time // cleared of latency-critical tasks, see consolidate
+	watched      int       // suspects here whose runs may still crash it
+	// Runs that were lost while it was silent and counted as crashed.
+	lostRuns map[workload.TaskKey]workload.RunNumber
 
 	token       FenceToken
 	contacted   bool // this leader has polled this incarnation
@@ -71,6 +74,7 @@
 	t.worker, t.phase = w, p
 	w.tasks[t.key] = t
 	w.charge(t, 1)
+	w.watch(t)
 	t.group.perWorker[w.info.ID]++
 	if t.group.rack == "" {
 		t.group.rack = w.info.Rack
@@ -81,11 +85,13 @@
 func (w *worker) release(t *task) {
 	delete(w.tasks, t.key)
 	w.charge(t, -1)
+	w.unwatch(t)
 	t.group.perWorker[w.info.ID]--
 	t.worker, t.phase, t.startUnknown = nil, waiting, false
 	t.group.waitingTasks++
 	t.cpuPercent, t.percent, t.stopSentAt, t.stopReason = fullPercent, 0, time.Time{}, ""
 	t.tailLatency, t.cpuUsage, t.throttlePending, t.throttled = 0, 0, false, false
+	t.crash, t.listed, t.proven = noCrash, false, false
 }
 
 // charge adds what t uses to the totals of w, or subtracts it if sign is -1.
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -68,7 +68,7 @@
 		"start": c.Starts - before.Starts, "refused": c.Refused - before.Refused, "unknown": c.Unknown - before.Unknown,
 		"ended": c.Ended - before.Ended, "failed": c.Failed - before.Failed, "stalled": c.Stalled - before.Stalled,
 		"moved": c.Moved - before.Moved, "lost": c.Lost - before.Lost, "completed": c.Completed - before.Completed,
-		"cancelled": c.Cancelled - before.Cancelled,
+		"cancelled": c.Cancelled - before.Cancelled, "crashed": c.Crashes - before.Crashes, "given_up": c.GivenUp - before.GivenUp,
 	} {
 		if n > 0 {
 			m.events.WithLabelValues(event).Add(float64(n))
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -185,7 +185,17 @@
 
 // Progress is the state of a job's tasks that must survive a change of leader.
 type Progress struct {
-	Tasks []TaskProgress `cbor:"1,keyasint,omitempty"`
+	Tasks   []TaskProgress `cbor:"1,keyasint,omitempty"`
+	Crashes []TaskCrashes  `cbor:"2,keyasint,omitempty"`
+}
+
+// TaskCrashes is the recorded number of workers that crashed in a row under one task.
+type TaskCrashes struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Crashes    int
 }
 
 // Submission is the log record of an accepted job.
