Test what ends a row of crashes and what a waiting suspect holds up

Four changes of the code left all tests passing: suspects that wait held back tasks of their size, runs that the new incarnation lists or has ended were counted, and a gang member that only waits cleared itself. Each of them now fails one test: TestSuspectsHoldBackNoOtherTasks (its second job came before the waiting suspect, now after it), TestRunsOfTheNewIncarnationAreNotCounted, TestWaitingGangMemberStaysASuspect.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -604,8 +604,8 @@
 	}
 	is.Equal(len(r.placeAndStart()), 2) // one on each worker
 	is.Equal(r.obstacles(r.task(key("j", 0, 2)), r.now)[obstacleSuspect], 2)
-	r.submit("k", step(2))
-	is.Equal(len(r.placeAndStart()), 2)
+	r.submit("k", step(8)) // comes after j
+	is.Equal(len(r.placeAndStart()), 8)
 	for end := r.now.Add(2 * provenAge); r.now.Before(end); {
 		r.answerPolls(nil)
 	}
@@ -650,6 +650,51 @@
 	is.Equal(r.task(o.Task).crashes, 0)
 }
 
+// A run of the new incarnation that is listed, or has ended there, was not under the crash.
+func TestRunsOfTheNewIncarnationAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(3))
+	r.placeAndStart()
+	info := r.workerInfo("a")
+	info.Incarnation = 2
+	r.SetWorker(info, r.now)
+	r.now = r.now.Add(pollPause)
+	r.PollDone(r.PollOrders(r.now, true)[0], r.now, PollReply{
+		Incarnation: 2, Running: []RunningTask{{Task: key("j", 0, 0), Run: 1}},
+		Ended: []TaskResult{{Number: 1, Task: key("j", 0, 1), Run: 1, Cause: EndStopped}},
+	}, nil, r.now)
+	for i, crashes := range []int{0, 0, 1} {
+		is.Equal(r.task(key("j", 0, i)).crashes, crashes)
+	}
+}
+
+// A member of a gang that waits for the others has not shown that it does not crash its worker.
+func TestWaitingGangMemberStaysASuspect(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	gang := step(2)
+	gang.Gang = true
+	r.submit("j", gang)
+	r.task(key("j", 0, 0)).crashes = suspectCrashes
+	r.placeAndStart()
+	list := func(percent int) {
+		for end := r.now.Add(2 * provenAge); r.now.Before(end); {
+			var l PollReply
+			for i := range 2 {
+				l.Running = append(l.Running, RunningTask{Task: key("j", 0, i), Run: 1, Percent: percent})
+			}
+			r.answerPolls(map[string]PollReply{"a": l})
+		}
+	}
+	list(0)
+	is.Equal(r.task(key("j", 0, 0)).crashes, suspectCrashes)
+	list(1)
+	is.Equal(r.task(key("j", 0, 0)).crashes, 0)
+}
+
 func TestFailedRunEndsARowOfCrashes(t *testing.T) {
 	is := is.New(t)
 	r := newRig()
