Merge the limit on tasks that crash their workers

Resolved at the merge: the incarnation that the list says is leaving is kept apart from the one in the handover record, which now follows polls as well; a worker whose lease was bounded since it left by plan counts as no crash under the next leader, with a test that fails without it (dispatch/leaving_test.go).

--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -99,7 +99,7 @@
 func (sched *Scheduler) boundLease(w *worker, now time.Time) {
 	i := w.info.Incarnation
 	// A poll may have shown a newer incarnation than the one that the list says is leaving.
-	if !w.info.Draining || w.clockAt.IsZero() || i == 0 || i != w.recorded.Incarnation || w.leaseBound.covers(i) {
+	if !w.info.Draining || w.clockAt.IsZero() || i == 0 || i != w.listedIncarnation || w.leaseBound.covers(i) {
 		return
 	}
 	ahead := now.Sub(w.clockAt) + max(w.leavesAt.Sub(now), sched.cfg.LeaseTerm)
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -275,3 +275,11 @@
 	is.Equal(r.workers["a"].info.Address, "a:1")
 	is.Equal(r.workers["a"].leaseUntil, r.now.Add(supersededExtension+maxLeaseDuration(testTerm)))
 }
+
+func TestNextLeaderCountsNoCrashOfAWorkerThatLeftByPlan(t *testing.T) {
+	is := is.New(t)
+	log, readAt := runAtLeaving(true)
+	next := nextLeader(log, 2, readAt, readAt.Add(silentTakeover))
+	is.True(restartAfter(next) < time.Second)
+	is.Equal(next.task(key("j", 0, 0)).crashes, 0)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -44,7 +44,7 @@
 		if !all && g.job.queue.NeedsApproval {
 			sched.awaitingApproval = append(sched.awaitingApproval, g)
 		}
-		if !all && need.plain {
+		if !all && need.plain && g.waitsForRoom(now) {
 			rejected = append(rejected, need)
 		}
 	}
@@ -119,28 +119,32 @@
 	if g.step.Gang {
 		return sched.placeGang(g, now)
 	}
-	n := sched.placeStarved(g, now)
+	n, all := sched.placeStarved(g, now), true
 	var places []place
 	for _, t := range g.tasks {
 		if t.phase != waiting || now.Before(t.notBefore) {
 			continue
 		}
 		var w *worker
-		if t.failures > 0 || t.starved {
-			w = sched.choose(t, now) // its own failures count
+		if t.failures > 0 || t.starved || t.suspect() {
+			w = sched.choose(t, now) // its own failures and crashes count
 		} else {
 			if places == nil {
 				places = sched.places(t, now)
 			}
 			w = sched.takeBest(places, t, now)
 		}
+		if w == nil && t.suspect() {
+			all = false
+			continue
+		}
 		if w == nil {
 			return n, false
 		}
 		sched.reserve(t, w, now)
 		n++
 	}
-	return n, true
+	return n, all
 }
 
 // placeStarved places the starved tasks of g, which may go where others may not, and returns how many found a place.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -65,6 +65,9 @@
 // Counts holds the cumulative counts of scheduling events, for metrics.
 type Counts struct {
 	Starts, Refused, Unknown, Ended, Failed, Stalled, Moved, Lost, Completed, Cancelled int
+
+	Crashes int // workers that crashed under runs that may be the cause
+	GivenUp int // tasks that crash their workers
 }
 
 // NewScheduler returns a Scheduler without jobs and workers.
@@ -163,8 +166,12 @@
 	if w.info.Incarnation != 0 && info.Incarnation < w.info.Incarnation {
 		return // entry of an earlier incarnation
 	}
-	if info.Incarnation > w.info.Incarnation && w.contacted {
+	switch {
+	case info.Incarnation <= w.info.Incarnation:
+	case w.contacted:
 		sched.workerRestarted(w, info.Incarnation, now)
+	case w.info.Incarnation != 0:
+		sched.workerCrashed(w, crashRestarted) // after the last leader heard it
 	}
 	if info.Incarnation > w.info.Incarnation && !w.contacted && w.leaseBound.incarnation != 0 {
 		w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
@@ -179,6 +186,7 @@
 		sched.cfg.Log.Info("worker listed", "Worker", info.ID, "Labels", info.Labels, "CPU", info.Capacity.CPU, "Memory", info.Capacity.Memory, "Rack", info.Rack, "Zone", info.Zone)
 	}
 	w.info, w.listed, w.missingSince = info, true, time.Time{}
+	w.listedIncarnation = info.Incarnation
 	sched.recordWorkerChange(w)
 }
 
@@ -197,7 +205,11 @@
 // runs under a higher token tells which runs were lost.
 func (sched *Scheduler) workerRestarted(w *worker, incarnation table.UnixMillis, now time.Time) {
 	sched.cfg.Log.Info("worker restarted", "Worker", w.info.ID, "Born", incarnation, "Before", w.info.Incarnation, "Tasks", len(w.tasks))
+	if w.info.Incarnation != 0 {
+		sched.workerCrashed(w, crashRestarted)
+	}
 	w.info.Incarnation = incarnation
+	sched.recordWorkerChange(w)
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult = false, time.Time{}, 0, 0
 	w.token++
 	w.pollSentAt = now
@@ -218,11 +230,17 @@
 	sched.requeue(t, now, 0)
 }
 
-// requeue takes t off its worker and makes it wait for the given time before it is placed again.
+// requeue takes t off its worker and makes it wait for the given time before it is placed again, longer if its worker
+// has crashed repeatedly.
 func (sched *Scheduler) requeue(t *task, now time.Time, wait time.Duration) {
-	t.worker.release(t)
+	w, evidence := t.worker, t.crash
+	w.release(t)
+	if evidence != noCrash {
+		wait += time.Duration(max(0, t.crashes-1)) * crashPause
+	}
 	t.notBefore = now.Add(wait)
 	t.group.job.dirty = true
+	sched.settleCrash(t, evidence, w, now)
 }
 
 // finishJob makes a job final and stops its running tasks.
@@ -255,8 +273,9 @@
 		if w.missingSince.IsZero() || now.Before(w.leaseUntil) || now.Sub(w.missingSince) < missingGrace {
 			continue
 		}
+		sched.workerCrashed(w, crashGone)
 		for _, t := range w.tasks {
-			sched.loseRun(t, now, "worker gone, lease ended")
+			sched.loseRun(t, now, crashGone)
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
@@ -267,9 +286,10 @@
 	for _, w := range sched.workers {
 		// The lease of an unreachable worker has ended, so nothing runs there, whether it is listed or not.
 		if w.missedPolls > 0 && now.After(w.leaseUntil) {
+			sched.workerCrashed(w, crashSilent)
 			for _, t := range w.tasks {
 				if t.phase != starting {
-					sched.loseRun(t, now, "worker silent, lease ended")
+					sched.loseRun(t, now, crashSilent)
 				}
 			}
 		}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -68,6 +68,7 @@
 	if w.quarantined(now) {
 		s += weightQuarantine + float64(w.quarantinedUntil.Sub(now))/float64(longestQuarantine)
 	}
+	s += w.suspicion(t)
 	if t.failures == 0 {
 		return s
 	}
