--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"persimmonpick/fault"
 )
@@ -109,6 +111,26 @@
 		if !s.More || len(s.Records) == 0 {
 			return records, end, nil
 		}
-		after = s.Records[len(s.Records)-1].Key
+		last := s.Records[len(s.Records)-1].Key
+		if last <= after {
+			last = keyAfterUnreadable(last)
+		}
+		if last <= after {
+			return nil, 0, fault.New(fault.PlatformFailed, "the newest records of %q do not go on after %q", topic, after)
+		}
+		after = last
+	}
+}
+
+// keyAfterUnreadable returns a key beyond all that differ from key only in what follows its first replacement
+// character. That stands for a byte that is not UTF-8, so no key beside it is readable up to there.
+func keyAfterUnreadable(key string) string {
+	prefix, _, found := strings.Cut(key, string(utf8.RuneError))
+	if !found {
+		return key
 	}
+	return prefix + strings.Repeat("\xff", maxKeyBytes)
 }
+
+// maxKeyBytes is the length of the longest key.
+const maxKeyBytes = 255
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
@@ -587,3 +588,54 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a snapshot that never ends, and grows without bound, where keys that are not UTF-8 fill a page: the
+// log's responses hold other characters in place of their bytes.
+func TestSnapshotEndsWithUnreadableKeys(t *testing.T) {
+	for _, keys := range [][]string{
+		{"a", "b\xff1", "b\xff2", "b\xff3", "c", "d"},
+		{"\xfe", "\xff", "\xff\xff", "\xff\xff\xff", "\xff\xff\xff\xff"},
+		{"a", "b\x80", "b\x90", "c"},
+	} {
+		is := is.New(t)
+		calls := 0
+		log := Log{Newest: func(_ context.Context, _ Topic, after string) (Snapshot, error) {
+			calls++
+			if calls > 100 {
+				return Snapshot{}, fault.New(fault.LogUnavailable, "the snapshot does not end")
+			}
+			var s Snapshot
+			for _, k := range keys {
+				if k > after && len(s.Records) < 2 {
+					s.Records = append(s.Records, Record{Key: string([]rune(k))})
+				}
+			}
+			s.More = keys[len(keys)-1] > after && len(s.Records) == 2
+			return s, nil
+		}}
+		records, _, err := readSnapshot(t.Context(), log, JobTopic)
+		is.NoErr(err)
+		found := map[string]bool{}
+		for _, r := range records {
+			found[r.Key] = true
+		}
+		for _, k := range keys {
+			is.True(found[k] || !utf8.ValidString(k))
+		}
+	}
+}
+
+func TestSnapshotWithoutProgressIsAnError(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	log := Log{Newest: func(context.Context, Topic, string) (Snapshot, error) {
+		calls++
+		if calls > 100 {
+			return Snapshot{}, fault.New(fault.LogUnavailable, "the snapshot does not end")
+		}
+		return Snapshot{Records: []Record{{Key: "a"}}, More: true}, nil
+	}}
+	_, _, err := readSnapshot(t.Context(), log, JobTopic)
+	is.Equal(fault.Of(err), fault.PlatformFailed)
+	is.True(calls < 5)
+}
