Keep leading where the maximum of a wave is the largest integer

A maintenance wave whose maximum is the largest integer and that has four machines or more ended the process of the leader, and then that of each next one, as all carry out the wave. With two or three machines their evacuation was cut to 300 ms.

The rounds were counted as (remaining + maximum - 1) / maximum, which overflows to 0 or below, and is divided by. The maximum counts now up to the number of machines that remain. The order of waves is compared without a difference that may overflow.

On the code before: controller_test.go:287: 300ms != 8s --- FAIL: TestWaveWithTheLargestMaximum/2 --- FAIL: TestWaveWithTheLargestMaximum/4 panic: runtime error: integer divide by zero [recovered, repanicked] persimmonpick/maintenance.(*waveState).evacuationTimeout

--- a/maintenance/controller.go
+++ b/maintenance/controller.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -160,7 +161,7 @@
 			vs = append(vs, v)
 		}
 	}
-	slices.SortFunc(vs, func(a, b *waveState) int { return int(a.ID - b.ID) })
+	slices.SortFunc(vs, func(a, b *waveState) int { return cmp.Compare(a.ID, b.ID) })
 	return vs
 }
 
--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -272,3 +273,18 @@
 		is.Equal(p.notified, []bool{false, true})
 	})
 }
+
+// Guards against a division by zero on each leader in turn, where the maximum of a wave is the largest integer.
+func TestWaveWithTheLargestMaximum(t *testing.T) {
+	for n := range 8 {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			w := Wave{ID: 1, MaxDown: math.MaxInt, Period: time.Minute}
+			for i := range n {
+				w.Machines = append(w.Machines, MachineID(fmt.Sprint("m", i)))
+			}
+			now := time.Now()
+			is.Equal(newWaveState(w, usualDuration, now).evacuationTimeout(now), maxEvacuationTime)
+		})
+	}
+}
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -114,7 +114,8 @@
 	if remaining == 0 {
 		return maxEvacuationTime
 	}
-	rounds := (remaining + v.MaxDown - 1) / max(1, v.MaxDown)
+	atOnce := max(1, min(v.MaxDown, remaining)) // the operator may write any maximum
+	rounds := (remaining + atOnce - 1) / atOnce
 	each := v.deadline.Sub(now)/time.Duration(rounds) - v.usualDuration
 	return min(maxEvacuationTime, max(minEvacuationTime, each))
 }
