Mark starved tasks whatever is logged, and job by job

Found by review. The limit on log lines also ended the marking: with 60 jobs that wait for another reason, a job on workers in quarantine waited 24 s again. A task stayed starved though its job was at work meanwhile, so several of its steps went into quarantine, and a long-running task was not looked at while another step of its job was idle longer.

Marking and logging are apart now, and each task's mark follows from the idleness of its job or, for long-running tasks, its own. Failed before: TestBacklogDoesNotKeepStarvedTasksOutOfQuarantine (0 != 1), TestLongRunningTaskIsStarvedWhileOtherStepsOfItsJobWork, TestOneTaskAtWorkEndsTheStarvationOfItsJob (4 != 1).

--- a/dispatch/idle.go
+++ b/dispatch/idle.go
@@ -23,81 +23,65 @@
 	since time.Time
 }
 
-// checkIdle marks the tasks of idle work as starved, and logs work that has been idle for idleLogDelay with what each
-// obstacle rules out and why workers are in quarantine.
+// checkIdle updates which tasks are starved, and logs work that has been idle for idleLogDelay with what each obstacle
+// rules out and why workers are in quarantine.
 func (sched *Scheduler) checkIdle(now time.Time) {
 	if now.Sub(sched.idleCheckedAt) < idleCheckInterval {
 		return
 	}
 	sched.idleCheckedAt = now
 	sched.updateIdleServices(now)
-	logged := 0
-	for _, i := range sched.idleJobs(now) {
-		i.markStarved(now)
-		j := i.task.group.job
-		if now.Sub(i.since) < idleLogDelay || now.Sub(j.idleLoggedAt) < idleLogInterval {
+	var due []idleWork
+	for _, j := range sched.jobs {
+		if j.state.Final() {
 			continue
 		}
-		if logged++; logged > maxIdleLogged {
-			return
-		}
-		j.idleLoggedAt = now
-		sched.logIdleWork(i, now)
-	}
-}
-
-// updateIdleServices updates which services have processors to spare.
-func (sched *Scheduler) updateIdleServices(now time.Time) {
-	capacity, assigned := map[table.ServiceID]table.Millicores{}, map[table.ServiceID]table.Millicores{}
-	for _, w := range sched.workers {
-		if w.reachable(now) {
-			capacity[w.info.Service] += w.info.Capacity.CPU
-			assigned[w.info.Service] += w.used.CPU + w.bestEffortCPU
+		i, idle := j.updateIdle(now)
+		j.markStarved(now)
+		if idle && now.Sub(i.since) >= idleLogDelay && now.Sub(j.idleLoggedAt) >= idleLogInterval {
+			due = append(due, i)
 		}
 	}
-	sched.idleServices = make(map[table.ServiceID]bool, len(capacity))
-	for s, c := range capacity {
-		sched.idleServices[s] = float64(assigned[s]) < maxIdleUse*float64(c)
+	slices.SortFunc(due, func(a, b idleWork) int {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.task.group.job.id, b.task.group.job.id))
+	})
+	for _, i := range due[:min(len(due), maxIdleLogged)] {
+		i.task.group.job.idleLoggedAt = now
+		sched.logIdleWork(i, now)
 	}
 }
 
-// idleJobs updates since when each task has not run though its turn has come, and returns what is idle, the longest
-// first.
-func (sched *Scheduler) idleJobs(now time.Time) []idleWork {
-	var idle []idleWork
-	for _, j := range sched.jobs {
-		if j.state.Final() {
-			continue
-		}
-		var first *task
-		atWork := false
-		j.each(func(t *task) {
-			t.updateIdle(now)
-			atWork = atWork || t.atWork()
-			if !t.idleSince.IsZero() && (first == nil || t.idleSince.Before(first.idleSince)) {
-				first = t
-			}
-		})
-		if atWork && (first == nil || !first.group.step.LongRunning) {
-			j.idleSince = time.Time{}
-			continue
-		}
-		if first == nil {
-			continue
+// updateIdle updates since when the tasks of j have not run though their turn has come, and returns what of j is idle,
+// or false.
+func (j *job) updateIdle(now time.Time) (idleWork, bool) {
+	var first, firstLasting *task
+	atWork := false
+	j.each(func(t *task) {
+		t.updateIdle(now)
+		atWork = atWork || t.atWork()
+		if t.idleSince.IsZero() {
+			return
 		}
-		if j.idleSince.IsZero() {
-			j.idleSince = now
+		if first == nil || t.idleSince.Before(first.idleSince) {
+			first = t
 		}
-		since := j.idleSince
-		if first.group.step.LongRunning {
-			since = first.idleSince
+		if t.group.step.LongRunning && (firstLasting == nil || t.idleSince.Before(firstLasting.idleSince)) {
+			firstLasting = t
 		}
-		idle = append(idle, idleWork{first, since})
-	}
-	slices.SortFunc(idle, func(a, b idleWork) int {
-		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.task.group.job.id, b.task.group.job.id))
 	})
-	return idle
+	switch {
+	case atWork || first == nil:
+		j.idleSince = time.Time{}
+	case j.idleSince.IsZero():
+		j.idleSince = now
+	}
+	switch {
+	case firstLasting != nil:
+		return idleWork{firstLasting, firstLasting.idleSince}, true
+	case !j.idleSince.IsZero():
+		return idleWork{first, j.idleSince}, true
+	}
+	return idleWork{}, false
 }
 
 // atWork reports whether t runs, as far as its worker answers.
@@ -109,28 +93,12 @@
 func (t *task) updateIdle(now time.Time) {
 	switch {
 	case t.phase == done || t.atWork() || !t.group.ready():
-		t.idleSince, t.starved = time.Time{}, false
+		t.idleSince = time.Time{}
 	case t.idleSince.IsZero():
 		t.idleSince = now
 	}
 }
 
-// markStarved marks the first idle task of each step as starved if their job has been idle for starvedDelay, and with
-// it all members of a gang; a long-running task is starved once it has been idle for as long itself.
-func (i idleWork) markStarved(now time.Time) {
-	if now.Sub(i.since) < starvedDelay {
-		return
-	}
-	marked := map[*group]bool{}
-	i.task.group.job.each(func(t *task) {
-		g := t.group
-		if t.phase != waiting || t.idleSince.IsZero() || now.Sub(t.idleSince) < starvedDelay || marked[g] && !g.step.Gang && !g.step.LongRunning {
-			return
-		}
-		marked[g], t.starved = true, true
-	})
-}
-
 func (sched *Scheduler) logIdleWork(i idleWork, now time.Time) {
 	t, g := i.task, i.task.group
 	attrs := []any{
--- a/dispatch/idle_test.go
+++ b/dispatch/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
@@ -118,3 +119,47 @@
 	r.submit("h", heavy)
 	is.Equal(len(r.runFor(5*time.Second)), 0)
 }
+
+func TestBacklogDoesNotKeepStarvedTasksOutOfQuarantine(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	for i := range 60 {
+		s := step(1)
+		s.Label = "gone"
+		r.submit(fmt.Sprint("old", i), s)
+	}
+	r.runFor(3 * time.Second)
+	r.quarantineAll(3, "a")
+	r.submit("j", step(1))
+	is.Equal(len(r.runFor(3*time.Second)), 1)
+}
+
+func TestLongRunningTaskIsStarvedWhileOtherStepsOfItsJobWork(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	long := step(1)
+	long.LongRunning, long.Label = true, "gold"
+	r.submit("j", step(17), long) // the 17th task has no room
+	is.Equal(len(r.placeAndStart()), 16)
+	info := r.workerInfo("b")
+	info.Labels, info.Capacity = []string{"gold"}, table.Resources{CPU: 1000, Memory: 64 << 30}
+	r.SetWorker(info, r.now)
+	r.answerPolls(nil)
+	r.quarantineAll(3, "b")
+	var started []int
+	for _, o := range r.runFor(3 * time.Second) {
+		started = append(started, o.Task.Step)
+	}
+	is.Equal(started, []int{1})
+}
+
+func TestOneTaskAtWorkEndsTheStarvationOfItsJob(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.quarantineAll(3, "a")
+	r.submit("j", step(1), step(1), step(1), step(1))
+	is.Equal(len(r.runFor(8*time.Second)), 1)
+}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -35,10 +35,6 @@
 	longestQuarantine   = 24 * time.Second
 	quarantineDoublings = 3
 	quarantineStreak    = 2 // failures in a row that quarantine a worker
-	// A task is starved once its job has been idle for this long; a regular poll and a backoff take less.
-	starvedDelay  = 1500 * time.Millisecond
-	maxIdleUse    = 0.6                     // share of the processors of a service up to which starved tasks go beside any neighbor
-	probeInterval = 1500 * time.Millisecond // between starved tasks that are placed on a worker in quarantine
 
 	criticalCPUUse = 0.5 // estimated use of the processors that latency-critical tasks reserve
 
