Limit what starved tasks may do

Found by review.

Tasks that end by themselves are starved only while less than 60% of the processors of their service are assigned or half of its workers are in quarantine. A worker gets no starved task for 1.5 s after a failure, and one in 1.5 s beside tasks that do not tolerate it, none where the image is paused. A long-running task at work for 1.5 s ends the quarantine.

--- a/dispatch/idle.go
+++ b/dispatch/idle.go
@@ -30,14 +30,14 @@
 		return
 	}
 	sched.idleCheckedAt = now
-	sched.updateIdleServices(now)
+	sched.updateServices(now)
 	var due []idleWork
 	for _, j := range sched.jobs {
 		if j.state.Final() {
 			continue
 		}
 		i, idle := j.updateIdle(now)
-		j.markStarved(now)
+		sched.markStarved(j, now)
 		if idle && now.Sub(i.since) >= idleLogDelay && now.Sub(j.idleLoggedAt) >= idleLogInterval {
 			due = append(due, i)
 		}
--- a/dispatch/idle_test.go
+++ b/dispatch/idle_test.go
@@ -163,3 +163,74 @@
 	r.submit("j", step(1), step(1), step(1), step(1))
 	is.Equal(len(r.runFor(8*time.Second)), 1)
 }
+
+func TestFailingWorkersDoNotUseUpAttemptsWhileMostAreSound(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a", "b", "c")
+	r.submit("before", step(48))
+	is.Equal(len(r.placeAndStart()), 48)
+	r.addWorkers("bad")
+	r.quarantineAll(3, "bad")
+	r.submit("j", step(1))
+	is.Equal(len(r.runFor(6*time.Second)), 0)
+}
+
+func TestWorkerThatJustFailedGetsNoStarvedTask(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	r.runFor(100 * time.Millisecond)
+	r.workers["a"].quarantines = 3
+	var ends []time.Time
+	replies := map[string]PollReply{}
+	for began := r.now; r.now.Sub(began) < 5*time.Second; {
+		if x := r.task(key("j", 0, 0)); x != nil && x.phase == running {
+			replies["a"] = PollReply{Ended: []TaskResult{{Number: ResultNumber(len(ends) + 1), Task: x.key, Run: x.run, Cause: EndFailed}}}
+			ends = append(ends, r.now)
+			r.workers["a"].quarantine(r.now, "failures in a row")
+		}
+		r.answerPolls(replies)
+		r.Tick(r.now)
+		r.placeAndStart()
+	}
+	is.Equal(len(ends), 3)
+	for i := 1; i < len(ends); i++ {
+		is.True(ends[i].Sub(ends[i-1]) >= probeInterval)
+	}
+}
+
+func TestLongRunningTaskAtWorkEndsAQuarantine(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a", "b")
+	r.quarantineAll(3, "a", "b")
+	s := step(16)
+	s.LongRunning = true
+	r.submit("j", s)
+	n := 0
+	for began := r.now; r.now.Sub(began) < 6*time.Second; {
+		replies := map[string]PollReply{}
+		for _, w := range r.workers {
+			l := r.listRunning(w.info.ID)
+			for i := range l.Running {
+				l.Running[i].Percent = fullPercent
+			}
+			replies[string(w.info.ID)] = l
+		}
+		r.answerPolls(replies)
+		r.Tick(r.now)
+		n += len(r.placeAndStart())
+	}
+	is.Equal(n, 16)
+}
+
+func TestStarvedTasksGoBesideNeighborsOneAtATime(t *testing.T) {
+	is := is.New(t)
+	r, heavy := untoleratedRig(4000)
+	for i := range 12 {
+		r.submit(fmt.Sprint("h", i), heavy)
+	}
+	is.Equal(len(r.runFor(2500*time.Millisecond)), 2) // one on each worker
+}
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -50,7 +50,7 @@
 		return obstacleSuspect
 	}
 	if g.step.BestEffort {
-		if o := sched.neighborObstacle(t, w); o != noObstacle {
+		if o := sched.neighborObstacle(t, w, now); o != noObstacle {
 			return o
 		}
 	}
@@ -61,14 +61,14 @@
 }
 
 // neighborObstacle returns the obstacle that the tasks on w are to t, a best-effort task.
-func (sched *Scheduler) neighborObstacle(t *task, w *worker) obstacle {
+func (sched *Scheduler) neighborObstacle(t *task, w *worker, now time.Time) obstacle {
 	s := t.group.step
 	room := w.bestEffortRoom()
 	switch {
 	case room < float64(s.Need.CPU) && (w.bestEffortCPU > 0 || room <= 0):
 		return obstacleRoom
-	case t.starved && sched.idleServices[w.info.Service]:
-		return noObstacle // throttling protects the latency-critical tasks
+	case sched.toleratesStarved(w, t, now):
+		return noObstacle
 	case w.worstTail > tailHigh || w.cpuPercentOf(s.Image) != fullPercent || !sched.tolerable(w, t):
 		return obstacleNeighbors
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"persimmonpick/table"
@@ -125,8 +124,12 @@
 		if t.phase != waiting || now.Before(t.notBefore) {
 			continue
 		}
+		if t.starved {
+			all = false
+			continue // there was no place for it
+		}
 		var w *worker
-		if t.failures > 0 || t.starved || t.suspect() {
+		if t.failures > 0 || t.suspect() {
 			w = sched.choose(t, now) // its own failures and crashes count
 		} else {
 			if places == nil {
@@ -147,25 +150,6 @@
 	return n, all
 }
 
-// placeStarved places the starved tasks of g, which may go where others may not, and returns how many found a place.
-func (sched *Scheduler) placeStarved(g *group, now time.Time) int {
-	n := 0
-	for _, t := range g.tasks {
-		if !t.starved || t.phase != waiting || now.Before(t.notBefore) {
-			continue
-		}
-		if w := sched.choose(t, now); w != nil {
-			sched.reserve(t, w, now)
-			n++
-		}
-	}
-	return n
-}
-
-func (g *group) hasStarvedTask() bool {
-	return slices.ContainsFunc(g.tasks, func(t *task) bool { return t.starved })
-}
-
 // place is a worker that fits the tasks of a step, with its score.
 type place struct {
 	w     *worker
@@ -216,6 +200,9 @@
 	}
 	t.run++
 	t.startResolvedAt = time.Time{}
+	if t.starved && t.group.step.BestEffort && w.criticalTasks > 0 {
+		w.imposedAt = now
+	}
 	w.assign(t, reserved)
 	t.startedAt, t.destination = time.Time{}, ""
 	t.group.job.dirty = true
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -214,6 +214,9 @@
 	}
 	t.tailLatency, t.cpuUsage = r.Tail, r.CPU
 	t.worker.runListed(t, r)
+	if t.group.step.LongRunning && r.Percent == fullPercent && now.Sub(t.startedAt) >= provenWork {
+		sched.endQuarantine(t.worker, t, now)
+	}
 }
 
 // runStarted records that the run of t has started.
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -49,9 +49,7 @@
 
 func (sched *Scheduler) runSucceeded(w *worker, t *task, ran time.Duration, now time.Time) {
 	w.failStreak, w.quarantines, w.lastSuccessAt = 0, 0, now
-	if w.endQuarantine(t.startedAt, now) {
-		sched.cfg.Log.Info("worker quarantine ended", "Worker", w.info.ID, "Task", t.key.String(), "Why", w.quarantineReason)
-	}
+	sched.endQuarantine(w, t, now)
 	if !t.startedAt.IsZero() && t.checkpoint == "" && !t.throttled {
 		t.group.durations = append(t.group.durations, ran)
 	}
@@ -104,6 +102,7 @@
 	t.crashes = 0 // its worker has lived on
 	t.lastFailedOn = w.info.ID
 	w.failStreak++
+	w.probedAt = now
 	sched.cfg.Log.Info("run failed", "Task", t.key.String(), "Run", t.run, "Worker", w.info.ID, "Failures", t.failures, "WorkerStreak", w.failStreak)
 	if w.failStreak >= quarantineStreak && w.quarantine(now, "failures in a row") {
 		sched.cfg.Log.Warn("worker quarantined", "Worker", w.info.ID, "Why", w.quarantineReason, "Until", w.quarantinedUntil)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -58,8 +58,8 @@
 
 	statusLoggedAt time.Time
 	idleCheckedAt  time.Time
-	idleServices   map[table.ServiceID]bool // with less than maxIdleUse of their processors assigned
-	modelWrittenAt time.Time                // when the interference model was last written to the log
+	services       map[table.ServiceID]serviceState // at idleCheckedAt
+	modelWrittenAt time.Time                        // when the interference model was last written to the log
 }
 
 // Counts holds the cumulative counts of scheduling events, for metrics.
--- a/dispatch/starved.go
+++ b/dispatch/starved.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"persimmonpick/table"
@@ -9,15 +10,33 @@
 // Limits on what starved tasks may do.
 const (
 	// A task is starved once its job has been idle for this long; a regular poll and a backoff take less.
-	starvedDelay  = 1500 * time.Millisecond
-	probeInterval = 1500 * time.Millisecond // between starved tasks that are placed on a worker in quarantine
-	maxIdleUse    = 0.6                     // share of the processors of a service up to which starved tasks go beside any neighbor
+	starvedDelay = 1500 * time.Millisecond
+	// Between starved tasks on a worker in quarantine, and beside latency-critical tasks that do not tolerate them.
+	probeInterval = 1500 * time.Millisecond
+	maxIdleUse    = 0.6 // share of the processors of a service in use up to which it counts as idle
+	// Share of the workers of a service in quarantine from which the quarantines count as the cause of the wait.
+	manyQuarantined = 0.5
+	// Time at work in quarantine after which a long-running task shows that its worker is sound.
+	provenWork = 1500 * time.Millisecond
 )
 
+// serviceState tells why tasks of a service may be starved.
+type serviceState struct {
+	idle        bool // less than maxIdleUse of the processors is assigned
+	quarantined bool // at least manyQuarantined of the workers are in quarantine
+}
+
+// mayStarve reports whether tasks of g may be starved. While processors are in use and most workers sound, a wait is
+// due to load, and attempts must not be spent on workers in quarantine; a long-running task has no limit of attempts.
+func (sched *Scheduler) mayStarve(g *group) bool {
+	state := sched.services[g.job.queue.Service]
+	return g.step.LongRunning || state.idle || state.quarantined
+}
+
 // markStarved marks the waiting tasks of j that have waited for so long that they may go to a worker in quarantine or
 // beside any neighbor: one task of each step if nothing of j has been at work for starvedDelay, all members of a gang,
 // and each long-running task that has been idle for as long itself.
-func (j *job) markStarved(now time.Time) {
+func (sched *Scheduler) markStarved(j *job, now time.Time) {
 	jobIdle := !j.idleSince.IsZero() && now.Sub(j.idleSince) >= starvedDelay
 	marked := map[*group]bool{}
 	j.each(func(t *task) {
@@ -25,23 +44,72 @@
 			return // it was starved when it was placed, or not
 		}
 		g := t.group
-		t.starved = !t.idleSince.IsZero() && now.Sub(t.idleSince) >= starvedDelay &&
+		t.starved = !t.idleSince.IsZero() && now.Sub(t.idleSince) >= starvedDelay && sched.mayStarve(g) &&
 			(g.step.LongRunning || jobIdle && (g.step.Gang || !marked[g]))
 		marked[g] = marked[g] || t.starved
 	})
 }
 
-// updateIdleServices updates which services have processors to spare.
-func (sched *Scheduler) updateIdleServices(now time.Time) {
-	capacity, assigned := map[table.ServiceID]table.Millicores{}, map[table.ServiceID]table.Millicores{}
+// updateServices updates the states of the services.
+func (sched *Scheduler) updateServices(now time.Time) {
+	type sum struct {
+		capacity, assigned   table.Millicores
+		workers, quarantined int
+	}
+	sums := map[table.ServiceID]sum{}
 	for _, w := range sched.workers {
-		if w.reachable(now) {
-			capacity[w.info.Service] += w.info.Capacity.CPU
-			assigned[w.info.Service] += w.used.CPU + w.bestEffortCPU
+		if !w.reachable(now) {
+			continue
+		}
+		s := sums[w.info.Service]
+		s.capacity += w.info.Capacity.CPU
+		s.assigned += w.used.CPU + w.bestEffortCPU
+		s.workers++
+		if w.quarantined(now) {
+			s.quarantined++
+		}
+		sums[w.info.Service] = s
+	}
+	sched.services = make(map[table.ServiceID]serviceState, len(sums))
+	for id, s := range sums {
+		sched.services[id] = serviceState{
+			idle:        float64(s.assigned) < maxIdleUse*float64(s.capacity),
+			quarantined: float64(s.quarantined) >= manyQuarantined*float64(s.workers),
 		}
 	}
-	sched.idleServices = make(map[table.ServiceID]bool, len(capacity))
-	for s, c := range capacity {
-		sched.idleServices[s] = float64(assigned[s]) < maxIdleUse*float64(c)
+}
+
+// placeStarved places the starved tasks of g, which may go where others may not, and returns how many found a place.
+func (sched *Scheduler) placeStarved(g *group, now time.Time) int {
+	n := 0
+	for _, t := range g.tasks {
+		if !t.starved || t.phase != waiting || now.Before(t.notBefore) {
+			continue
+		}
+		if w := sched.choose(t, now); w != nil {
+			sched.reserve(t, w, now)
+			n++
+		}
+	}
+	return n
+}
+
+func (g *group) hasStarvedTask() bool {
+	return slices.ContainsFunc(g.tasks, func(t *task) bool { return t.starved })
+}
+
+// toleratesStarved reports whether t may run on w although latency-critical tasks there do not tolerate it at full
+// speed; throttling protects them.
+func (sched *Scheduler) toleratesStarved(w *worker, t *task, now time.Time) bool {
+	return t.starved && sched.services[w.info.Service].idle && w.cpuPercentOf(t.group.step.Image) > 0 &&
+		now.Sub(w.imposedAt) >= probeInterval
+}
+
+// endQuarantine ends the quarantine of w if t, whose run shows that w is sound, has started in it.
+func (sched *Scheduler) endQuarantine(w *worker, t *task, now time.Time) {
+	if !w.quarantined(now) || !t.startedAt.After(w.quarantinedAt) {
+		return
 	}
+	w.quarantinedUntil = time.Time{}
+	sched.cfg.Log.Info("worker quarantine ended", "Worker", w.info.ID, "Task", t.key.String(), "Why", w.quarantineReason)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -52,7 +52,8 @@
 	quarantines      int
 	quarantinedAt    time.Time
 	quarantinedUntil time.Time
-	probedAt         time.Time // when a task was last placed in spite of a quarantine
+	probedAt         time.Time // when a task was last placed in spite of a quarantine, or failed
+	imposedAt        time.Time // when a starved task was last placed beside latency-critical tasks
 	quarantineReason string
 	lastSuccessAt    time.Time
 	// Of best-effort tasks, by image; images without an entry are not throttled.
@@ -198,19 +199,9 @@
 		return false
 	}
 	w.quarantines++
-	w.quarantinedAt = now
+	w.quarantinedAt, w.probedAt = now, now
 	w.quarantinedUntil = now.Add(min(longestQuarantine, firstQuarantine<<min(w.quarantines-1, quarantineDoublings)))
 	w.quarantineReason = why
 	w.failStreak = 0
 	return true
 }
-
-// endQuarantine ends the quarantine of w, since a run that started in it has succeeded; it returns false if there is
-// none.
-func (w *worker) endQuarantine(startedAt, now time.Time) bool {
-	if !w.quarantined(now) || !startedAt.After(w.quarantinedAt) {
-		return false
-	}
-	w.quarantinedUntil = time.Time{}
-	return true
-}
