Do not offer a task to the worker that has just refused it

A task that its best worker refused could be placed again at the moment at which that worker was open again, and nothing remembered the refusal: 31 refusals in 10 s, and no start on the free worker beside it. That holds for a worker whose capacity has shrunk before the list says so, and for each other reason.

The worker that refused the last start order of a task now scores behind all others until a run of the task has started. TestRefusedTaskGoesElsewhere failed before: not true: started.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -51,6 +51,7 @@
 	stopReason      string
 	notBefore       time.Time
 	lastFailedOn    table.WorkerID
+	refusedBy       table.WorkerID // refused the last start order; empty once a run has started
 	destination     table.WorkerID // of a move by consolidate; empty once it is placed
 	moves           int            // times it was moved by supervise
 	wasRunning      bool
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -40,6 +40,7 @@
 	sched.cfg.Log.Info("start refused", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Result", res)
 	w.pollUrgently(now)
 	t.crashRefuted()
+	t.refusedBy = o.Worker
 	sched.requeue(t, now, refusedBackoff)
 	sched.breakGang(t, "member refused")
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -129,8 +129,8 @@
 			continue // there was no place for it
 		}
 		var w *worker
-		if t.failures > 0 || t.suspect() {
-			w = sched.choose(t, now) // its own failures and crashes count
+		if t.failures > 0 || t.suspect() || t.refusedBy != "" {
+			w = sched.choose(t, now) // its own failures, crashes and refusals count
 		} else {
 			if places == nil {
 				places = sched.places(t, now)
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -223,7 +223,8 @@
 func (sched *Scheduler) runStarted(t *task, now time.Time) {
 	t.phase, t.startUnknown, t.startResolvedAt = running, false, now
 	t.startedAt, t.progressedAt, t.percent = now, now, 0
-	t.wasRunning, t.starved, t.idleSince = true, false, time.Time{}
+	t.wasRunning, t.refusedBy = true, ""
+	t.starved, t.idleSince = false, time.Time{}
 	j := t.group.job
 	if j.state == workload.Queued {
 		j.state, j.statusChanged, j.dirty = workload.Running, true, true
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -429,3 +429,27 @@
 	}
 	is.True(!r.now.Before(r.workers["a"].quarantinedUntil))
 }
+
+func TestRefusedTaskGoesElsewhere(t *testing.T) {
+	for _, res := range []StartResult{RefusedCapacity, RefusedLeaseExpired, RefusedInvalid, RefusedIncarnation} {
+		is := is.New(t)
+		r := newRig()
+		r.addWorkers("a", "b")
+		r.submit("j", step(1))
+		refusals, started := 0, false
+		for end := r.now.Add(2 * time.Second); r.now.Before(end) && !started; {
+			r.answerPolls(nil)
+			for _, o := range r.place() {
+				if o.Worker == "a" {
+					refusals++
+					r.StartDone(o, res, r.now)
+					continue
+				}
+				r.StartDone(o, Started, r.now)
+				started = true
+			}
+		}
+		is.True(started)
+		is.Equal(refusals, 1)
+	}
+}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -17,6 +17,7 @@
 	weightRetry      = 3.0  // the worker that failed the task before
 	weightUnproven   = 1.0  // keeps a task that has failed off workers without a recent success
 	provenWindow     = 10 * time.Second
+	weightRefused    = 15.0 // the worker that refused the task last
 	weightQuarantine = 20.0 // more than all other terms
 	weightFit        = 2.0  // prefers places that a task just fits in when capacity is scarce
 	weightScarcity   = 0.9  // by which scarcity reduces the weight of processor use relative to the fit
@@ -65,6 +66,9 @@
 	if g.step.OneRack && g.rack != "" && g.rack != w.info.Rack {
 		s += weightRemote * (sched.cfg.RemoteFactor - 1)
 	}
+	if t.refusedBy == w.info.ID {
+		s += weightRefused
+	}
 	if w.quarantined(now) {
 		s += weightQuarantine + float64(w.quarantinedUntil.Sub(now))/float64(longestQuarantine)
 	}
