Free tasks whose start a silent worker has not answered

A task whose start order was not answered by a worker that stayed in the list, and answered no poll, was held without end: only a worker off the list gave it back.

It is now given back 15 s after the lease has ended, which covers an order that is carried out late, and the lease that a next incarnation under the same id could give it. TestUnansweredStartAtASilentWorkerDoesNotHoldItsTaskWithoutEnd failed before: not true, 1 min had passed.

--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -40,7 +40,9 @@
 
 	// A worker that is missing from the worker list for less is kept, since an outage of the store may be the reason.
 	missingGrace = 2500 * time.Millisecond
-	drainMargin  = 600 * time.Millisecond // a draining worker must be empty this long before it leaves
+	// An order without an answer may be carried out seconds later; after this time beyond the lease it is not.
+	lateStartGrace = 15 * time.Second
+	drainMargin    = 600 * time.Millisecond // a draining worker must be empty this long before it leaves
 
 	modelWriteInterval = 2 * time.Second // coefficients change within seconds
 
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -453,3 +453,14 @@
 		is.Equal(refusals, 1)
 	}
 }
+
+func TestUnansweredStartAtASilentWorkerDoesNotHoldItsTaskWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	r.StartDone(r.place()[0], StartUnknown, r.now)
+	took := restartAfter(r)
+	is.True(took < maxLeaseDuration(testTerm)+lateStartGrace+time.Second)
+	is.True(took >= maxLeaseDuration(testTerm)) // it may run until then
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -288,7 +288,8 @@
 		if w.missedPolls > 0 && now.After(w.leaseUntil) {
 			sched.workerCrashed(w, crashSilent)
 			for _, t := range w.tasks {
-				if t.phase != starting {
+				// An unanswered start may still take effect, and outlast the lease in another incarnation.
+				if t.phase != starting || now.Sub(w.leaseUntil) > lateStartGrace {
 					sched.loseRun(t, now, crashSilent)
 				}
 			}
