Ignore that another worker answers at an address that a worker has left

Found by review. A poll that went to the former address of a worker and was answered by another one there made the leader count the runs of the worker as lost, so a task could run twice. TestRunsOfAWorkerThatMovedAreNotLost failed before (waiting instead of running).

--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -57,7 +57,7 @@
 	w.pollsInFlight--
 	if err != nil {
 		sched.checkFence(w, o.Token, fault.Of(err) == fault.Stale)
-		sched.pollFailed(w, err, now)
+		sched.pollFailed(w, o, err, now)
 		return
 	}
 	if w.missedPolls > 0 {
@@ -103,11 +103,11 @@
 	sched.updateThrottles(w, now)
 }
 
-func (sched *Scheduler) pollFailed(w *worker, err error, now time.Time) {
+func (sched *Scheduler) pollFailed(w *worker, o PollOrder, err error, now time.Time) {
 	if w.missedPolls == 0 {
 		sched.cfg.Log.Info("worker does not answer", "Worker", w.info.ID, "Kind", fault.Of(err), "Error", err, "Tasks", len(w.tasks))
 	}
-	if fault.Of(err) == fault.NotCurrent {
+	if fault.Of(err) == fault.NotCurrent && o.Address == w.info.Address {
 		sched.workerReplaced(w, now)
 	}
 	w.missedPolls++
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -342,3 +342,19 @@
 	r.PollDone(o, r.now, PollReply{}, fault.New(fault.Stale, "fence"), r.now)
 	is.True(r.Superseded())
 }
+
+// Its former address may belong to another worker.
+func TestRunsOfAWorkerThatMovedAreNotLost(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	r.placeAndStart()
+	r.now = r.now.Add(pollPause)
+	o := r.PollOrders(r.now, true)[0]
+	info := r.workerInfo("a")
+	info.Address = "elsewhere:1"
+	r.SetWorker(info, r.now)
+	r.PollDone(o, r.now, PollReply{}, fault.New(fault.NotCurrent, "another worker"), r.now)
+	is.Equal(r.task(key("j", 0, 0)).phase, running)
+}
