--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -283,3 +283,15 @@
 	is.True(restartAfter(next) < time.Second)
 	is.Equal(next.task(key("j", 0, 0)).crashes, 0)
 }
+
+func TestLeavingTimeIsThatOfTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.drain("a")
+	r.now = r.now.Add(leavesIn)
+	info := r.workerInfo("a")
+	info.Draining, info.LeavesIn, info.Incarnation = true, leavesIn, 2
+	r.SetWorker(info, r.now)
+	is.Equal(r.workers["a"].leavesAt, r.now.Add(leavesIn))
+}
