--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -10,19 +10,23 @@
 const (
 	weightRemote = 4.0 // in another rack than the data or the rest of the gang
 	// Keeps latency-critical tasks of one image together, since images tolerate different best-effort images.
-	weightImage      = 3.0
-	weightCleared    = 10.0 // more than all other terms for a latency-critical task
-	weightPressure   = 3.0  // load that best-effort tasks add to latency-critical tasks
-	weightTolerance  = 2.0  // share of the best-effort images that a worker tolerates
-	weightRetry      = 3.0  // the worker that failed the task before
-	weightUnproven   = 1.0  // keeps a task that has failed off workers without a recent success
-	provenWindow     = 10 * time.Second
-	weightRefused    = 15.0 // the worker that refused the task last
-	weightQuarantine = 20.0 // more than all other terms
-	weightFit        = 2.0  // prefers places that a task just fits in when capacity is scarce
-	weightScarcity   = 0.9  // by which scarcity reduces the weight of processor use relative to the fit
-	scarceFrom       = 0.7  // share of the capacity in use from which the fit counts
-	scarceFull       = 0.9  // share from which it counts in full
+	weightImage     = 3.0
+	weightCleared   = 10.0 // more than all other terms for a latency-critical task
+	weightPressure  = 3.0  // load that best-effort tasks add to latency-critical tasks
+	weightTolerance = 2.0  // share of the best-effort images that a worker tolerates
+	weightRetry     = 3.0  // the worker that failed the task before
+	weightUnproven  = 1.0  // keeps a task that has failed off workers without a recent success
+	provenWindow    = 10 * time.Second
+	weightFit       = 2.0 // prefers places that a task just fits in when capacity is scarce
+	weightScarcity  = 0.9 // by which scarcity reduces the weight of processor use relative to the fit
+	scarceFrom      = 0.7 // share of the capacity in use from which the fit counts
+	scarceFull      = 0.9 // share from which it counts in full
+)
+
+// Weights that outweigh all other terms.
+const (
+	weightQuarantine = 20.0
+	weightRefused    = 50.0 // the worker that refused the task last
 )
 
 // score rates a place for t; lower is better.
