Mend what the review of crash counting found

A gang whose members are suspects never started where it has more members than workers fit, as they kept each other apart: members of one gang may share a worker. Counts that fell were not written, so the next leader knew the old ones. A crash under a start that was not answered was not counted if its worker stayed silent beyond the time for late orders. A crash of a leaving worker counted nothing, also against suspects, which cannot have been placed there before it was to leave.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -66,18 +66,16 @@
 func (t *task) mayCrash() bool { return !t.proven && t.phase != reserved }
 
 // workerCrashed counts the end of the incarnation of w against the runs that can have caused it. It counts once a run,
-// and nothing if w leaves by plan.
-func (sched *Scheduler) workerCrashed(w *worker, why string) {
+// and against suspects only if w leaves by plan.
+func (sched *Scheduler) workerCrashed(w *worker, why string, now time.Time) {
 	if why != crashSilent {
 		w.lostRuns = nil
 	}
-	if w.info.Draining || w.evacuating || w.leaseBound.covers(w.info.Incarnation) {
-		return
-	}
+	leaves := w.info.Draining || w.evacuating || w.leaseBound.covers(w.info.Incarnation)
 	var causes []*task
 	var suspects []string
 	for _, t := range w.tasks {
-		if !t.mayCrash() || t.crash != noCrash || why == crashSilent && t.phase == starting {
+		if !t.mayCrash() || t.crash != noCrash || why == crashSilent && t.heldByUnansweredStart(now) || leaves && !t.suspect() {
 			continue
 		}
 		causes = append(causes, t)
@@ -129,6 +127,7 @@
 	for key := range w.lostRuns {
 		if t := sched.task(key); t != nil && t.crashes > 0 {
 			t.crashes--
+			t.group.job.dirty = true
 		}
 	}
 	w.lostRuns = nil
@@ -141,6 +140,7 @@
 	}
 	t.crash, t.listed = noCrash, false
 	t.crashes = max(0, t.crashes-1)
+	t.group.job.dirty = true
 }
 
 // runListed applies to t that its worker lists its run.
@@ -154,6 +154,7 @@
 	}
 	w.unwatch(t)
 	if !t.group.step.Gang || r.Percent > 0 { // it may wait for the other members
+		t.group.job.dirty = t.group.job.dirty || t.crashes > 0
 		t.proven, t.crashes = true, 0
 	}
 }
@@ -177,6 +178,20 @@
 	})
 }
 
+// separated reports whether t, a suspect, must not run on w, since the next crash would not tell which of two suspects
+// is the cause. The members of a gang are given up together.
+func (w *worker) separated(t *task) bool {
+	if w.watched == 0 || !t.suspect() {
+		return false
+	}
+	for _, o := range w.tasks {
+		if o.watched && (o.group != t.group || !t.group.step.Gang) {
+			return true
+		}
+	}
+	return false
+}
+
 // suspicion returns the part of the score that keeps t and the runs on w from being taken for each other's crashes.
 func (w *worker) suspicion(t *task) float64 {
 	if !t.suspect() {
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -46,7 +46,7 @@
 		return obstacleRoom
 	case g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID] >= g.step.MaxPerWorker:
 		return obstacleMaxPerWorker
-	case w.watched > 0 && t.suspect():
+	case w.separated(t):
 		return obstacleSuspect
 	}
 	if g.step.BestEffort {
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -82,7 +82,7 @@
 			w.leaseUntil = bound
 		}
 		if w.info.Incarnation != 0 && l.Incarnation > w.info.Incarnation {
-			sched.workerCrashed(w, crashRestarted)
+			sched.workerCrashed(w, crashRestarted, now)
 		}
 		w.contacted = true
 		w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
@@ -121,7 +121,7 @@
 	if w.missingSince.IsZero() {
 		w.missingSince = now
 	}
-	sched.workerCrashed(w, crashReplaced)
+	sched.workerCrashed(w, crashReplaced, now)
 	w.listed, w.leaseUntil = false, now
 	for _, t := range w.tasks {
 		if t.phase != reserved {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -171,7 +171,7 @@
 	case w.contacted:
 		sched.workerRestarted(w, info.Incarnation, now)
 	case w.info.Incarnation != 0:
-		sched.workerCrashed(w, crashRestarted) // after the last leader heard it
+		sched.workerCrashed(w, crashRestarted, now) // after the last leader heard it
 	}
 	if info.Incarnation > w.info.Incarnation && !w.contacted && w.leaseBound.incarnation != 0 {
 		w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
@@ -206,7 +206,7 @@
 func (sched *Scheduler) workerRestarted(w *worker, incarnation table.UnixMillis, now time.Time) {
 	sched.cfg.Log.Info("worker restarted", "Worker", w.info.ID, "Born", incarnation, "Before", w.info.Incarnation, "Tasks", len(w.tasks))
 	if w.info.Incarnation != 0 {
-		sched.workerCrashed(w, crashRestarted)
+		sched.workerCrashed(w, crashRestarted, now)
 	}
 	w.info.Incarnation = incarnation
 	sched.recordWorkerChange(w)
@@ -273,7 +273,7 @@
 		if w.missingSince.IsZero() || now.Before(w.leaseUntil) || now.Sub(w.missingSince) < missingGrace {
 			continue
 		}
-		sched.workerCrashed(w, crashGone)
+		sched.workerCrashed(w, crashGone, now)
 		for _, t := range w.tasks {
 			sched.loseRun(t, now, crashGone)
 		}
@@ -286,10 +286,9 @@
 	for _, w := range sched.workers {
 		// The lease of an unreachable worker has ended, so nothing runs there, whether it is listed or not.
 		if w.missedPolls > 0 && now.After(w.leaseUntil) {
-			sched.workerCrashed(w, crashSilent)
+			sched.workerCrashed(w, crashSilent, now)
 			for _, t := range w.tasks {
-				// An unanswered start may still take effect, and outlast the lease in another incarnation.
-				if t.phase != starting || now.Sub(w.leaseUntil) > lateStartGrace {
+				if !t.heldByUnansweredStart(now) {
 					sched.loseRun(t, now, crashSilent)
 				}
 			}
@@ -308,6 +307,12 @@
 	sched.logStatus(now)
 }
 
+// heldByUnansweredStart reports whether a start order of t that was not answered may still take effect once the lease
+// has ended, in another incarnation of its worker.
+func (t *task) heldByUnansweredStart(now time.Time) bool {
+	return t.phase == starting && now.Sub(t.worker.leaseUntil) <= lateStartGrace
+}
+
 // openDueOccurrences creates the tasks of the occurrences that are due.
 func (sched *Scheduler) openDueOccurrences(j *job, now time.Time) {
 	for j.spec.Repeat > 0 && !j.state.Final() && j.nextOccurrence < j.spec.Repeat && !now.Before(j.spec.Due(j.nextOccurrence)) {
