--- a/standins/soak/checker.go
+++ b/standins/soak/checker.go
@@ -34,6 +34,7 @@
 	cancelled      time.Time
 	tasks          int
 	completed      time.Time // first shown as completed
+	shown          string    // status and state of the last response
 }
 
 // checker records what callers and workers observe and the violations of invariants in it.
@@ -119,6 +120,7 @@
 	if r == nil || r.accepted.IsZero() {
 		return
 	}
+	r.shown = fmt.Sprintf("%d %s", status, state)
 	if status == 410 {
 		c.report(falseState, "job %s: unknown %v after it was accepted", id, time.Since(r.accepted).Round(time.Millisecond))
 	}
@@ -174,7 +176,7 @@
 func (c *checker) finish() {
 	for _, id := range c.openJobs() {
 		c.mu.Lock()
-		c.report(lostJob, "job %s: not ended, %d of %d tasks done", id, c.countDoneTasks(id), c.jobs[id].tasks)
+		c.report(lostJob, "job %s: not ended, %d of %d tasks done, last shown as %q", id, c.countDoneTasks(id), c.jobs[id].tasks, c.jobs[id].shown)
 		c.mu.Unlock()
 	}
 	c.mu.Lock()
