Count a job as ended whose unanswered cancellation took effect

A caller's cancellation got no definite response, so the checker did not expect it, and the job was cancelled as asked.

A job with a cancellation that got no definite response may be shown as cancelled.

--- a/standins/soak/callers.go
+++ b/standins/soak/callers.go
@@ -76,8 +76,11 @@
 		}
 		if c.rnd.IntN(10) == 0 && len(accepted) > 0 {
 			id := accepted[c.rnd.IntN(len(accepted))]
-			if status, _ := c.call(http.MethodDelete, id, nil); status == http.StatusOK {
+			switch status, _ := c.call(http.MethodDelete, id, nil); status {
+			case http.StatusOK:
 				c.checker.cancelConfirmed(id)
+			case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+				c.checker.cancelUnanswered(id)
 			}
 		}
 		sleep(ctx, time.Duration(100+c.rnd.IntN(400))*time.Millisecond)
--- a/standins/soak/checker.go
+++ b/standins/soak/checker.go
@@ -32,6 +32,7 @@
 	accepted       time.Time
 	unknownOutcome bool // some submission got no definite response
 	cancelled      time.Time
+	cancelUnknown  bool // some cancellation got no definite response
 	tasks          int
 	completed      time.Time // first shown as completed
 	shown          string    // status and state of the last response
@@ -159,13 +160,26 @@
 	}
 }
 
+// cancelUnanswered records a cancellation that may have taken effect.
+func (c *checker) cancelUnanswered(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.jobs[id]; r != nil {
+		r.cancelUnknown = true
+	}
+}
+
+// shownCancelled is what a caller is shown of a cancelled job.
+const shownCancelled = "200 cancelled"
+
 // openJobs returns the accepted jobs that were neither cancelled nor observed as completed.
 func (c *checker) openJobs() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var ids []string
 	for id, r := range c.jobs {
-		if !r.accepted.IsZero() && r.cancelled.IsZero() && r.completed.IsZero() {
+		ended := !r.completed.IsZero() || r.cancelUnknown && r.shown == shownCancelled
+		if !r.accepted.IsZero() && r.cancelled.IsZero() && !ended {
 			ids = append(ids, id)
 		}
 	}
