--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -57,7 +57,7 @@
 	wasRunning      bool
 	throttled       bool      // the run was throttled at some time
 	idleSince       time.Time // since when it has not run though its turn has come; zero if it runs or must wait
-	starved         bool      // has waited for so long that it may go to a worker in quarantine or beside any neighbor
+	starved         bool      // may go to a worker in quarantine or beside any neighbor, see markStarved
 
 	crashes  int           // worker crashes in a row that it may have caused
 	crash    crashEvidence // counted for the run
