--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]func(rec *record, trouble bool, keep bool) verdict{
 	"schedule": playSchedule,
+	"progress": playProgress,
 }
 
 func main() {
