--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(rec *record, trouble bool, keep bool) verdict{
 	"schedule": playSchedule,
 	"times":    playTimes,
+	"suspects": playSuspects,
 	"long":     playLong,
 	"gang":     playGang,
 }
