Log the ends of runs on which a job is failed

A job that was shown as failed could not be traced: the lines on crashes name up to four of the possible causes, none says whether a start was answered, and a job that used up its attempts had no line of its own.

A task keeps the last eight ends that count against it, each with its run, its worker, how it ended and how the start is known to have taken effect. The lines task given up and attempts used up name them.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -60,7 +60,7 @@
 	slices.SortFunc(causes, func(a, b *task) int { return cmp.Compare(a.key.String(), b.key.String()) })
 	c := &crash{worker: w, service: w.info.Service, at: w.crashTime(now), seenAt: now, unsure: why == crashSilent || !w.contacted}
 	for _, t := range causes {
-		k := crashCause{task: t, row: t.crashRow, age: w.ageOf(t), confirmed: !t.confirmedAt.IsZero()}
+		k := crashCause{task: t, run: t.run, row: t.crashRow, age: w.ageOf(t), confirmed: !t.confirmedAt.IsZero()}
 		if t.crashes == 0 {
 			k.rate = sched.crashRateOf(t.group.job.queue.ID)
 		}
@@ -74,6 +74,7 @@
 			suspects = append(suspects, t.key.String())
 		}
 		t.crashCounted, t.lastCrash = true, c
+		t.recordEnd(why)
 		if !(c.causes[i].weight < leastWeight) {
 			t.crashes++
 			t.unsureCrash = t.unsureCrash || c.unsure
@@ -137,6 +138,7 @@
 	if k.counted {
 		t.crashes = max(0, t.crashes-1)
 	}
+	t.dropEnds(func(e runEnd) bool { return e.run == k.run })
 	t.evidence -= k.weight
 	t.group.job.dirty = true
 }
@@ -146,6 +148,7 @@
 	t.group.job.dirty = t.group.job.dirty || t.crashes > 0
 	t.crashes, t.evidence, t.lastCrash, t.clearCrashes, t.unsureCrash = 0, 0, nil, 0, false
 	t.crashRow++
+	t.dropEnds(func(e runEnd) bool { return e.how != endedFailed })
 }
 
 // startAnswered notes when the start of t was confirmed; its worker's clock does not run fast, so it was no later
@@ -154,7 +157,7 @@
 	if !w.clockAt.IsZero() && !t.listed {
 		t.listed, t.listedAt = true, w.clock+WorkerClock(now.Sub(w.clockAt)/time.Millisecond)+1
 	}
-	t.confirmedAt = now
+	t.confirmedAt, t.started = now, startAnswered
 	if t.orderedAt.After(w.aliveAt) {
 		w.aliveAt = t.orderedAt
 	}
@@ -181,6 +184,9 @@
 // runListed applies to t that its worker lists its run.
 func (sched *Scheduler) runListed(w *worker, t *task, r RunningTask) {
 	t.crashRefuted()
+	if t.started == startNotKnown {
+		t.started = startListed
+	}
 	if !t.listed {
 		t.listed, t.listedAt = true, w.clock
 	}
@@ -208,7 +214,7 @@
 		case t.phase == waiting && sched.mustGiveUp(t) && (t.crashes >= maxCrashes || !now.Before(t.notBefore)):
 			delete(sched.suspects, t)
 			sched.counts.GivenUp++
-			sched.cfg.Log.Warn("task given up", "Task", t.key.String(), "Run", t.run, "Crashes", t.crashes, "Likelihood", rounded(sched.likelihood(t)))
+			sched.cfg.Log.Warn("task given up", "Task", t.key.String(), "Run", t.run, "Crashes", t.crashes, "Likelihood", rounded(sched.likelihood(t)), "Runs", t.describeEnds())
 			sched.finishJob(j, workload.Failed, now)
 		}
 	}
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -47,7 +47,8 @@
 // crashCause is a task whose run may have caused a crash.
 type crashCause struct {
 	task      *task // nil once it is known to be none
-	row       int   // of its crashes
+	run       workload.RunNumber
+	row       int // of its crashes
 	age       time.Duration
 	rate      *crashRate // in which part is counted, nil for a task that has crashed before
 	part      float64    // likelihood that it is the cause
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -71,7 +71,9 @@
 	crashRow     int // number of the row of crashes
 	clearCrashes int // of which its run is the likeliest cause
 	unsureCrash  bool
-	crashCounted bool        // lastCrash is that of the run
+	crashCounted bool // lastCrash is that of the run
+	started      startEvidence
+	ends         []runEnd    // that count against it, the newest maxRunEnds
 	listed       bool        // the run was listed or its start confirmed, first at listedAt
 	listedAt     WorkerClock // upper bound
 	orderedAt    time.Time   // when the start was sent
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -107,6 +107,7 @@
 	j := t.group.job
 	t.failures++
 	t.cleared() // its worker has lived on
+	t.recordEnd(endedFailed)
 	t.lastFailedOn = w.info.ID
 	w.failStreak++
 	w.probedAt = now
@@ -126,6 +127,7 @@
 		}
 	}
 	if failures >= j.queue.MaxAttempts {
+		sched.cfg.Log.Info("attempts used up", "Task", t.key.String(), "Failures", failures, "MaxAttempts", j.queue.MaxAttempts, "Runs", t.describeEnds())
 		sched.finishJob(j, workload.Failed, now)
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -110,7 +110,7 @@
 	t.cpuPercent, t.percent, t.stopSentAt, t.stopReason = fullPercent, 0, time.Time{}, ""
 	t.observed = runProgress{}
 	t.tailLatency, t.cpuUsage, t.throttlePending, t.throttled = 0, 0, false, false
-	t.crashCounted, t.listed, t.proven, t.confirmedAt = false, false, false, time.Time{}
+	t.crashCounted, t.listed, t.proven, t.confirmedAt, t.started = false, false, false, time.Time{}, startNotKnown
 	t.shareUnknown = false
 }
 
