--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -72,6 +72,9 @@
 	crashes  int
 	onOrders func() // after orders were carried out
 	serial   int
+
+	losesStart func(StartOrder) bool // whether a start is neither carried out nor answered; nil for none
+	losesPoll  func(PollOrder) bool
 }
 
 func newCrashSite(t *testing.T, way string, workers int) *crashSite {
@@ -266,7 +269,7 @@
 
 func (s *crashSite) start(o StartOrder) StartResult {
 	w := s.worker(o.Worker)
-	if !s.up(w) {
+	if !s.up(w) || s.losesStart != nil && s.losesStart(o) {
 		return StartUnknown
 	}
 	w.running[o.Task] = &simRun{run: o.Run, since: s.now}
@@ -289,7 +292,7 @@
 			return PollReply{}, fault.New(fault.NotCurrent, "another one")
 		}
 	}
-	if !s.up(w) || !w.crashAt.IsZero() {
+	if !s.up(w) || !w.crashAt.IsZero() || s.losesPoll != nil && s.losesPoll(o) {
 		return PollReply{}, fault.New(fault.OutcomeUnknown, "no answer")
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e TaskResult) bool { return e.Number <= o.Acked })
