Acknowledge no ends of a new incarnation with the record of the one before

A batch that is being written keeps the numbers of the newest ends by worker. If the worker was born again under its id meanwhile, the numbers of its ends began anew, and the batch acknowledged ends of the new incarnation whose effects were not in the log: after a change of leader these ends were lost, so an end as failed did not count and a task that was done was started again.

The batch now keeps the incarnation with the number. The test failed before (the next poll acknowledged 2, want 0) and passes now; the tests of acknowledgements and records in ./dispatch pass.

--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -230,6 +230,30 @@
 	}
 }
 
+// Guards against an acknowledgement of ends of the new incarnation for those of the one before.
+func TestRecordOfTheIncarnationOfBeforeAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("w")
+	r.submit("j", step(2))
+	r.placeAndStart()
+	poll := func(incarnation table.UnixMillis, ends ...TaskResult) PollOrder {
+		r.now = r.now.Add(pollPause)
+		o := r.PollOrders(r.now, true)[0]
+		r.PollDone(o, r.now, PollReply{Incarnation: incarnation, Ended: ends}, nil, r.now.Add(time.Millisecond))
+		r.now = r.now.Add(time.Millisecond)
+		return o
+	}
+	poll(1, failed(1, key("j", 0, 0), 1), failed(2, key("j", 0, 1), 1))
+	f := r.Flush(r.now)
+	is.True(f != nil)
+	poll(2) // tells that the worker was born again
+	poll(2) // under a higher token
+	poll(2, failed(1, key("j", 0, 0), 9), failed(2, key("j", 0, 1), 9))
+	r.Flushed(f, r.now, true)
+	is.Equal(poll(2).Acked, ResultNumber(0)) // their effects are not in the log
+}
+
 // Guards against a job that runs again after its end, since it was handed in again or read again by the next leader.
 func TestJobThatIsHandedInAgainAfterItsEndStaysAsItIs(t *testing.T) {
 	for _, want := range []workload.State{workload.Completed, workload.Failed, workload.Cancelled} {
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -13,15 +13,24 @@
 	records []ledger.Record
 	intents []*task
 	runs    []workload.RunNumber
-	acks    map[*worker]ResultNumber
+	acks    map[*worker]ack
 	done    []func()
 	jobs    map[string]*job // whose progress is written, by the key of the record
 }
 
+// ack is the newest result of an incarnation of a worker whose effect is in a batch or before it.
+type ack struct {
+	number      ResultNumber
+	incarnation table.UnixMillis
+}
+
 // Flush returns the records of all changes since the last call, or nil if there are none. The caller must call
 // Flushed once they are in the log.
 func (sched *Scheduler) Flush(now time.Time) *Batch {
-	f := &Batch{acks: sched.acks, jobs: map[string]*job{}}
+	f := &Batch{acks: make(map[*worker]ack, len(sched.acks)), jobs: map[string]*job{}}
+	for w, n := range sched.acks {
+		f.acks[w] = ack{n, w.info.Incarnation}
+	}
 	for id, j := range sched.jobs {
 		if !j.dirty {
 			continue
@@ -93,9 +102,9 @@
 	for _, done := range f.done {
 		done()
 	}
-	for w, n := range f.acks {
-		if n > w.loggedResult && n <= w.appliedResult {
-			w.loggedResult = n
+	for w, a := range f.acks {
+		if a.incarnation == w.info.Incarnation && a.number > w.loggedResult && a.number <= w.appliedResult {
+			w.loggedResult = a.number
 		}
 	}
 	incomplete := map[*group]bool{} // gangs, of which no member is started
