Count a run of a gang once, whichever of its members fail

The failures of a gang were the sum of its members' ends listed as failed. If two members of one run failed, before either was told that the other had ended, the run counted twice, and the job was failed too early (two runs of two members reached a limit of three). PROTOCOL.md: a job is failed once a task, or a gang, has failed maxAttempts times.

Readings: (a) a gang fails once a run, (b) once for each member that is listed as failed. Failing by (b) breaks LOST under (a). Failing by (a) keeps BUDGET, which counts the failed runs of one task: a task fails at most once a run, so no task of the gang has failed more often than the gang. So (a) is chosen.

The first end as failed of a run counts, at the member that is listed first. The number of the newest failed run of a gang is part of the progress record (key 11), so that the next leader does not count it again; hosts of earlier versions ignore it.

--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -254,6 +254,56 @@
 	is.Equal(poll(2).Acked, ResultNumber(0)) // their effects are not in the log
 }
 
+// Guards against a gang whose members count one by one, though it has run once.
+func TestRunOfAGangIsOneAttempt(t *testing.T) {
+	const members = 3
+	for _, change := range []bool{false, true} {
+		for together := 1; together <= members; together++ {
+			t.Run(fmt.Sprintf("%d members fail, leader changes %v", together, change), func(t *testing.T) {
+				s := newCrashSite(t, backRestarted, members)
+				s.answered, s.takes = true, time.Hour
+				s.pass(time.Second)
+				s.submitJob("gang", gangOf(members))
+				for attempt := 1; attempt <= testMaxAttempts; attempt++ {
+					for end := s.now.Add(2 * time.Minute); s.membersRunning() < members && s.now.Before(end); {
+						s.pass(20 * time.Millisecond)
+					}
+					s.is.Equal(s.membersRunning(), members)
+					s.pass(300 * time.Millisecond)
+					for i, w := range s.workers {
+						for k := range w.running {
+							c := EndGangBroken
+							if (i+attempt)%members < together {
+								c = EndFailed
+							}
+							s.end(w, k, c)
+						}
+						s.pass(200 * time.Millisecond) // the end of one member is applied before that of the next
+						if change {
+							s.changeLeader()
+						}
+					}
+				}
+				s.pass(5 * time.Second)
+				s.is.Equal(s.loggedState("gang"), workload.Failed)
+				for k, at := range s.starts {
+					if len(at) != testMaxAttempts {
+						t.Errorf("%v was started %d times, want %d", k, len(at), testMaxAttempts)
+					}
+				}
+			})
+		}
+	}
+}
+
+func (s *crashSite) membersRunning() int {
+	n := 0
+	for _, w := range s.workers {
+		n += len(w.running)
+	}
+	return n
+}
+
 // Guards against a job that runs again after its end, since it was handed in again or read again by the next leader.
 func TestJobThatIsHandedInAgainAfterItsEndStaysAsItIs(t *testing.T) {
 	for _, want := range []workload.State{workload.Completed, workload.Failed, workload.Cancelled} {
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -85,3 +85,35 @@
 func (t *task) gangStartable(now time.Time) bool {
 	return !slices.ContainsFunc(t.group.tasks, func(o *task) bool { return !o.startable(t.run, now) })
 }
+
+// countFailure counts that the run of t ended as failed. A run of a gang counts once, whichever of its members fail.
+func (t *task) countFailure() {
+	g := t.group
+	if g.step.Gang && g.failedRun == t.run {
+		return
+	}
+	g.failedRun = t.run
+	t.failures++
+}
+
+// failedRuns returns the newest failed runs of the gangs of j.
+func (j *job) failedRuns() []workload.FailedRun {
+	var rs []workload.FailedRun
+	for _, gs := range j.groups {
+		for _, g := range gs {
+			if g.step.Gang && g.failedRun > 0 && g.unfinished > 0 {
+				rs = append(rs, workload.FailedRun{Occurrence: g.occurrence, Step: g.index, Run: g.failedRun})
+			}
+		}
+	}
+	return rs
+}
+
+// restoreFailedRuns restores what failedRuns has returned.
+func (j *job) restoreFailedRuns(rs []workload.FailedRun) {
+	for _, r := range rs {
+		if g := j.recordedGroup(r.Occurrence, r.Step, allTasks); g != nil {
+			g.failedRun = r.Run
+		}
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -95,6 +95,7 @@
 	waitingTasks      int // tasks in phase waiting
 	perWorker         map[table.WorkerID]int
 	durations         []time.Duration             // of successful runs without a checkpoint or throttling
+	failedRun         workload.RunNumber          // newest that has failed
 	perPercent        time.Duration               // least time that one percent took a run with all its processors
 	rack              table.RackID                // rack of the first task that was placed
 	load              load                        // by its users; of latency-critical tasks
@@ -269,7 +270,7 @@
 
 // progress returns the progress record of j, which the next leader restores.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{Opened: j.nextOccurrence, Finished: j.finished, Tasks: j.listedOccurrences()}
+	p := workload.Progress{Opened: j.nextOccurrence, Finished: j.finished, Tasks: j.listedOccurrences(), FailedRuns: j.failedRuns()}
 	var folded []workload.DoneTasks
 	for _, gs := range j.groups {
 		for _, g := range gs {
@@ -335,6 +336,7 @@
 		}
 	}
 	defer j.restoreOccurrences(p)
+	j.restoreFailedRuns(p.FailedRuns)
 	for i, c := range p.Crashes {
 		if g := j.recordedGroup(c.Occurrence, c.Step, c.Index); g != nil && c.Index != allTasks {
 			t := g.tasks[c.Index]
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -105,7 +105,7 @@
 func (sched *Scheduler) runFailed(w *worker, t *task, now time.Time) {
 	sched.counts.Failed++
 	j := t.group.job
-	t.failures++
+	t.countFailure()
 	t.cleared() // its worker has lived on
 	t.recordEnd(endedFailed)
 	t.lastFailedOn = w.info.ID
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -215,6 +215,16 @@
 	Finished []OccurrenceRange `cbor:"9,keyasint,omitempty"` // all of whose tasks are done, ascending
 	// Tasks that are done and have no entry, of steps that are not finished; only if all entries would not fit.
 	Done []DoneTasks `cbor:"10,keyasint,omitempty"`
+	// FailedRuns holds the newest failed run of each gang that is not finished; records of earlier versions have none.
+	FailedRuns []FailedRun `cbor:"11,keyasint,omitempty"`
+}
+
+// FailedRun is a run of a gang of which a member's end as failed is counted.
+type FailedRun struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Run        RunNumber
 }
 
 // DoneTasks names the tasks of one step that are done.
