--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonpick/table"
 	"persimmonpick/workload"
 )
 
@@ -35,7 +36,7 @@
 			}
 			t.moves++
 			sched.cfg.Log.Info("moving run", "Task", t.key.String(), "Run", t.run, "Worker", w.info.ID, "Why", why,
-				"Percent", t.percent, "Ran", now.Sub(t.startedAt).Round(time.Millisecond), "Heard", now.Sub(w.heardAt).Round(time.Millisecond))
+				"Percent", t.percent, "Ran", table.FormatAgeAt(now, t.startedAt), "Heard", table.FormatAgeAt(now, w.heardAt))
 		}
 	}
 }
--- a/fleet/host_test.go
+++ b/fleet/host_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"persimmonpick/ledger"
+	"persimmonpick/table"
 )
 
 var errAccept = errors.New("accept failed")
@@ -92,3 +93,10 @@
 		is.True(grace-keepAlives-open >= min(stopMargin, grace/5))
 	}
 }
+
+// Guards against a status page that shows the unknown age of a view as three centuries.
+func TestStatusOfAHostThatHasReadNothing(t *testing.T) {
+	is := is.New(t)
+	h := New(Config{Settings: Settings{Host: "h"}, Logger: slog.New(slog.DiscardHandler)})
+	is.Equal(h.Status(t.Context()).ViewAge, table.Millis(-1))
+}
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -28,7 +28,7 @@
 	Leader   string // empty if unknown
 	Epoch    ledger.Epoch
 	Source   string       // host that is queried instead of the log; empty if this host is a log reader
-	ViewAge  table.Millis // of a log reader; more than about 2 s means that the log is unreachable
+	ViewAge  table.Millis // of a log reader; more than about 2 s means that the log is unreachable; -1 if unknown
 	Position ledger.Position
 	Version  Version // of the configuration in force
 	Queues   []QueueStatus
@@ -43,7 +43,10 @@
 		Source: h.standby.Source(), Position: position,
 	}
 	if s.Source == "" {
-		s.ViewAge = table.Millis(h.view.Age().Milliseconds())
+		s.ViewAge = -1
+		if age := h.view.Age(); age != table.UnknownAge {
+			s.ViewAge = table.Millis(age.Milliseconds())
+		}
 	}
 	if c := h.config.Load(); c != nil {
 		s.Version = c.Version
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -100,7 +100,7 @@
 func (s *JobService) State(ctx context.Context, q workload.QueueID, id table.JobID) (workload.State, error) {
 	v, err := s.lookup(ctx, q, id)
 	if err != nil {
-		s.cfg.Logger.Info("job state not available", "Job", id, "Queue", q, "ViewAge", s.cfg.View.Age().Round(time.Millisecond), "Error", err)
+		s.cfg.Logger.Info("job state not available", "Job", id, "Queue", q, "ViewAge", table.FormatAge(s.cfg.View.Age()), "Kind", fault.Of(err), "Error", err)
 		return workload.Queued, err
 	}
 	if v.Cancelled && !v.State.Final() {
@@ -177,7 +177,7 @@
 	defer cancel()
 	err := s.cfg.Refresh(ctx)
 	if err != nil && age > maxViewAge {
-		return fault.Wrap(err, fault.LogUnavailable, "the view of the log is %v old", age.Round(time.Millisecond))
+		return fault.Wrap(err, fault.LogUnavailable, "age of the view of the log: %s", table.FormatAge(age))
 	}
 	return nil
 }
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -63,9 +63,12 @@
 }
 
 // Age returns the time since Confirmed by the monotonic or the wall clock, whichever is longer: the monotonic
-// clock may not count the time for which a host was suspended.
+// clock may not count the time for which a host was suspended. It is table.UnknownAge if no read has reached the end.
 func (v *View) Age() time.Duration {
 	at := v.Confirmed()
+	if at.IsZero() {
+		return table.UnknownAge
+	}
 	now := time.Now()
 	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
 }
--- a/standby/node.go
+++ b/standby/node.go
@@ -10,6 +10,7 @@
 
 	"persimmonpick/ledger"
 	"persimmonpick/peer"
+	"persimmonpick/table"
 )
 
 // Timing of hosts that query others.
@@ -338,7 +339,7 @@
 	}
 	n.delegating = delegate
 	if delegate {
-		n.cfg.Logger.Info("delegating to log reader", "Host", by.Host, "Leading", r.Leading, "ViewAge", r.Age.Round(time.Millisecond), "Epoch", r.Leader.Epoch)
+		n.cfg.Logger.Info("delegating to log reader", "Host", by.Host, "Leading", r.Leading, "ViewAge", table.FormatAge(r.Age), "Epoch", r.Leader.Epoch)
 	} else {
 		n.cfg.Logger.Info("chosen as log reader", "Host", by.Host, "Epoch", r.Leader.Epoch)
 	}
