Name the host that answers a query with an error, the kind and its reason

The error now names the address of the host, the kind and the reason, which replies carry in a new field; hosts of earlier versions leave it out and ignore it. The line also has the kind of the error.

TestLineOnAnUnavailableStateNamesHostAndReason failed before for a reader of this and of an earlier version and passes now; TestHostOfAnEarlierVersionDecodesReplies passes. ./intake ./table ./fleet ./peer ./standby ./ledger pass with -race.

--- a/intake/remote.go
+++ b/intake/remote.go
@@ -27,8 +27,9 @@
 
 // JobReply is the reply of Server.Job.
 type JobReply struct {
-	Kind string // error kind; see fault.Kind
-	View View
+	Kind   string // error kind; see fault.Kind
+	Reason string // of an error; empty from hosts of earlier versions
+	View   View
 }
 
 // PendingArgs is the argument of Server.Pending.
@@ -38,8 +39,9 @@
 
 // PendingReply is the reply of Server.Pending.
 type PendingReply struct {
-	Kind  string // error kind; see fault.Kind
-	Count int
+	Kind   string // error kind; see fault.Kind
+	Reason string // of an error; empty from hosts of earlier versions
+	Count  int
 }
 
 // Server answers queries of other hosts from the log view of this host; net/rpc exposes its methods.
@@ -55,11 +57,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	if !s.jobs.readsLog() {
-		reply.Kind = fault.NotReady.String()
+		reply.Kind, reply.Reason = fault.NotReady.String(), notReader
 		return nil
 	}
 	v, err := s.jobs.readJob(ctx, args.Job)
-	reply.View, reply.Kind = v, fault.Of(err).String()
+	reply.View, reply.Kind, reply.Reason = v, fault.Of(err).String(), reasonOf(err)
 	return nil
 }
 
@@ -69,11 +71,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	if !s.jobs.readsLog() {
-		reply.Kind = fault.NotReady.String()
+		reply.Kind, reply.Reason = fault.NotReady.String(), notReader
 		return nil
 	}
 	n, err := s.jobs.countPending(ctx, args.Queue)
-	reply.Count, reply.Kind = n, fault.Of(err).String()
+	reply.Count, reply.Kind, reply.Reason = n, fault.Of(err).String(), reasonOf(err)
 	return nil
 }
 
@@ -91,7 +93,7 @@
 		if err := l.Call(ctx, methodJob, JobArgs{id}, &reply); err != nil {
 			return err
 		}
-		return replyError(reply.Kind)
+		return replyError(l, reply.Kind, reply.Reason)
 	})
 	return reply.View, err
 }
@@ -104,7 +106,7 @@
 		if err := l.Call(ctx, methodPending, PendingArgs{q}, &reply); err != nil {
 			return err
 		}
-		return replyError(reply.Kind)
+		return replyError(l, reply.Kind, reply.Reason)
 	})
 	return reply.Count, err
 }
@@ -116,10 +118,25 @@
 	return s.cfg.Query(ctx, call)
 }
 
-// replyError returns the error for the kind in a reply of another host.
-func replyError(kind string) error {
-	if k := fault.ParseKind(kind); k != fault.None {
-		return fault.New(k, "another host answers so")
+// replyError returns the error in a reply of the host that l calls.
+func replyError(l *peer.Link, kind, reason string) error {
+	k := fault.ParseKind(kind)
+	if k == fault.None {
+		return nil
 	}
-	return nil
+	if reason == "" {
+		reason = "no reason given"
+	}
+	return fault.New(k, "the host at %s answers %s: %s", l.Address(), kind, reason)
+}
+
+// notReader is the reason of a host that does not answer queries.
+const notReader = "it is no log reader"
+
+// reasonOf returns the message of err, empty if there is none.
+func reasonOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -47,6 +47,9 @@
 	return &Link{cfg: cfg}
 }
 
+// Address returns the address of the host.
+func (l *Link) Address() string { return l.cfg.Address }
+
 // Call calls method on the host. It fails with fault.NotReady if the call was not sent, and with
 // fault.OutcomeUnknown if it may have been sent and has no valid reply.
 func (l *Link) Call(ctx context.Context, method string, args, reply any) error {
