Show that a job that was shown as cancelled may turn completed or failed

A leader that ends a job before it has read of its cancellation writes its state after the record of the cancellation. Hosts show the job as cancelled until they read that record, and as completed or failed from then on.

--- a/intake/jobs_test.go
+++ b/intake/jobs_test.go
@@ -116,6 +116,30 @@
 	is.Equal(len(r.appended), 2)
 }
 
+// Guards against a job that is shown as cancelled and then in the state that the leader wrote before it had read of the
+// cancellation.
+func TestJobThatWasShownAsCancelledStaysSo(t *testing.T) {
+	for _, end := range []workload.State{workload.Completed, workload.Failed} {
+		is := is.New(t)
+		r := newTestService()
+		is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+		is.NoErr(r.Cancel(t.Context(), "q", "aa"))
+		is.NoErr(r.cfg.Refresh(t.Context()))
+		s, err := r.State(t.Context(), "q", "aa")
+		is.NoErr(err)
+		is.Equal(s, workload.Cancelled)
+		rec, err := ledger.StatusRecord("aa", workload.Status{State: end})
+		is.NoErr(err)
+		is.NoErr(r.cfg.Append(t.Context(), rec))
+		is.NoErr(r.cfg.Refresh(t.Context()))
+		s, err = r.State(t.Context(), "q", "aa")
+		is.NoErr(err)
+		if s != workload.Cancelled {
+			t.Errorf("the job turned from cancelled to %v", s)
+		}
+	}
+}
+
 // Guards against accepting jobs that are invalid, that cannot be approved or that the log did not take.
 func TestInvalidSubmissionIsRefused(t *testing.T) {
 	is := is.New(t)
