Count each crash once, and bound early ends of pauses

Through changes of leader one run was counted as several known crashes, since the record did not say that its crash is counted (one start, job failed). A leave by plan counted as a known crash. The pause of a deadly task ended early again and again beside light traffic (60 starts in five minutes). A sound task alone on its site waited up to five minutes after the trouble. A restored pause followed the wall clock, and outcomes of starts became not a number if the clock went back.

- The record holds whether the crash of the present run is counted; a crash that an earlier leader counted can be taken back.
- Only crashes without a planned leave are known.
- A pause ends early once nine in ten starts of others are answered or no worker of the service has crashed for 10 s, and the pause after it does not.
- Starts count as not answered only if their worker lives on; a task that crashes its worker before the answer no longer makes all other unanswered starts look harmless.
So two known crashes of three are enough at a likelihood of 0.99.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -19,6 +19,12 @@
 	pollMargin = 40 * time.Millisecond
 	crashPause = 500 * time.Millisecond // added before the next start for each crash after the first
 
+	// Before the next start of a task that is likely to crash its workers, if too few of its crashes are known; the
+	// pause is multiplied with each further crash.
+	firstUnknownPause   = time.Second
+	unknownPauseFactor  = 4
+	longestUnknownPause = 5 * time.Minute
+
 	maxLoggedTasks = 4 // keys in the log line on a crash
 )
 
@@ -49,6 +55,7 @@
 	if len(causes) == 0 && (leaves || why == crashSilent) {
 		return
 	}
+	sched.crashedAt[w.info.Service] = now
 	known := w.crashedIncarnation == w.info.Incarnation // it shows in more than one way
 	w.crashedIncarnation = w.info.Incarnation
 	if !known && !leaves && w.contacted && why != crashSilent && !slices.ContainsFunc(causes, func(t *task) bool { return !w.settled(t) }) {
@@ -81,7 +88,7 @@
 		if !(c.causes[i].weight < leastWeight) {
 			t.crashes++
 			c.causes[i].counted = true
-			if why != crashSilent {
+			if why != crashSilent && !leaves {
 				c.causes[i].know()
 			}
 		}
@@ -135,7 +142,8 @@
 			t.group.job.dirty = true
 		}
 		if c.unsure && t.lastCrash == c {
-			sched.weighAgain(c, func() { c.unsure = false })
+			c.unsure = false
+			sched.weighAgain(c)
 		}
 	}
 	w.lostRuns = nil
@@ -155,10 +163,24 @@
 func (t *task) crashRefuted() {
 	if t.crashCounted {
 		t.crashCounted, t.listed = false, false
+		if t.lastCrash == nil {
+			t.takeBackRecorded()
+			return
+		}
 		t.takeBack(t.lastCrash)
 	}
 }
 
+// takeBackRecorded takes back the crash of the run of t that an earlier leader has counted.
+func (t *task) takeBackRecorded() {
+	t.evidence -= t.evidence / float64(max(1, t.crashes))
+	t.crashes = max(0, t.crashes-1)
+	if t.started != startNotKnown {
+		t.knownCrashes = max(0, t.knownCrashes-1)
+	}
+	t.group.job.dirty = true
+}
+
 // takeBack takes c back, unless t has been cleared since.
 func (t *task) takeBack(c *crash) {
 	if t.lastCrash == nil {
@@ -176,7 +198,7 @@
 // cleared ends the row of crashes of t.
 func (t *task) cleared() {
 	t.group.job.dirty = t.group.job.dirty || t.crashes > 0
-	t.crashes, t.knownCrashes, t.evidence, t.lastCrash, t.awaitsAnswers = 0, 0, 0, nil, false
+	t.crashes, t.knownCrashes, t.evidence, t.lastCrash, t.endedEarly = 0, 0, 0, nil, false
 	t.crashRow++
 	t.dropEnds(func(e runEnd) bool { return e.how != endedFailed })
 }
@@ -236,6 +258,47 @@
 	}
 }
 
+// pauseAfterCrash returns how long t waits before its next start, whose last run ended with a crash of its worker.
+func (sched *Scheduler) pauseAfterCrash(t *task, now time.Time) time.Duration {
+	t.pauses, t.awaitsAnswers = false, false
+	pause := time.Duration(max(0, t.crashes-1)) * crashPause
+	switch {
+	case sched.mustGiveUp(t):
+		return max(pause, evidenceDelay)
+	case t.knownCrashes >= leastKnown || t.started != startNotKnown:
+		return pause
+	case t.crashes < leastCrashes || t.crashes < maxCrashes && sched.likelihood(t) < isolatedLikelihood:
+		return pause
+	}
+	// A deadly task must not start again each time that starts are answered for a while.
+	t.pauses, t.awaitsAnswers, t.endedEarly = true, !t.endedEarly, false
+	return max(pause, unknownPause(t.crashes))
+}
+
+// unknownPause returns how long a task waits after so many crashes if too few are known to be under its runs.
+func unknownPause(crashes int) time.Duration {
+	pause := firstUnknownPause
+	for n := leastCrashes; n < crashes && pause < longestUnknownPause; n++ {
+		pause = min(longestUnknownPause, pause*unknownPauseFactor)
+	}
+	return pause
+}
+
+// pauseEndsEarly reports whether t need not wait longer, since its next start is likely to be answered: the starts of
+// others are, or no worker has crashed lately.
+func (sched *Scheduler) pauseEndsEarly(t *task, now time.Time) bool {
+	if !t.pauses || !t.awaitsAnswers || !now.Before(t.notBefore) {
+		return false
+	}
+	service := t.group.job.queue.Service
+	at, known := sched.crashedAt[service]
+	if !known {
+		at = now
+		sched.crashedAt[service] = now
+	}
+	return now.Sub(at) >= causelessWindow || sched.startOutcomes.of(service).areAnswered(now)
+}
+
 // giveUpSuspects gives up the tasks that crash every worker by the evidence against them.
 func (sched *Scheduler) giveUpSuspects(now time.Time) {
 	for t := range sched.suspects {
@@ -243,8 +306,8 @@
 		switch {
 		case t.crashes == 0 || t.phase == done || j.state.Final():
 			delete(sched.suspects, t)
-		case t.awaitsAnswers && t.phase == waiting && !sched.mustGiveUp(t) && sched.startOutcomes.of(j.queue.Service).answered(now):
-			t.awaitsAnswers = false
+		case t.phase == waiting && !sched.mustGiveUp(t) && sched.pauseEndsEarly(t, now):
+			t.pauses, t.awaitsAnswers, t.endedEarly = false, false, true
 			t.notBefore = now
 			sched.cfg.Log.Info("pause after unanswered starts ends early", "Task", t.key.String(), "Crashes", t.crashes, "KnownCrashes", t.knownCrashes)
 		case t.phase == waiting && sched.mustGiveUp(t) && (t.crashes >= maxCrashes || !now.Before(t.notBefore)):
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"persimmonpick/table"
@@ -16,8 +15,8 @@
 	giveUpLikelihood = 0.99
 	leastWeight      = -1  // a crash that speaks more clearly for a run is not counted against its task
 	maxEvidence      = 100 // that is restored from a record
-	leastCrashes     = 3   // known ones, after which a task may be given up
-	leastKnown       = 2   // of maxCrashes
+	leastCrashes     = 3   // after which a task may be given up
+	leastKnown       = 2   // of these
 
 	// Most tasks that crash their workers do so at the start.
 	quickShare = 0.95
@@ -142,13 +141,8 @@
 // must be known to have crashed under its runs.
 func (sched *Scheduler) mustGiveUp(t *task) bool {
 	l := sched.likelihood(t)
-	switch {
-	case t.knownCrashes >= leastCrashes:
-		return l >= giveUpLikelihood || t.crashes >= maxCrashes && l >= isolatedLikelihood
-	case t.knownCrashes >= leastKnown:
-		return l >= giveUpLikelihood && t.crashes >= maxCrashes
-	}
-	return false
+	return t.knownCrashes >= leastKnown && t.crashes >= leastCrashes && l >= giveUpLikelihood ||
+		t.knownCrashes >= leastCrashes && t.crashes >= maxCrashes && l >= isolatedLikelihood
 }
 
 // outlives returns how likely a task that crashes its workers works for longer than the given time before it does.
@@ -193,38 +187,21 @@
 	}
 }
 
-// otherCauseOf returns how likely c had another cause than the runs on its worker, by what happened at that time to
-// the other workers on which no run is a likely cause.
+// otherCauseOf returns how likely c had another cause than the runs on its worker, by what happened at that time and
+// lately to the other workers on which no run is a likely cause.
 func (sched *Scheduler) otherCauseOf(c *crash) float64 {
-	crashed, away := 0, 0
-	var moments []int // crashes at each of them
-	var moment time.Time
-	for _, o := range sched.causeless {
-		if o.worker == c.worker || o.service != c.service {
-			continue
-		}
-		age := c.at.Sub(o.at).Abs()
-		if age <= coincidence {
-			crashed++
-		}
-		if age <= crashTime {
-			away++
-		}
-		if len(moments) == 0 || o.at.Sub(moment).Abs() > coincidence {
-			moments, moment = append(moments, 0), o.at
-		}
-		moments[len(moments)-1]++
-	}
 	external := otherCause
 	if c.unsure {
 		external = unsureCause
 	}
-	if len(moments) == 0 {
-		return external
+	var others []causelessCrash
+	for _, o := range sched.causeless {
+		if o.worker != c.worker && o.service == c.service {
+			others = append(others, o)
+		}
 	}
-	lately := -slices.Max(moments) // one moment says nothing about how often they come
-	for _, n := range moments {
-		lately += n
+	if len(others) == 0 {
+		return external
 	}
 	spared, settled := 0, 0
 	for _, w := range sched.workers {
@@ -236,7 +213,16 @@
 			spared++
 		}
 	}
-	rate := float64(lately) / (float64(max(1, settled+away)) * causelessWindow.Seconds()) // of one worker, in a second
+	crashed, away := 0, 0
+	for _, o := range others {
+		if o.near(c, coincidence) {
+			crashed++
+		}
+		if o.near(c, crashTime) {
+			away++
+		}
+	}
+	rate := float64(repeated(others)) / (float64(max(1, settled+away)) * causelessWindow.Seconds()) // of a worker, in 1 s
 	external = max(external, min(unsureCause, rate*provenAge.Seconds()))
 	if crashed == 0 {
 		return external
@@ -251,6 +237,24 @@
 	at, seenAt time.Time
 }
 
+func (o causelessCrash) near(c *crash, within time.Duration) bool {
+	return c.at.Sub(o.at).Abs() <= within
+}
+
+// repeated returns the number of crashes without those of the moment with most, since one moment does not tell how
+// often such moments come.
+func repeated(crashes []causelessCrash) int {
+	moment, most := 0, 0
+	for i, o := range crashes {
+		if i > 0 && o.at.Sub(crashes[i-1].at).Abs() > coincidence {
+			moment = 0
+		}
+		moment++
+		most = max(most, moment)
+	}
+	return len(crashes) - most
+}
+
 // crashWithoutCause records that w crashed though none of its runs is a likely cause, and weighs the crashes of that
 // time again.
 func (sched *Scheduler) crashWithoutCause(w *worker, now time.Time) {
@@ -258,13 +262,13 @@
 	sched.cfg.Log.Info("worker crashed without a likely cause", "Worker", w.info.ID, "Tasks", len(w.tasks))
 	for _, c := range sched.crashes {
 		if c.service == w.info.Service && w.crashTime(now).Sub(c.at).Abs() <= coincidence {
-			sched.weighAgain(c, func() {})
+			sched.weighAgain(c)
 		}
 	}
 }
 
 // weighAgain weighs c after what is known of it has changed.
-func (sched *Scheduler) weighAgain(c *crash, change func()) {
+func (sched *Scheduler) weighAgain(c *crash) {
 	for i := range c.causes {
 		switch k := &c.causes[i]; {
 		case k.task == nil:
@@ -275,7 +279,6 @@
 			k.task.group.job.dirty = true
 		}
 	}
-	change()
 	sched.weigh(c)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -70,19 +70,20 @@
 	lastCrash    *crash
 	crashRow     int // number of the row of crashes
 	knownCrashes int // of these, under runs that had taken effect for sure
-	// After unanswered starts it waits until notBefore, or until the starts of others are answered.
-	awaitsAnswers bool
-	crashCounted  bool // lastCrash is that of the run
-	started       startEvidence
-	ends          []runEnd    // that count against it, the newest maxRunEnds
-	listed        bool        // the run was listed or its start confirmed, first at listedAt
-	listedAt      WorkerClock // upper bound
-	orderedAt     time.Time   // when the start was sent
-	confirmedAt   time.Time   // when the worker first confirmed the run
-	proven        bool        // the run does not crash its worker
-	watched       bool        // counted in worker.watched
-	isolated      bool        // counted in worker.isolated
-	risk          float64     // likelihood that the run crashes its worker, counted in worker.risk
+	// Since too little is known of its crashes it pauses until notBefore, or until starts are answered again.
+	pauses, awaitsAnswers bool
+	endedEarly            bool // its last pause did
+	crashCounted          bool // lastCrash is that of the run
+	started               startEvidence
+	ends                  []runEnd    // that count against it, the newest maxRunEnds
+	listed                bool        // the run was listed or its start confirmed, first at listedAt
+	listedAt              WorkerClock // upper bound
+	orderedAt             time.Time   // when the start was sent
+	confirmedAt           time.Time   // when the worker first confirmed the run
+	proven                bool        // the run does not crash its worker
+	watched               bool        // counted in worker.watched
+	isolated              bool        // counted in worker.isolated
+	risk                  float64     // likelihood that the run crashes its worker, counted in worker.risk
 }
 
 // group holds the tasks of one step of one occurrence.
@@ -316,8 +317,11 @@
 }
 
 func (t *task) known() workload.KnownCrashes {
-	k := workload.KnownCrashes{Crashes: t.knownCrashes, Started: t.phase.held() && t.started != startNotKnown}
-	if t.phase == waiting && !t.notBefore.IsZero() {
+	k := workload.KnownCrashes{Crashes: t.knownCrashes, EndedEarly: t.endedEarly}
+	if t.phase.held() {
+		k.Started, k.Counted = t.started != startNotKnown, t.crashCounted
+	}
+	if t.phase == waiting && t.pauses {
 		k.NotBefore, k.AwaitsAnswers = table.UnixMillis(t.notBefore.UnixMilli()), t.awaitsAnswers
 	}
 	return k
@@ -388,11 +392,16 @@
 		if g == nil || c.Index == allTasks {
 			continue
 		}
-		switch t, k := g.tasks[c.Index], p.Known[i]; {
-		case k.Started && t.phase.held():
-			t.started = startRecorded
+		t, k := g.tasks[c.Index], p.Known[i]
+		t.endedEarly = k.EndedEarly
+		switch {
+		case t.phase.held():
+			t.crashCounted = k.Counted
+			if k.Started {
+				t.started = startRecorded
+			}
 		case k.NotBefore > 0 && t.phase == waiting:
-			t.notBefore, t.awaitsAnswers = time.UnixMilli(int64(k.NotBefore)), k.AwaitsAnswers
+			t.notBefore, t.pauses, t.awaitsAnswers = time.UnixMilli(int64(k.NotBefore)), true, k.AwaitsAnswers
 		}
 	}
 	for _, d := range p.Done {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -13,8 +13,8 @@
 		return
 	}
 	w := t.worker
-	if res != NotSent && t.crashes == 0 { // a task that crashes its workers is not answered for this reason
-		sched.startOutcomes.of(w.info.Service).observe(res != StartUnknown, now)
+	if res != NotSent && res != StartUnknown {
+		sched.startOutcomes.of(w.info.Service).observe(true, now)
 	}
 	switch res {
 	case Started:
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -154,6 +154,7 @@
 			continue
 		}
 		if t.phase == starting && (t.startUnknown && o.Token > t.token) {
+			sched.startUnanswered(t, now)
 			sched.cfg.Log.Info("unanswered start did not take effect", "Task", key.String(), "Run", t.run, "Worker", w.info.ID)
 			sched.requeue(t, now, 0)
 			sched.breakGang(t, "member not started")
@@ -206,6 +207,7 @@
 // measure applies the progress and usage of a run.
 func (sched *Scheduler) measure(t *task, r RunningTask, now time.Time) {
 	if t.phase == starting {
+		sched.startUnanswered(t, now)
 		sched.runStarted(t, now)
 	}
 	if t.startedAt.IsZero() {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -50,6 +50,7 @@
 	causeless      []causelessCrash
 	crashRates     map[workload.QueueID]*crashRate
 	startOutcomes  outcomesByService
+	crashedAt      map[table.ServiceID]time.Time  // newest crash of a worker, or when this leader began to look
 	isolations     map[table.ServiceID]*isolation // updated by Decide
 	turn           *task                          // see takeTurn
 	decidedAt      time.Time
@@ -88,7 +89,7 @@
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{}, acks: map[*worker]ResultNumber{},
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
-		startOutcomes: outcomesByService{},
+		startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
 	}
 }
 
@@ -148,9 +149,8 @@
 		j.each(func(t *task) {
 			if t.crashes > 0 {
 				sched.suspects[t] = true
-				// The clock of the earlier leader may be ahead.
-				if latest := now.Add(sched.unknownPause(t)); t.notBefore.After(latest) {
-					t.notBefore = latest
+				if t.pauses { // the clock of the earlier leader may be ahead, and this one may be set
+					t.notBefore = now.Add(min(t.notBefore.Sub(now), unknownPause(t.crashes)))
 				}
 			}
 			if t.phase.held() {
--- a/dispatch/suspectcounts_test.go
+++ b/dispatch/suspectcounts_test.go
@@ -136,6 +136,7 @@
 			s.checkCounters()
 		}
 		s.passUntilFinal(longestUnknownPause + time.Minute)
+		s.pass(2 * causelessWindow)
 	}
 	for id := range s.entries {
 		state := s.loggedState(id)
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -258,10 +258,11 @@
 	_       struct{} `cbor:",toarray"`
 	Crashes int
 	Started bool // whether its present run is known to have taken effect
-	// NotBefore is when the task may start again, by the clock of the leader, or earlier if AwaitsAnswers is set and
-	// other starts are answered; 0 while it is assigned.
+	Counted bool // whether a crash of its present run is counted
+	// NotBefore is when a task that pauses may start again, by the clock of the leader; 0 unless it pauses.
 	NotBefore     table.UnixMillis
-	AwaitsAnswers bool
+	AwaitsAnswers bool // whether the pause may end early
+	EndedEarly    bool // whether the last pause did
 }
 
 // Submission is the log record of an accepted job.
