Reproduce suspects that wait without bound

Cause: while a tenth of the workers of a service is away, suspects that are to be isolated start only on workers with two short runs at most (spares), but for turns. A turn comes each 4 s / (W/8) whatever became of the last one, goes only to starved tasks (one of a step of a job of which nothing runs, so none of a job with a task at work), and stays with a task for which no worker has room. Change: three tests on a site of 48 (24) workers, a quarter of them gone, the others with three runs each.

--- a/dispatch/suspectwaits_test.go
+++ b/dispatch/suspectwaits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -293,3 +294,111 @@
 		})
 	}
 }
+
+// turnRound is how long a turn of a sound suspect takes: its worker is polled once the run is settled, then decides.
+const turnRound = 500 * time.Millisecond
+
+// newBusySite returns a site of which a quarter of the workers is gone; the others run three tasks each that last.
+func newBusySite(t *testing.T, workers int) *crashSite {
+	s := newCrashSite(t, backReplaced, workers)
+	s.answered, s.takes = true, 100*time.Second
+	s.pass(time.Second)
+	busy := step(3 * workers)
+	busy.Need.CPU, busy.MaxPerWorker = 1000, 3
+	s.submitJob("busy", busy)
+	s.pass(3 * time.Second)
+	for _, w := range s.workers[:workers/4] {
+		s.takeDown(w, backReplaced)
+		w.downTo = s.now.Add(time.Hour)
+	}
+	s.pass(12 * time.Second)
+	return s
+}
+
+// submitSuspects submits jobs with a task that is at work and one that is suspected.
+func (s *crashSite) submitSuspects(name string, n int, need table.Millicores) []workload.TaskKey {
+	var keys []workload.TaskKey
+	for i := range n {
+		id := fmt.Sprintf("%s%03d", name, i)
+		atWork := workload.Step{Count: 1, Need: table.Resources{CPU: 10}, Estimate: 1000}
+		suspected := atWork
+		suspected.Need.CPU = need
+		s.submitJob(id, atWork, suspected)
+		keys = append(keys, key(id, 1, 0))
+		s.setCrashes(key(id, 1, 0), suspectCrashes, 9)
+	}
+	return keys
+}
+
+// waitUntilSettled lets time pass until a run of each of the keys has settled or its job is final, for at most d.
+func (s *crashSite) waitUntilSettled(keys []workload.TaskKey, d time.Duration) time.Duration {
+	began := s.now
+	told := map[workload.TaskKey]bool{}
+	for len(told) < len(keys) && s.now.Sub(began) < d {
+		s.pass(20 * time.Millisecond)
+		for _, k := range keys {
+			if t := s.task(k); t == nil || t.group.job.state.Final() || t.phase == running && t.worker.settled(t) {
+				told[k] = true
+			}
+		}
+	}
+	return s.now.Sub(began)
+}
+
+// Guards against suspects whose wait grows by the time of a crash for each sound suspect before them.
+func TestSuspectsOfJobsAtWorkStartInTimeThoughWorkersAreAway(t *testing.T) {
+	const workers = 48
+	for _, suspects := range []int{1, 60, 240} {
+		t.Run(fmt.Sprint(suspects), func(t *testing.T) {
+			s := newBusySite(t, workers)
+			keys := s.submitSuspects("sound", suspects, 10)
+			bound := separation + idleCheckInterval + time.Duration((suspects+workers/8-1)/(workers/8))*turnRound
+			took := s.waitUntilSettled(keys, 2*bound)
+			t.Logf("%v, bound %v", took, bound)
+			if took > bound {
+				t.Errorf("%d sound suspects wait for %v, more than %v", suspects, took, bound)
+			}
+		})
+	}
+}
+
+// Guards against a turn that is kept by a suspect for which no worker has room.
+func TestSuspectStartsThoughOneThatWaitsLongerHasNoRoom(t *testing.T) {
+	s := newBusySite(t, 24)
+	s.submitSuspects("large", 3, 15500)
+	s.pass(4 * time.Second)
+	keys := s.submitSuspects("sound", 1, 10)
+	if took := s.waitUntilSettled(keys, 20*time.Second); took > separation+idleCheckInterval+turnRound {
+		t.Errorf("it waits for %v", took)
+	}
+}
+
+// Guards against deadly tasks that have their turns at once and end the runs of many workers. Others of them start on
+// the workers that come back without runs.
+func TestTurnsOfDeadlyTasksEndTheRunsOfFewWorkers(t *testing.T) {
+	const workers = 48
+	s := newBusySite(t, workers)
+	s.deadly = func(k workload.TaskKey) bool { return k.Step == 1 }
+	keys := s.submitSuspects("deadly", 60, 10)
+	var ended []time.Time // runs of a worker
+	began, least := s.now, s.countUp()
+	for s.now.Sub(began) < 20*time.Second {
+		s.pass(20 * time.Millisecond)
+		least = min(least, s.countUp())
+		for _, w := range s.workers {
+			if !w.crashAt.IsZero() && len(w.running) > spareRuns+1 {
+				ended = append(ended, s.now)
+			}
+		}
+		ended = slices.DeleteFunc(ended, func(at time.Time) bool { return s.now.Sub(at) >= crashTime })
+		if n := len(ended); n > workers/8 {
+			t.Fatalf("the runs of %d workers are ended within %v", n, crashTime)
+		}
+	}
+	t.Logf("%d crashes, %d of %d workers are up at least", s.crashes, least, workers)
+	for _, k := range keys {
+		if n := len(s.starts[k]); n > maxDeadlyStarts {
+			t.Errorf("%s was started %d times", k, n)
+		}
+	}
+}
