Give suspects turns by their own wait, several at a time

Change: a turn needs no starved task but one that has waited for 2 s itself and for which a worker has room; W/8 turns are taken at a time, and a turn ends when its run is settled or not there, after 4 s, or after 1 s without a start. Those whose turn it is go before all others and no longer hold back the other suspects.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -63,6 +63,8 @@
 	throttled       bool      // the run was throttled at some time
 	idleSince       time.Time // since when it has not run though its turn has come; zero if it runs or must wait
 	triedAt         time.Time // when placeLongestWaiting last found no place for it
+	turn            bool      // it may be isolated on any worker, see takeTurns
+	turnAt          time.Time // when it last got its turn
 	starved         bool      // may go to a worker in quarantine or beside any neighbor, see markStarved
 
 	crashes      int     // worker crashes in a row that it may have caused
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -50,7 +50,6 @@
 	causeless      []causelessCrash
 	crashRates     map[workload.QueueID]*crashRate
 	isolations     map[table.ServiceID]*isolation // updated by Decide
-	turn           *task                          // see takeTurn
 	decidedAt      time.Time
 
 	changedWorkers []*worker        // whose handover record must be written
--- a/dispatch/starved.go
+++ b/dispatch/starved.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		sched.keepWorkerFor(t.task, now)
-		held[service] = held[service] || t.rank == 0 && t.starvedFor(separation, now) && sched.heldBySuspects(t.task, now)
+		held[service] = held[service] || !sched.isolates(t.task) && t.starvedFor(separation, now) && sched.heldBySuspects(t.task, now)
 	}
 	return placed
 }
@@ -153,13 +153,13 @@
 			}
 		}
 	}
-	sched.takeTurn(tasks, now)
+	sched.takeTurns(tasks, now)
 	sorted := make([]waitingTask, len(tasks))
 	for i, t := range tasks {
 		sorted[i] = waitingTask{t, sched.isolationRank(t)}
 	}
 	slices.SortFunc(sorted, func(a, b waitingTask) int {
-		return cmp.Or(cmp.Compare(a.group.job.queue.Priority, b.group.job.queue.Priority), cmp.Compare(a.rank, b.rank),
+		return cmp.Or(cmp.Compare(min(a.rank, 0), min(b.rank, 0)), cmp.Compare(a.group.job.queue.Priority, b.group.job.queue.Priority), cmp.Compare(a.rank, b.rank),
 			a.idleSince.Compare(b.idleSince), cmp.Compare(a.key.String(), b.key.String()))
 	})
 	return sorted
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -42,26 +43,26 @@
 
 // prepareWatch notes how likely t crashes w, on which it is to start.
 func (sched *Scheduler) prepareWatch(t *task, w *worker) {
+	sched.startTurn(t, w)
 	if t.crashes == 0 {
 		return
 	}
 	t.risk, t.isolated = sched.likelihood(t), sched.isolates(t)
-	if i := sched.isolations[w.info.Service]; t.isolated && i != nil {
-		if w.keptFor != t {
-			i.isolating++
-		}
-		if t == sched.turn {
-			i.turnAt = sched.decidedAt
-		}
+	if i := sched.isolations[w.info.Service]; t.isolated && i != nil && w.keptFor != t {
+		i.isolating++
 	}
 	if w.keptFor == t {
 		w.keptFor = nil
 	}
 }
 
-// isolationRank ranks tasks that are to be isolated by likelihood, in steps of its odds; it is 0 for others.
+// isolationRank ranks tasks that are to be isolated by likelihood, in steps of its odds; it is 0 for others,
+// and less for those whose turn it is.
 func (sched *Scheduler) isolationRank(t *task) int {
-	if !sched.isolates(t) || t == sched.turn {
+	switch {
+	case t.turn:
+		return -1
+	case !sched.isolates(t):
 		return 0
 	}
 	l := sched.likelihood(t)
@@ -138,9 +139,9 @@
 	return w.keptFor != nil && w.keptFor != t && now.Before(w.keptUntil)
 }
 
-// mayIsolateOn reports whether t may be isolated on w. The task whose turn it is may be on any worker.
+// mayIsolateOn reports whether t may be isolated on w. A task whose turn it is may be on any worker.
 func (sched *Scheduler) mayIsolateOn(w *worker, t *task, now time.Time) bool {
-	return t == sched.turn || sched.spares(w, t, now) && (w.isKeptFor(t, now) || sched.mayIsolate(w.info.Service))
+	return t.turn || sched.spares(w, t, now) && (w.isKeptFor(t, now) || sched.mayIsolate(w.info.Service))
 }
 
 // hasUnsettled reports whether a run on w, other than that of t, is likely to crash it if it does at all.
@@ -169,7 +170,8 @@
 	usable, isolating int
 	size              float64          // usual number of workers
 	used, capacity    table.Millicores // of the usable ones
-	turnAt            time.Time        // when a suspect last had its turn, see takeTurn
+	turns             []turn           // that are not over, see takeTurns
+	usableSince       time.Time        // when a worker was usable for the first time after none was
 }
 
 // mayIsolate reports whether one more worker of the service may be used to isolate a suspect.
@@ -192,7 +194,17 @@
 		w.longRunning == 0 && len(w.tasks) <= spareRuns && now.Sub(t.notBefore) >= separation
 }
 
-// heldBySuspects reports whether a worker could take t but for the suspects there.
+// hasPlace reports whether a worker could take t but for what it believes of suspects, and heldBySuspects whether only
+// that keeps t from one.
+func (sched *Scheduler) hasPlace(t *task, now time.Time) bool {
+	for _, w := range sched.workers {
+		if w.offered(t, now) && sched.obstacleBesideSuspects(t, w, now) == noObstacle {
+			return true
+		}
+	}
+	return false
+}
+
 func (sched *Scheduler) heldBySuspects(t *task, now time.Time) bool {
 	for _, w := range sched.workers {
 		if w.offered(t, now) && sched.obstacle(t, w, now) == obstacleSuspect {
@@ -202,28 +214,87 @@
 	return false
 }
 
-// takeTurn gives the starved suspect that has waited longest for isolation its turn, which bounds its wait whatever
-// others come. Turns come so often that by the crashes that they may cause few workers are away at a time.
-func (sched *Scheduler) takeTurn(waiting []*task, now time.Time) {
-	sched.turn = nil
+// turn lets a suspect start on any worker.
+type turn struct {
+	task   *task
+	worker *worker // nil until it is placed
+	at     time.Time
+}
+
+// turnOver reports whether n takes no worker away any more: its run is settled or did not take effect, or a crash has
+// been over for long. A turn for which no worker is found or kept ends too.
+func (sched *Scheduler) turnOver(n turn, now time.Time) bool {
+	t, w := n.task, n.worker
+	if w == nil {
+		return t.phase != waiting || t.group.job.state.Final() || !sched.isolates(t) || now.Sub(n.at) >= isolationTime || !sched.hasPlace(t, now)
+	}
+	return now.Sub(n.at) >= crashTime || w.reachable(now) && (t.worker != w || w.settled(t))
+}
+
+// takeTurns gives the suspects that have waited longest for isolation, or since their last turn, and for which a worker
+// has room, their turns, which bounds their wait whatever others come. There are so few turns at a time that by the
+// crashes that they may cause few workers are away. A wait without any worker does not count.
+func (sched *Scheduler) takeTurns(waiting []*task, now time.Time) {
+	free := 0
+	for _, i := range sched.isolations {
+		i.turns = slices.DeleteFunc(i.turns, func(n turn) bool {
+			over := sched.turnOver(n, now)
+			n.task.turn = n.task.turn && !(over && n.worker == nil)
+			return over
+		})
+		free += max(0, i.maxTurns()-len(i.turns))
+	}
+	if free == 0 {
+		return
+	}
+	var longest []*task
 	for _, t := range waiting {
-		if !t.starvedFor(separation, now) || !sched.isolates(t) || sched.turn != nil && !t.idleSince.Before(sched.turn.idleSince) {
-			continue
+		if !t.turn && !t.idleSince.IsZero() && now.Sub(t.idleSince) >= separation && now.Sub(t.notBefore) >= separation && sched.isolates(t) {
+			longest = append(longest, t)
 		}
-		if i := sched.isolations[t.group.job.queue.Service]; i != nil && now.Sub(i.turnAt) >= i.turnInterval() {
-			sched.turn = t
+	}
+	slices.SortFunc(longest, func(a, b *task) int {
+		return cmp.Or(a.turnDue().Compare(b.turnDue()), cmp.Compare(sched.isolationRank(a), sched.isolationRank(b)), cmp.Compare(a.key.String(), b.key.String()))
+	})
+	for _, t := range longest {
+		i := sched.isolations[t.group.job.queue.Service]
+		if i == nil || now.Sub(i.usableSince) < separation || len(i.turns) >= i.maxTurns() || !sched.hasPlace(t, now) {
+			continue
 		}
+		t.turn, t.turnAt = true, now
+		i.turns = append(i.turns, turn{task: t, at: now})
+	}
+}
+
+// turnDue orders the tasks that wait for a turn.
+func (t *task) turnDue() time.Time {
+	if t.turnAt.After(t.idleSince) {
+		return t.turnAt
 	}
+	return t.idleSince
 }
 
-func (i *isolation) turnInterval() time.Duration {
-	return time.Duration(float64(crashTime) / max(1, leastIsolating*i.size))
+// startTurn notes that the turn of t, if it has one, begins on w.
+func (sched *Scheduler) startTurn(t *task, w *worker) {
+	if !t.turn {
+		return
+	}
+	t.turn = false
+	i := sched.isolations[t.group.job.queue.Service]
+	for n := range i.turns {
+		if i.turns[n].task == t && i.turns[n].worker == nil {
+			i.turns[n].worker, i.turns[n].at = w, sched.decidedAt
+		}
+	}
 }
 
+// maxTurns returns how many turns there are at a time.
+func (i *isolation) maxTurns() int { return max(1, int(leastIsolating*i.size)) }
+
 // countIsolations counts the workers on which suspects are isolated.
 func (sched *Scheduler) countIsolations(now time.Time) {
 	for _, i := range sched.isolations {
-		*i = isolation{size: i.size, turnAt: i.turnAt}
+		*i = isolation{size: i.size, turns: i.turns, usableSince: i.usableSince}
 	}
 	for _, w := range sched.workers {
 		if !w.reachable(now) {
@@ -231,7 +302,7 @@
 		}
 		i := sched.isolations[w.info.Service]
 		if i == nil {
-			i = &isolation{}
+			i = &isolation{usableSince: now}
 			sched.isolations[w.info.Service] = i
 		}
 		i.usable++
@@ -246,13 +317,16 @@
 	}
 	for _, i := range sched.isolations {
 		i.size = max(i.size, float64(i.usable))
+		if i.usable == 0 {
+			i.usableSince = now
+		}
 	}
 }
 
 // keepWorkerFor keeps new tasks off a worker until its runs are settled and t, a suspect to be isolated that found no
 // place, can start there.
 func (sched *Scheduler) keepWorkerFor(t *task, now time.Time) {
-	if !sched.isolates(t) || t != sched.turn && !sched.mayIsolate(t.group.job.queue.Service) {
+	if !sched.isolates(t) || !t.turn && !sched.mayIsolate(t.group.job.queue.Service) {
 		return
 	}
 	var best *worker
@@ -261,7 +335,7 @@
 		if w.isKeptFor(t, now) {
 			return
 		}
-		if !w.offered(t, now) || w.isolated > 0 || w.isKeptFromOthers(t, now) || t != sched.turn && !sched.spares(w, t, now) || sched.obstacleBesideSuspects(t, w, now) != noObstacle {
+		if !w.offered(t, now) || w.isolated > 0 || w.isKeptFromOthers(t, now) || !t.turn && !sched.spares(w, t, now) || sched.obstacleBesideSuspects(t, w, now) != noObstacle {
 			continue
 		}
 		n := w.unsettled()
--- a/dispatch/suspectwaits_test.go
+++ b/dispatch/suspectwaits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -402,3 +403,23 @@
 		}
 	}
 }
+
+// Guards against sound suspects that wait until all deadly ones are given up, or for ever.
+func TestSoundSuspectsStartBesideDeadlyOnesThoughWorkersAreAway(t *testing.T) {
+	const workers, each = 48, 30
+	s := newBusySite(t, workers)
+	s.deadly = func(k workload.TaskKey) bool { return k.Step == 1 && strings.HasPrefix(string(k.Job), "deadly") }
+	deadly := s.submitSuspects("deadly", each, 10)
+	sound := s.submitSuspects("sound", each, 10)
+	took := s.waitUntilSettled(sound, 2*time.Minute)
+	starts := 0
+	for _, k := range deadly {
+		starts += len(s.starts[k])
+	}
+	turns := time.Duration(workers/8 - 1) // the usual number of workers decays
+	bound := separation + idleCheckInterval + (time.Duration(each)*turnRound+time.Duration(starts)*crashTime)/turns
+	t.Logf("%v, bound %v with %d starts of deadly tasks", took, bound, starts)
+	if took > bound {
+		t.Errorf("%d sound suspects wait for %v, more than %v", each, took, bound)
+	}
+}
