--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -52,7 +52,6 @@
 	startOutcomes  outcomesByService
 	crashedAt      map[table.ServiceID]time.Time  // newest crash of a worker, or when this leader began to look
 	isolations     map[table.ServiceID]*isolation // updated by Decide
-	turn           *task                          // see takeTurn
 	decidedAt      time.Time
 
 	changedWorkers []*worker        // whose handover record must be written
