Crash workers in series and start deadly tasks in the soak

The first task of one job in forty crashes each worker that starts it. Workers renew their entries by heartbeats, as on the platform.

The checker counts the crashes under each task as the workers report them. A job shown as failed is FalseState unless two workers crashed under one of its tasks (any failed job was before, but none could be deadly); then it counts as ended. A final state that changes to another one is FalseState at once. A third further start of a deadly task after three crashes is OverStarted. Jobs without a deadly task that fail after such crashes are counted and printed.

--- a/standins/soak/callers.go
+++ b/standins/soak/callers.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"persimmonpick/platform/emulator"
@@ -19,6 +20,13 @@
 	retryDelay  = time.Second
 )
 
+// deadlyPrefix begins the IDs of jobs whose first task crashes each worker that starts it.
+const deadlyPrefix = "dead"
+
+func isDeadly(task string) bool {
+	return strings.HasPrefix(task, deadlyPrefix) && strings.HasSuffix(task, ".0.0.0")
+}
+
 // caller submits jobs, polls their states and cancels some of them.
 type caller struct {
 	hosts   []*host
@@ -61,6 +69,9 @@
 	var accepted []string
 	for ctx.Err() == nil {
 		id := fmt.Sprintf("%016x", c.rnd.Uint64())
+		if c.rnd.IntN(40) == 0 {
+			id = deadlyPrefix + id[len(deadlyPrefix):]
+		}
 		width := 1 + c.rnd.IntN(6)
 		for range maxAttempts {
 			status, _ := c.call(http.MethodPost, id, emulator.Job(width))
--- a/standins/soak/checker_test.go
+++ b/standins/soak/checker_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"persimmonpick/platform/emulator"
 )
 
 // Guards against taking a job for lost whose cancellation took effect without a response.
@@ -22,3 +25,66 @@
 	c.finish()
 	is.Equal(len(c.violations), 2) // nobody asked to cancel one, and the other did not end
 }
+
+// newCrashedJob returns a checker that knows of an accepted job whose first task ended with so many workers.
+func newCrashedJob(id string, crashes int) *checker {
+	c := newChecker()
+	c.submitted(id, 2, http.StatusOK)
+	for run := range crashes {
+		c.runStarted("w0", id+".0.0.0", run+1)
+		c.runEnded("w0", id+".0.0.0", run+1, emulator.Crashed)
+	}
+	return c
+}
+
+// Guards against failing a job for crashes that did not happen under one of its tasks, or taking it for lost else.
+func TestJobMayFailOnlyAfterTwoWorkersCrashedUnderOneOfItsTasks(t *testing.T) {
+	for crashes, violations := range []int{1, 1, 0, 0} {
+		is := is.New(t)
+		c := newCrashedJob("a", crashes)
+		c.runStarted("w1", "a.0.1.0", 1)
+		c.runEnded("w1", "a.0.1.0", 1, emulator.Crashed) // of another task
+		c.runStarted("w1", "a.0.1.0", 2)
+		c.runEnded("w1", "a.0.1.0", 2, "lapsed")
+		c.observed("a", http.StatusOK, "failed")
+		c.observed("a", http.StatusOK, "failed")
+		c.finish()
+		is.Equal(len(c.violations), violations)
+		is.Equal(c.givenUp(), 1)
+	}
+}
+
+// Guards against taking back that a job has failed.
+func TestFailedJobIsNotCompletedLater(t *testing.T) {
+	is := is.New(t)
+	c := newCrashedJob("a", 2)
+	c.runStarted("w0", "a.0.0.0", 3)
+	c.runEnded("w0", "a.0.0.0", 3, "done")
+	c.runStarted("w0", "a.0.1.0", 1)
+	c.runEnded("w0", "a.0.1.0", 1, "done")
+	c.observed("a", http.StatusOK, "failed")
+	is.Equal(len(c.violations), 0)
+	c.observed("a", http.StatusOK, "running") // of a host with an outdated view
+	is.Equal(len(c.violations), 0)
+	c.observed("a", http.StatusOK, "completed")
+	is.Equal(len(c.violations), 1)
+}
+
+// Guards against starting a deadly task on and on.
+func TestDeadlyTaskIsStartedAtMostTwiceAfterThreeCrashes(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(newCrashedJob("deadly", 5).violations), 0)
+	c := newCrashedJob("deadly", 6)
+	is.Equal(len(c.violations), 1)
+	is.True(strings.HasPrefix(c.violations[0], string(overStarted)))
+	is.Equal(len(newCrashedJob("sound", 6).violations), 0)
+}
+
+// Guards against a deadly job that is never given up.
+func TestDeadlyJobMustEnd(t *testing.T) {
+	is := is.New(t)
+	c := newCrashedJob("deadly", 3)
+	c.observed("deadly", http.StatusOK, "running")
+	c.finish()
+	is.Equal(len(c.violations), 1)
+}
--- a/standins/soak/run.go
+++ b/standins/soak/run.go
@@ -12,7 +12,11 @@
 	"persimmonpick/standins/faultproxy"
 )
 
-const service = "trim"
+const (
+	service   = "trim"
+	downTime  = 800 * time.Millisecond // of a worker that has crashed
+	heartbeat = time.Second            // interval at which workers renew their entries
+)
 
 // runConfig configures a run.
 type runConfig struct {
@@ -29,6 +33,7 @@
 // result is the result of a run.
 type result struct {
 	Jobs, Starts int
+	GivenUp      int // jobs without a deadly task that were shown as failed
 	Violations   []string
 }
 
@@ -38,7 +43,7 @@
 	var proxies []*faultproxy.Proxy
 	var proxyErr error
 	site := emulator.NewSite(emulator.SiteConfig{
-		Workers: cfg.Workers,
+		Workers: cfg.Workers, Heartbeat: heartbeat,
 		Worker: func(i int) emulator.WorkerConfig {
 			id := fmt.Sprintf("w%d", i)
 			return emulator.WorkerConfig{
@@ -46,6 +51,9 @@
 				Duration: taskDuration,
 				Started:  func(task string, run int) { c.runStarted(id, task, run) },
 				Ended:    func(task string, run int, how string) { c.runEnded(id, task, run, how) },
+				Crashes: emulator.CrashConfig{
+					Deadly: isDeadly, Down: downTime, NextID: func(life int) string { return fmt.Sprintf("%s-%d", id, life) },
+				},
 			}
 		},
 		ListedAddress: func(_ int, address string) string {
@@ -79,7 +87,7 @@
 		hosts: hosts, site: site, workers: proxies, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), began: time.Now(), version: 1, logf: cfg.Logf,
 	})
 	c.finish()
-	return result{len(c.jobs), c.starts, c.violations}, nil
+	return result{len(c.jobs), c.starts, c.givenUp(), c.violations}, nil
 }
 
 // runWorkload runs the callers while faults are injected. Then it waits until all accepted jobs have ended, but at most
