--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -374,8 +374,8 @@
 // starts is known to have taken effect.
 const maxUndecidedStarts = 8
 
-// checkUndecided checks that no job has failed of which no start is known to have taken effect, that deadly tasks start
-// ever more rarely, and that they are given up once their starts are answered beside those of other jobs.
+// checkUndecided checks that no job has failed of which no start is known to have taken effect, that deadly tasks
+// start ever more rarely, and that they are given up once their starts are answered beside those of other jobs.
 func (s *crashSite) checkUndecided() {
 	s.t.Helper()
 	for id := range s.entries {
@@ -402,15 +402,7 @@
 		s.pass(time.Second)
 	}
 	s.passUntilFinal(time.Minute)
-	for id := range s.entries {
-		want := workload.Completed
-		if strings.HasPrefix(string(id), "deadly") {
-			want = workload.Failed
-		}
-		if got := s.loggedState(id); got != want {
-			s.t.Errorf("job %s is %s once starts are answered, want %s", id, got, want)
-		}
-	}
+	s.checkStates()
 	for k, at := range s.starts {
 		if s.deadly(k) && len(at) > before[k]+leastCrashes {
 			s.t.Errorf("%s was started %d times after %d that were not answered", k, len(at)-before[k], before[k])
@@ -468,8 +460,8 @@
 	s.checkUndecided()
 }
 
-// checkDeadly checks that all deadly jobs have failed within the budget, and that all others were completed.
-func (s *crashSite) checkDeadly() {
+// checkStates checks that the deadly jobs have failed and all others were completed.
+func (s *crashSite) checkStates() {
 	s.t.Helper()
 	for id := range s.entries {
 		want := workload.Completed
@@ -480,6 +472,12 @@
 			s.t.Errorf("job %s is %s, want %s", id, got, want)
 		}
 	}
+}
+
+// checkDeadly checks that all deadly jobs have failed within the budget, and that all others were completed.
+func (s *crashSite) checkDeadly() {
+	s.t.Helper()
+	s.checkStates()
 	for k, at := range s.starts {
 		if s.deadly(k) {
 			if len(at) > s.maxStarts() {
--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// Guards against ends that are skipped or counted twice after a worker was born again under its id, so that the numbers
-// of its ends begin anew below those of before.
+// Guards against ends that are skipped or counted twice after a worker was born again under its id, so that the
+// numbers of its ends begin anew below those of before.
 func TestEndCountsOnceAfterTheNumbersOfAWorkerBeganAnew(t *testing.T) {
 	for _, change := range leaderChanges {
 		for _, way := range []string{backRestarted, backLate} {
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -16,13 +16,18 @@
 	}
 }
 
-// Guards against a job that is failed after one run whose crash each new leader counts again.
-func TestCrashOfOneRunCountsOnceThroughChangesOfLeader(t *testing.T) {
-	s := newCrashSite(t, backRestarted, 1)
+// startSound starts a sound job of one task on a site whose workers crash in the given way.
+func startSound(t *testing.T, way string, workers int) (*crashSite, workload.TaskKey) {
+	s := newCrashSite(t, way, workers)
 	s.answered = true
 	s.pass(time.Second)
 	s.submitJob("sound", step(1))
-	k := key("sound", 0, 0)
+	return s, key("sound", 0, 0)
+}
+
+// Guards against a job that is failed after one run whose crash each new leader counts again.
+func TestCrashOfOneRunCountsOnceThroughChangesOfLeader(t *testing.T) {
+	s, k := startSound(t, backRestarted, 1)
 	s.passUntilStarted(k, 1)
 	w := s.workers[0]
 	clear(w.running)
@@ -45,11 +50,7 @@
 
 // Guards against a leave by plan that is taken for a known crash.
 func TestPlannedLeaveIsNoKnownCrash(t *testing.T) {
-	s := newCrashSite(t, leftByPlan, 6)
-	s.answered = true
-	s.pass(time.Second)
-	s.submitJob("sound", step(1))
-	k := key("sound", 0, 0)
+	s, k := startSound(t, leftByPlan, 6)
 	x := s.task(k)
 	x.crashes, x.knownCrashes, x.evidence = 2, 1, 9.2
 	s.suspects[x] = true
@@ -64,12 +65,8 @@
 
 // Guards against a run at work that counts as crashed with the life before, since its answer came first.
 func TestStartAnsweredByANewLifeIsNoKnownCrash(t *testing.T) {
-	s := newCrashSite(t, backRestarted, 1)
-	s.answered = true
-	s.pass(time.Second)
+	s, k := startSound(t, backRestarted, 1)
 	w := s.workers[0]
-	k := key("sound", 0, 0)
-	s.submitJob("sound", step(1))
 	s.losesPoll = func(PollOrder) bool { return true }
 	w.info.Incarnation = table.UnixMillis(s.now.UnixMilli())
 	s.passUntilStarted(k, 1)
@@ -104,11 +101,7 @@
 
 // Guards against a job that is failed since its workers were cut off and left the list. Red, see KNOWN-RED.txt.
 func TestWorkersCutOffAreNoKnownCrashes(t *testing.T) {
-	s := newCrashSite(t, onlySilent, 8)
-	s.answered = true
-	s.pass(time.Second)
-	s.submitJob("sound", step(1))
-	k := key("sound", 0, 0)
+	s, k := startSound(t, onlySilent, 8)
 	for n := 1; n <= 5; n++ {
 		s.passUntilStarted(k, n)
 		for _, w := range s.workers {
@@ -130,10 +123,7 @@
 func TestSoundTaskStartsSoonAfterAllIsCalm(t *testing.T) {
 	for _, crashes := range []int{3, 4, 5, 6, 7} {
 		t.Run(fmt.Sprint(crashes), func(t *testing.T) {
-			s := newCrashSite(t, backReplaced, 8)
-			s.answered = true
-			s.pass(time.Second)
-			s.submitJob("sound", step(1))
+			s, k := startSound(t, backReplaced, 8)
 			seen := 0
 			s.losesStart = func(o StartOrder) bool {
 				if seen == crashes {
@@ -148,7 +138,7 @@
 			}
 			s.pass(4 * time.Second) // the worker is back
 			calm := s.now
-			for end := s.now.Add(10 * time.Minute); len(s.starts[key("sound", 0, 0)]) == 0 && s.now.Before(end); {
+			for end := s.now.Add(10 * time.Minute); len(s.starts[k]) == 0 && s.now.Before(end); {
 				s.pass(20 * time.Millisecond)
 			}
 			if idle := s.now.Sub(calm); idle > 3*time.Second {
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -234,9 +234,9 @@
 	return now.Sub(n.at) >= crashTime || w.reachable(now) && (t.worker != w || w.settled(t))
 }
 
-// takeTurns gives the suspects that have waited longest for isolation, or since their last turn, and for which a worker
-// has room, their turns, which bounds their wait whatever others come. There are so few turns at a time that by the
-// crashes that they may cause few workers are away. A wait without any worker does not count.
+// takeTurns gives the suspects that have waited longest for isolation, or since their last turn, and for which a
+// worker has room, their turns, which bounds their wait whatever others come. There are so few turns at a time
+// that by the crashes that they may cause few workers are away. A wait without any worker does not count.
 func (sched *Scheduler) takeTurns(waiting []*task, now time.Time) {
 	free := 0
 	for _, i := range sched.isolations {
--- a/intake/jobs_test.go
+++ b/intake/jobs_test.go
@@ -116,8 +116,8 @@
 	is.Equal(len(r.appended), 2)
 }
 
-// Guards against a job that is shown as cancelled and then in the state that the leader wrote before it had read of the
-// cancellation.
+// Guards against a job that is shown as cancelled and then in the state that the leader wrote before it had read
+// of the cancellation.
 func TestJobThatWasShownAsCancelledStaysSo(t *testing.T) {
 	for _, end := range []workload.State{workload.Completed, workload.Failed} {
 		is := is.New(t)
--- a/standins/soak/faults.go
+++ b/standins/soak/faults.go
@@ -122,8 +122,8 @@
 	return time.Duration(1000+t.rnd.IntN(3000)) * time.Millisecond
 }
 
-// crashInSeries crashes many workers again and again, all at once or each at an interval of its own, until ctx is done.
-// Some of them are unreachable for a while before and after each crash.
+// crashInSeries crashes many workers again and again, all at once or each at an interval of its own, until ctx is
+// done. Some of them are unreachable for a while before and after each crash.
 func (t *injector) crashInSeries(ctx context.Context, times int) string {
 	drawn := t.rnd.Perm(len(t.workers))[:int(math.Ceil(t.largeShare()*float64(len(t.workers))))]
 	interval, together := t.crashInterval(), t.rnd.IntN(2) == 0
