--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -26,6 +26,8 @@
 	coincidence = 500 * time.Millisecond
 	// Time over which the rate of such crashes is taken.
 	causelessWindow = 10 * time.Second
+	// Of one worker, in a second; fewer say nothing of other crashes.
+	leastSeries = 0.1
 	// Without a crash for so long the workers of a service are calm.
 	calmTime = 2500 * time.Millisecond
 	// A task is given up only after this time, in which more crashes of the same moment show.
@@ -45,6 +47,7 @@
 	seenAt   time.Time
 	unsure   bool
 	external float64 // likelihood that it had another cause
+	series   float64 // the same by the rate of crashes without a likely cause; 0 while these are rare
 	causes   []crashCause
 }
 
@@ -176,7 +179,7 @@
 			}
 		}
 		k.weight = math.Log(k.effect*outlives(k.age)*(1/(1-spared)+1) + 1 - k.effect)
-		part := likelihoods[i] / (sum + c.external - otherCause)
+		part := (1 - c.external) * likelihoods[i] / (sum + c.series)
 		if k.rate != nil {
 			k.rate.crashed = max(0, k.rate.crashed+part-k.part)
 		}
@@ -225,7 +228,10 @@
 		}
 	}
 	rate := float64(repeated(others)) / (float64(max(1, settled+away)) * causelessWindow.Seconds()) // of a worker, in 1 s
-	external = max(external, min(unsureCause, rate*provenAge.Seconds()))
+	if rate >= leastSeries {
+		c.series = min(unsureCause, rate*provenAge.Seconds())
+		external = max(external, c.series)
+	}
 	if crashed == 0 {
 		return external
 	}
