--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -197,8 +197,7 @@
 		w.longRunning == 0 && len(w.tasks) <= spareRuns && now.Sub(t.notBefore) >= separation
 }
 
-// hasPlace reports whether a worker could take t but for what it believes of suspects, and heldBySuspects whether only
-// that keeps t from one.
+// hasPlace reports whether a worker could take t if suspects are left out of account.
 func (sched *Scheduler) hasPlace(t *task, now time.Time) bool {
 	for _, w := range sched.workers {
 		if w.offered(t, now) && sched.obstacleBesideSuspects(t, w, now) == noObstacle {
@@ -208,6 +207,7 @@
 	return false
 }
 
+// heldBySuspects reports whether a worker could take t but for the suspects there.
 func (sched *Scheduler) heldBySuspects(t *task, now time.Time) bool {
 	for _, w := range sched.workers {
 		if w.offered(t, now) && sched.obstacle(t, w, now) == obstacleSuspect {
