--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -492,12 +492,16 @@
 func eachWay(t *testing.T, check func(t *testing.T, way string, answered bool)) {
 	for _, way := range crashWays {
 		for _, answered := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s, answered %v", way, answered), func(t *testing.T) { check(t, way, answered) })
+			t.Run(fmt.Sprintf("%s, answered %v", way, answered), func(t *testing.T) {
+				t.Parallel()
+				check(t, way, answered)
+			})
 		}
 	}
 }
 
 func TestDeadlyTaskIsGivenUp(t *testing.T) {
+	t.Parallel()
 	eachWay(t, func(t *testing.T, way string, answered bool) {
 		s := newCrashSite(t, way, 4)
 		s.answered = answered
@@ -511,6 +515,7 @@
 
 // Each leader dies right after its orders.
 func TestCrashCountSurvivesChangesOfLeader(t *testing.T) {
+	t.Parallel()
 	eachWay(t, func(t *testing.T, way string, answered bool) {
 		s := newCrashSite(t, way, 6)
 		s.answered = answered
@@ -524,8 +529,10 @@
 
 // Each second leader dies right after its orders, the others live to record that a start was answered.
 func TestCrashCountSurvivesEverySecondChangeOfLeader(t *testing.T) {
+	t.Parallel()
 	for _, way := range []string{backReplaced, backRestarted} {
 		t.Run(way, func(t *testing.T) {
+			t.Parallel()
 			s := newCrashSite(t, way, 6)
 			s.answered = true
 			s.pass(time.Second)
@@ -544,6 +551,7 @@
 
 // The next leader takes over while the worker is still down, and after it is back.
 func TestCrashIsCountedByTheNextLeader(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{100 * time.Millisecond, 3300 * time.Millisecond, 5 * time.Second} {
 		eachWay(t, func(t *testing.T, way string, answered bool) {
 			s := newCrashSite(t, way, 6)
@@ -570,6 +578,7 @@
 }
 
 func TestNeighborsOfDeadlyTasksComplete(t *testing.T) {
+	t.Parallel()
 	eachWay(t, func(t *testing.T, way string, answered bool) {
 		s := newCrashSite(t, way, 6)
 		s.answered = answered
@@ -587,6 +596,7 @@
 }
 
 func TestDeadlyTasksStartedTogetherAreGivenUp(t *testing.T) {
+	t.Parallel()
 	eachWay(t, func(t *testing.T, way string, answered bool) {
 		s := newCrashSite(t, way, 1) // both start on the only worker
 		s.answered = answered
@@ -600,6 +610,7 @@
 }
 
 func TestGangWithADeadlyMemberIsGivenUp(t *testing.T) {
+	t.Parallel()
 	eachWay(t, func(t *testing.T, way string, answered bool) {
 		s := newCrashSite(t, way, 6)
 		s.answered = answered
@@ -615,6 +626,7 @@
 }
 
 func TestDeadlyLongRunningTaskIsGivenUp(t *testing.T) {
+	t.Parallel()
 	eachWay(t, func(t *testing.T, way string, answered bool) {
 		s := newCrashSite(t, way, 4)
 		s.answered = answered
@@ -656,8 +668,10 @@
 
 // A task that was at work on each of the workers that it lost has crashed none of them.
 func TestUnluckyTaskIsNotGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, way := range append(slices.Clone(crashWays), onlySilent, leftByPlan) {
 		t.Run(way, func(t *testing.T) {
+			t.Parallel()
 			s := newCrashSite(t, way, 8)
 			s.takes = 15 * time.Second
 			s.pass(time.Second)
--- a/dispatch/epidemic_test.go
+++ b/dispatch/epidemic_test.go
@@ -21,8 +21,12 @@
 
 // Guards against sound jobs that wait or are given up because deadly tasks have crashed the workers under them.
 func TestSoundJobsNeitherIdleNorFailBesideManyDeadlyTasks(t *testing.T) {
+	t.Parallel()
 	for _, e := range []epidemic{{8, 2, 12 * time.Second, 1}, {48, 9, 26 * time.Second, 1}, {48, 9, 26 * time.Second, 2}} {
-		t.Run(fmt.Sprintf("%d workers, seed %d", e.workers, e.seed), func(t *testing.T) { e.play(t) })
+		t.Run(fmt.Sprintf("%d workers, seed %d", e.workers, e.seed), func(t *testing.T) {
+			t.Parallel()
+			e.play(t)
+		})
 	}
 }
 
@@ -83,6 +87,7 @@
 
 // Guards against suspects that wait for each other for longer than their tests take on the workers that they may use.
 func TestHundredSuspectsAreToldApartInTime(t *testing.T) {
+	t.Parallel()
 	const (
 		workers, suspects = 48, 100
 		round             = 400 * time.Millisecond // of a sound suspect: settled, polled, the next one placed
@@ -92,6 +97,7 @@
 	rounds := time.Duration((suspects + workers*3/4 - 1) / (workers * 3 / 4))
 	for deadly, bound := range map[int]time.Duration{0: rounds * round, suspects / 2: rounds * (crash + evidenceDelay), suspects: rounds * (crash + evidenceDelay)} {
 		t.Run(fmt.Sprintf("%d deadly", deadly), func(t *testing.T) {
+			t.Parallel()
 			s := newCrashSite(t, backReplaced, workers)
 			s.answered = true
 			s.pass(time.Second)
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -67,9 +67,11 @@
 // No task is deadly; all workers crash together, each time soon after the tasks have started again. Red, see
 // KNOWN-RED.txt.
 func TestCrashesOfAllWorkersAtOnceGiveUpNoSoundTask(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{40 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond} {
 		for _, workers := range []int{2, 8, 24} {
 			t.Run(fmt.Sprintf("%d workers, %v after the starts", workers, after), func(t *testing.T) {
+				t.Parallel()
 				s := newCrashSite(t, backReplaced, workers)
 				s.answered = true
 				s.pass(time.Second)
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -82,8 +82,10 @@
 
 // Guards against a deadly task that starts again each time that another start is answered.
 func TestStartsOfAnUnansweredTaskAreBoundedBesideOthers(t *testing.T) {
+	t.Parallel()
 	for _, gap := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
 		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			t.Parallel()
 			s := newCrashSite(t, backReplaced, 12)
 			s.pass(time.Second)
 			s.submitJob("deadly", step(1))
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -144,6 +144,7 @@
 
 // Guards against a record that lacks what the scheduler knows of steps, gangs and occurrences.
 func TestRestoredSchedulerEqualsOneThatLivedOn(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newCrashSite(t, backRestarted, rapid.IntRange(1, 3).Draw(rt, "workers"))
 		s.takes = 700 * time.Millisecond
--- a/dispatch/suspectcounts_test.go
+++ b/dispatch/suspectcounts_test.go
@@ -168,6 +168,7 @@
 }
 
 func TestCountsOfSuspectsAgreeWithTheTasks(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{0, 2, 4, 8, 10, 14} {
 		testRandomCrashes(t, seed, false)
 	}
@@ -175,6 +176,7 @@
 
 // Red, see KNOWN-RED.txt.
 func TestSoundTasksAreNotGivenUpThroughChangesOfLeader(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 7, 19} {
 		testRandomCrashes(t, seed, true)
 	}
@@ -183,6 +185,7 @@
 func testRandomCrashes(t *testing.T, seed uint64, leaders bool) {
 	cuts, mass, answered := seed&2 > 0, seed&4 > 0, seed&8 > 0
 	t.Run(fmt.Sprintf("seed %d, cuts %v, mass %v, answered %v", seed, cuts, mass, answered), func(t *testing.T) {
+		t.Parallel()
 		s := newCrashSite(t, backReplaced, 10)
 		s.answered = answered
 		s.playAtRandom(rand.New(rand.NewPCG(seed, 1)), leaders, cuts, mass, 60*time.Second)
--- a/dispatch/suspectwaits_test.go
+++ b/dispatch/suspectwaits_test.go
@@ -73,6 +73,7 @@
 }
 
 func TestIsolatedTaskStartsBesideManyThatFindNoPlace(t *testing.T) {
+	t.Parallel()
 	s := newCrashSite(t, backRestarted, 8)
 	s.takes = time.Minute
 	s.pass(time.Second)
@@ -348,9 +349,11 @@
 
 // Guards against suspects whose wait grows by the time of a crash for each sound suspect before them.
 func TestSuspectsOfJobsAtWorkStartInTimeThoughWorkersAreAway(t *testing.T) {
+	t.Parallel()
 	const workers = 48
 	for _, suspects := range []int{1, 60, 240} {
 		t.Run(fmt.Sprint(suspects), func(t *testing.T) {
+			t.Parallel()
 			s := newBusySite(t, workers)
 			keys := s.submitSuspects("sound", suspects, 10)
 			bound := separation + idleCheckInterval + time.Duration((suspects+workers/8-1)/(workers/8))*turnRound
@@ -377,6 +380,7 @@
 // Guards against deadly tasks that have their turns at once and end the runs of many workers. Others of them start on
 // the workers that come back without runs.
 func TestTurnsOfDeadlyTasksEndTheRunsOfFewWorkers(t *testing.T) {
+	t.Parallel()
 	const workers = 48
 	s := newBusySite(t, workers)
 	s.deadly = func(k workload.TaskKey) bool { return k.Step == 1 }
@@ -406,6 +410,7 @@
 
 // Guards against sound suspects that wait until all deadly ones are given up, or for ever.
 func TestSoundSuspectsStartBesideDeadlyOnesThoughWorkersAreAway(t *testing.T) {
+	t.Parallel()
 	const workers, each = 48, 30
 	s := newBusySite(t, workers)
 	s.deadly = func(k workload.TaskKey) bool { return k.Step == 1 && strings.HasPrefix(string(k.Job), "deadly") }
--- a/dispatch/unanswered_test.go
+++ b/dispatch/unanswered_test.go
@@ -23,6 +23,7 @@
 
 // Guards against jobs that are failed though no workers, or only one, are known to have crashed under their runs.
 func TestSoundJobsAreNotFailedWhileStartsAreNotAnswered(t *testing.T) {
+	t.Parallel()
 	cases := []unansweredCase{
 		{seed: 1, workers: 12, lost: 0.5, polls: true, crash: 0.6, strict: true},
 		{seed: 2, workers: 12, lost: 0.95, crash: 0.9, strict: true},
@@ -37,7 +38,10 @@
 		cases = append(cases, unansweredCase{seed: seed, workers: 24, lost: 0.8, polls: true, crash: 0.9, deadly: true})
 	}
 	for _, c := range cases {
-		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) { testUnanswered(t, c) })
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			t.Parallel()
+			testUnanswered(t, c)
+		})
 	}
 }
 
