Let the pause of a suspect end early again once a start of it was answered

A task with too few known crashes pauses before its next start, and the pause ends early if starts are answered; each second one doesn't, so that a task whose starts are never answered is not started each time. The answer now ends the row.

The test fails without the change (the sixth start comes 16 s after the fifth crash).

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -265,7 +265,10 @@
 	switch {
 	case sched.mustGiveUp(t):
 		return max(pause, evidenceDelay)
-	case t.knownCrashes >= leastKnown || t.started != startNotKnown:
+	case t.started != startNotKnown:
+		t.endedEarly = false
+		return pause
+	case t.knownCrashes >= leastKnown:
 		return pause
 	case t.crashes < leastCrashes || t.crashes < maxCrashes && sched.likelihood(t) < isolatedLikelihood:
 		return pause
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"persimmonpick/table"
 	"persimmonpick/workload"
 )
@@ -101,6 +103,35 @@
 	}
 }
 
+// Guards against a long pause though the start before it was answered.
+func TestPauseMayEndEarlyOnceAStartWasAnswered(t *testing.T) {
+	const answered = 4 // run
+	is := is.New(t)
+	s, k := startSound(t, backReplaced, 8)
+	s.losesStart = func(o StartOrder) bool {
+		if o.Task != k || o.Run == answered {
+			return false
+		}
+		s.takeDown(s.worker(o.Worker), backReplaced)
+		return true
+	}
+	x := s.task(k)
+	crashedAt := s.now
+	for end := s.now.Add(2 * time.Minute); x.run < answered+2 && s.now.Before(end); {
+		s.submitJob(fmt.Sprint("other", s.now.UnixMilli()), step(1)) // whose start is answered
+		s.pass(20 * time.Millisecond)
+		if x.run == answered && x.started == startAnswered && s.up(s.worker(x.worker.info.ID)) {
+			s.takeDown(s.worker(x.worker.info.ID), backReplaced)
+		}
+		if x.crashes <= answered {
+			crashedAt = s.now
+		}
+	}
+	is.Equal(x.knownCrashes, 1)
+	is.Equal(x.crashes, answered+1)
+	is.True(s.now.Sub(crashedAt) < unknownPause(x.crashes))
+}
+
 // Guards against a job that is failed since its workers were cut off and left the list. Red, see KNOWN-RED.txt.
 func TestWorkersCutOffAreNoKnownCrashes(t *testing.T) {
 	s, k := startSound(t, onlySilent, 8)
