Let the soak allow what no scheduler can know of starts of deadly tasks

Starts 1, 3 and 5 were not answered (the worker crashed first), the answer to start 2 reached a leader that was terminated before it recorded it, start 4 was answered. The check forbade it.

Instead the checker now learns which starts were answered, and when faults keep hosts from learning or recording that. A third further start is a violation once two crashes are known, that is, answered without such a fault for a second; a sixth further start is one in any case, which nothing bounded before.

--- a/standins/soak/faults.go
+++ b/standins/soak/faults.go
@@ -21,6 +21,7 @@
 
 // injector injects random faults and reverts each after a while.
 type injector struct {
+	checker *checker
 	hosts   []*host
 	site    *emulator.Site
 	workers []*faultproxy.Proxy
@@ -68,35 +69,35 @@
 	switch t.rnd.IntN(16) {
 	case 0:
 		h.signal(syscall.SIGKILL)
-		return "kill " + h.name, noUndo
+		return t.disturbs("", "kill "+h.name, noUndo)
 	case 1:
 		h.signal(syscall.SIGTERM)
-		return "terminate " + h.name, noUndo
+		return t.disturbs("", "terminate "+h.name, noUndo)
 	case 2:
 		h.signal(syscall.SIGSTOP)
-		return "pause " + h.name, func() { h.signal(syscall.SIGCONT) }
+		return t.disturbs("", "pause "+h.name, func() { h.signal(syscall.SIGCONT) })
 	case 3:
 		h.signal(syscall.SIGHUP)
-		return "send SIGHUP to " + h.name, noUndo
+		return t.disturbs("", "send SIGHUP to "+h.name, noUndo)
 	case 4:
 		for _, h := range t.hosts {
 			h.signal(syscall.SIGKILL)
 		}
-		return "kill all hosts", noUndo
+		return t.disturbs("", "kill all hosts", noUndo)
 	case 5, 6:
 		s := t.randomSetting()
-		return fmt.Sprintf("%s between %s and the log", s.Mode, h.name), setProxy(h.log, s)
+		return t.disturbs("", fmt.Sprintf("%s between %s and the log", s.Mode, h.name), setProxy(h.log, s))
 	case 7, 8:
 		s := t.randomSetting()
-		return fmt.Sprintf("%s between the hosts and worker %d", s.Mode, n), setProxy(t.workers[n], s)
+		return t.disturbs(workerName(n), fmt.Sprintf("%s between the hosts and worker %d", s.Mode, n), setProxy(t.workers[n], s))
 	case 9:
 		all := []emulator.LogFault{emulator.Refusing, emulator.Silent, emulator.Losing, emulator.Late}
 		kind := all[t.rnd.IntN(len(all))]
 		t.site.Log.SetFault(kind)
-		return "log " + string(kind), func() { t.site.Log.SetFault(emulator.NoFault) }
+		return t.disturbs("", "log "+string(kind), func() { t.site.Log.SetFault(emulator.NoFault) })
 	case 10:
 		t.site.Log.DropHistory()
-		return "log drops its history", noUndo
+		return t.disturbs("", "log drops its history", noUndo)
 	case 11:
 		w.Crash()
 		t.site.List(n, "ready")
@@ -112,7 +113,16 @@
 		t.version += 1 + t.rnd.IntN(3)
 		t.site.Configure(t.version, service)
 		w.Hang(true)
-		return fmt.Sprintf("configuration %d, worker %d hangs", t.version, n), func() { w.Hang(false) }
+		return t.disturbs("", fmt.Sprintf("configuration %d, worker %d hangs", t.version, n), func() { w.Hang(false) })
+	}
+}
+
+// disturbs tells the checker that a fault has begun, and with undo that it has ended.
+func (t *injector) disturbs(worker, name string, undo func()) (string, func()) {
+	ended := t.checker.faultBegan(worker)
+	return name, func() {
+		undo()
+		ended()
 	}
 }
 
@@ -148,7 +158,7 @@
 		}
 		undo := noUndo
 		if dark > 0 {
-			undo = setProxy(t.workers[n], faultproxy.Setting{Mode: faultproxy.Freeze})
+			_, undo = t.disturbs(workerName(n), "", setProxy(t.workers[n], faultproxy.Setting{Mode: faultproxy.Freeze}))
 		}
 		sleep(ctx, dark/2)
 		t.site.Workers[n].GoDown()
--- a/standins/soak/run.go
+++ b/standins/soak/run.go
@@ -45,11 +45,12 @@
 	site := emulator.NewSite(emulator.SiteConfig{
 		Workers: cfg.Workers, Heartbeat: heartbeat,
 		Worker: func(i int) emulator.WorkerConfig {
-			id := fmt.Sprintf("w%d", i)
+			id := workerName(i)
 			return emulator.WorkerConfig{
 				ID: id, Service: service, Zone: "z1", Rack: fmt.Sprintf("r%d", i/4), CPU: 8000, MemoryMB: 32000,
 				Duration: taskDuration,
 				Started:  func(task string, run int) { c.runStarted(id, task, run) },
+				Answered: func(task string, run int) { c.startAnswered(id, task, run) },
 				Ended:    func(task string, run int, how string) { c.runEnded(id, task, run, how) },
 				Crashes: emulator.CrashConfig{
 					Deadly: isDeadly, Down: downTime, NextID: func(life int) string { return fmt.Sprintf("%s-%d", id, life) },
@@ -84,7 +85,7 @@
 		hosts = append(hosts, h)
 	}
 	runWorkload(cfg, c, hosts, &injector{
-		hosts: hosts, site: site, workers: proxies, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), began: time.Now(), version: 1, logf: cfg.Logf,
+		checker: c, hosts: hosts, site: site, workers: proxies, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), began: time.Now(), version: 1, logf: cfg.Logf,
 	})
 	c.finish()
 	return result{len(c.jobs), c.starts, c.givenUp(), c.violations}, nil
@@ -114,6 +115,8 @@
 	time.Sleep(maxCancelTime)
 }
 
+func workerName(n int) string { return fmt.Sprintf("w%d", n) }
+
 // taskDuration derives the duration of a task, from 50 ms to 1.5 s, from a hash of its name.
 func taskDuration(task string) time.Duration {
 	h := 0
