Keep a machine in its wave though one list lacks it

Callers saw nothing; the operator was told that a wave is completed while a machine of it had not begun its maintenance (rule MIXED), and nothing takes that back.

Absence counts now once the list has lacked the machine in all readings of 3 s (longer where it may be down for maintenance, so that the maximum of the wave holds), ends once it is listed again, and is not handed on to the next leader.

--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -288,3 +289,49 @@
 		})
 	}
 }
+
+// Guards against a wave that is told to be over since one reading of the list lacked a machine.
+func TestMachineMissingFromOneListHasItsMaintenance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakePlatform(4, 1)
+		c := p.controller(1, 20*time.Second)
+		list := c.cfg.Platform.Machines
+		calls := 0
+		c.cfg.Platform.Machines = func(ctx context.Context) ([]Machine, error) {
+			ms, err := list(ctx)
+			if calls++; calls == 2 {
+				ms = slices.DeleteFunc(ms, func(m Machine) bool { return m.ID == "m3" })
+			}
+			return ms, err
+		}
+		p.run(t, c, 40*time.Second)
+		is.Equal(p.done(), 4)
+		is.Equal(p.tooMany, 0)
+		is.Equal(p.notified, []bool{false, true})
+	})
+}
+
+// Guards against a machine that is left out for good since the list lacked it for longer than a machine may be missing.
+func TestMachineThatIsListedAgainHasItsMaintenance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakePlatform(4, 1)
+		c := p.controller(1, 20*time.Second)
+		list := c.cfg.Platform.Machines
+		missing := true
+		c.cfg.Platform.Machines = func(ctx context.Context) ([]Machine, error) {
+			ms, err := list(ctx)
+			if missing {
+				ms = slices.DeleteFunc(ms, func(m Machine) bool { return m.ID == "m3" })
+			}
+			return ms, err
+		}
+		p.run(t, c, 2*absenceTime)
+		is.True(c.waves[7].machineStates["m3"].gone)
+		missing = false
+		p.run(t, c, 40*time.Second)
+		is.Equal(p.done(), 4)
+		is.Equal(p.notified, []bool{false, true})
+	})
+}
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -41,6 +41,8 @@
 	// Beyond the usual duration of maintenance. After that a machine that is up again counts as done even if
 	// its worker has the same ID.
 	returnMargin = 4 * time.Second
+	// After this time a machine that is still missing from the list needs no maintenance.
+	absenceTime = 3 * time.Second
 )
 
 // phase is the progress of the maintenance of one machine.
@@ -60,6 +62,8 @@
 	since       time.Time
 	worker      table.WorkerID // running on the machine before the maintenance
 	unconfirmed bool           // an order got no reply and may be carried out at any time
+	absentSince time.Time      // when the list was first read without the machine; zero if the last one had it
+	gone        bool           // missing from the list for absenceTime, and longer if it may be down
 }
 
 // waveState is a wave in progress.
@@ -80,34 +84,49 @@
 	return v
 }
 
-// count returns the number of machines in any of the given phases.
+// count returns the number of machines in any of the given phases, without those that are gone.
 func (v *waveState) count(ps ...phase) int {
 	n := 0
 	for _, s := range v.machineStates {
-		if slices.Contains(ps, s.phase) {
+		if !s.gone && slices.Contains(ps, s.phase) {
 			n++
 		}
 	}
 	return n
 }
 
-// observe updates the states from the list of machines: machines that came back are finished, and machines
-// that are no longer listed need no maintenance.
+// observe updates the states from the list of machines, which is complete: machines that came back are finished, and
+// machines that stay missing need no maintenance unless they are listed again.
 func (v *waveState) observe(machines map[MachineID]Machine, now time.Time) {
 	for id, s := range v.machineStates {
 		m, listed := machines[id]
 		if !listed {
-			if s.phase != finished {
-				s.phase, s.since = finished, now
-			}
+			v.observeAbsence(s, now)
 			continue
 		}
+		s.absentSince, s.gone = time.Time{}, false
 		if s.phase == down && m.Up && (m.Worker != s.worker || now.Sub(s.since) > v.usualDuration+returnMargin) {
 			s.phase, s.since = finished, now
 		}
 	}
 }
 
+// observeAbsence updates the state of a machine that is missing from the list.
+func (v *waveState) observeAbsence(s *machineState, now time.Time) {
+	if s.absentSince.IsZero() {
+		s.absentSince = now
+		return
+	}
+	wait := absenceTime
+	if s.phase == ordered || s.phase == down {
+		wait = max(wait, v.usualDuration+returnMargin)
+	}
+	s.gone = s.gone || now.Sub(s.absentSince) >= wait
+	if s.gone && s.phase == evacuating {
+		s.phase, s.since = pending, now
+	}
+}
+
 // evacuationTimeout returns how long the evacuation of a machine may take if the wave is to be over in time.
 func (v *waveState) evacuationTimeout(now time.Time) time.Duration {
 	remaining := v.count(pending, evacuating)
@@ -134,7 +153,7 @@
 	}
 	var ws []table.WorkerID
 	for _, s := range v.machineStates {
-		if s.phase == evacuating || s.phase == ordered {
+		if !s.gone && (s.phase == evacuating || s.phase == ordered) {
 			ws = append(ws, s.worker)
 		}
 	}
@@ -158,10 +177,11 @@
 	timeout := v.evacuationTimeout(now)
 	for _, id := range v.Machines {
 		s := v.machineStates[id]
-		switch s.phase {
-		case ordered:
+		switch {
+		case s.gone:
+		case s.phase == ordered:
 			ids = append(ids, id)
-		case evacuating:
+		case s.phase == evacuating:
 			l, known := remaining[s.worker]
 			late := now.Sub(s.since) >= timeout
 			switch {
@@ -177,8 +197,8 @@
 	return ids
 }
 
-// complete reports whether every machine that is still listed has had its maintenance.
-func (v *waveState) complete() bool { return v.count(finished) == len(v.machineStates) }
+// complete reports whether every machine that is not gone has had its maintenance.
+func (v *waveState) complete() bool { return v.count(pending, evacuating, ordered, down) == 0 }
 
 // progress is the handover record of a wave.
 type progress struct {
