Repeat the order for a machine that the platform refuses as not of the wave

Cause: one answer 409 'wave' or 400 finished the machine for good, and freed its place though an earlier order without a reply could still take effect. Such a machine has its turn again now, after 2 s, doubled with each refusal up to 1 min. It is left out only once the list of machines lacks it (400), or the newest request of the operator no longer names it (409). While an earlier order may be on its way it keeps its place for the usual duration of maintenance and 4 s. A wave with a machine that is listed, named and refused for good is not told to be over.

Evidence: TestMachineRefusedOnceHasItsMaintenance (done 3 of 4 machines; 2 times too many down) and TestRefusedMachineIsLeftOutOnceItIsWithdrawn failed before. Now go test -race ./maintenance and go test -run Wave ./platform pass.

--- a/maintenance/controller.go
+++ b/maintenance/controller.go
@@ -116,6 +116,7 @@
 			c.waves[w.ID] = v
 			c.cfg.Logger.Info("maintenance wave loaded", "Wave", w.ID, "Machines", len(w.Machines), "Most", w.MaxDown, "Period", w.Period, "Ended", v.endReported)
 		}
+		v.withdraw(w.Machines)
 		active = active || !v.endReported
 	}
 	return active
@@ -226,11 +227,11 @@
 	c.cfg.Logger.Info("maintenance order sent", "Wave", v.ID, "Machine", id, "Worker", s.worker, "Kind", fault.Of(err).String(), "Error", err)
 	switch fault.Of(err) {
 	case fault.None:
-		s.phase, s.since, s.unconfirmed = down, time.Now(), false
+		s.phase, s.since, s.unconfirmed, s.refusals = down, time.Now(), false, 0
 	case fault.Stale:
 		return err
 	case fault.NotFound:
-		s.phase = finished // the machine is unknown or not part of the wave
+		v.orderRefused(s, time.Now())
 	case fault.Conflict:
 		if !s.unconfirmed {
 			s.phase = pending // retried once the machine is up again
--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -335,3 +335,61 @@
 		is.Equal(p.notified, []bool{false, true})
 	})
 }
+
+// refuse lets the platform answer orders for a machine, from the given one on, as if it were not part of the wave. The
+// result counts the orders for the machine.
+func refuse(c *Controller, id MachineID, from, to int) *int {
+	order, n := c.cfg.Platform.Order, 0
+	c.cfg.Platform.Order = func(ctx context.Context, o Order) error {
+		if o.Machine != id {
+			return order(ctx, o)
+		}
+		if n++; n >= from && n <= to {
+			return fault.New(fault.NotFound, "the machine is not part of the wave")
+		}
+		return order(ctx, o)
+	}
+	return &n
+}
+
+// Guards against a wave that is told to be over since one order was refused, or that then takes down too many machines
+// while an earlier order without a reply is late.
+func TestMachineRefusedOnceHasItsMaintenance(t *testing.T) {
+	for refused := 1; refused <= 3; refused++ {
+		for lost := range 3 {
+			t.Run(fmt.Sprint(refused, " ", lost), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					p := newFakePlatform(4, 1)
+					p.lostReplies, p.lostDelay = lost, 3*time.Second
+					c := p.controller(1, 20*time.Second)
+					refuse(c, "m0", refused, refused)
+					p.run(t, c, 60*time.Second)
+					is.Equal(p.done(), 4)
+					is.Equal(p.tooMany, 0)
+					is.Equal(p.notified, []bool{false, true})
+				})
+			})
+		}
+	}
+}
+
+// Guards against a wave that is told to be over though a listed machine of it is refused, or that never ends once the
+// operator has withdrawn that machine.
+func TestRefusedMachineIsLeftOutOnceItIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakePlatform(4, 1)
+		c := p.controller(1, 20*time.Second)
+		n := refuse(c, "m0", 1, math.MaxInt)
+		p.run(t, c, 10*time.Minute)
+		is.Equal(p.done(), 3)
+		is.Equal(p.notified, []bool{false})
+		is.True(*n < 20)
+		w := c.cfg.Waves()[0]
+		w.Machines = []MachineID{"m1", "m2", "m3"}
+		c.cfg.Waves = func() []Wave { return []Wave{w} }
+		p.run(t, c, time.Minute)
+		is.Equal(p.notified, []bool{false, true})
+	})
+}
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -43,6 +43,10 @@
 	returnMargin = 4 * time.Second
 	// After this time a machine that is still missing from the list needs no maintenance.
 	absenceTime = 3 * time.Second
+	// Before a machine that the platform does not know, or not as part of the wave, is ordered down again; doubled with
+	// each refusal.
+	refusalPause    = 2 * time.Second
+	maxRefusalPause = time.Minute
 )
 
 // phase is the progress of the maintenance of one machine.
@@ -64,6 +68,8 @@
 	unconfirmed bool           // an order got no reply and may be carried out at any time
 	absentSince time.Time      // when the list was first read without the machine; zero if the last one had it
 	gone        bool           // missing from the list for absenceTime, and longer if it may be down
+	refusals    int            // orders refused in a row since the machine was unknown or not part of the wave
+	notBefore   time.Time      // end of the pause after them
 }
 
 // waveState is a wave in progress.
@@ -127,6 +133,26 @@
 	}
 }
 
+// orderRefused takes note of an answer that the machine is unknown or not part of the wave. It may be wrong, so the
+// machine has its turn again.
+func (v *waveState) orderRefused(s *machineState, now time.Time) {
+	s.notBefore = now.Add(min(maxRefusalPause, refusalPause<<min(s.refusals, 10)))
+	s.refusals++
+	if !s.unconfirmed || now.Sub(s.since) > v.usualDuration+returnMargin {
+		s.phase, s.since, s.unconfirmed = pending, now, false
+	}
+}
+
+// withdraw finishes the machines that the platform has refused as not part of the wave and that are not among those of
+// the operator's newest request either.
+func (v *waveState) withdraw(newest []MachineID) {
+	for id, s := range v.machineStates {
+		if s.phase == pending && s.refusals > 0 && !slices.Contains(newest, id) {
+			s.phase = finished
+		}
+	}
+}
+
 // evacuationTimeout returns how long the evacuation of a machine may take if the wave is to be over in time.
 func (v *waveState) evacuationTimeout(now time.Time) time.Duration {
 	remaining := v.count(pending, evacuating)
@@ -146,7 +172,7 @@
 	room := v.MaxDown - v.count(evacuating)
 	for _, id := range v.evacuationOrder() {
 		s, m := v.machineStates[id], machines[id]
-		if room > 0 && s.phase == pending && m.Up && m.Worker != "" {
+		if room > 0 && s.phase == pending && m.Up && m.Worker != "" && !now.Before(s.notBefore) {
 			s.phase, s.since, s.worker = evacuating, now, m.Worker
 			room--
 		}
@@ -178,7 +204,7 @@
 	for _, id := range v.Machines {
 		s := v.machineStates[id]
 		switch {
-		case s.gone:
+		case s.gone, now.Before(s.notBefore):
 		case s.phase == ordered:
 			ids = append(ids, id)
 		case s.phase == evacuating:
