Keep a final state in the log for its time from when it was written

After the log was away for longer than the retention callers were answered 410 for a job whose end they had never been able to see.

Cause: the retention of a final job counted from the decision; if a write was in flight all the while, one batch told the final state and deleted the job. It counts now from when the batch with the state is in the log (Flushed), and a state that is not in the log is not deleted.

Evidence: TestFinalStateIsKeptForItsTimeAfterAnOutage failed before.

--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -16,6 +16,7 @@
 	acks    map[*worker]ack
 	done    []func()
 	jobs    map[string]*job // whose progress is written, by the key of the record
+	final   []table.JobID   // whose final state is written
 }
 
 // ack is the newest result of an incarnation of a worker whose effect is in a batch or before it.
@@ -86,6 +87,7 @@
 	}
 	if j.state.Final() {
 		if j.statusChanged {
+			f.final = append(f.final, j.id)
 			rs = append(rs, ledger.DropProgress(j.id))
 		}
 		return rs
@@ -102,6 +104,10 @@
 	for _, done := range f.done {
 		done()
 	}
+	for _, id := range f.final {
+		sched.finalSince[id] = now
+		delete(sched.unloggedFinal, id)
+	}
 	for w, a := range f.acks {
 		if a.incarnation == w.info.Incarnation && a.number > w.loggedResult && a.number <= w.appliedResult {
 			w.loggedResult = a.number
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -35,7 +35,8 @@
 type Scheduler struct {
 	cfg            Config
 	jobs           map[table.JobID]*job
-	finalSince     map[table.JobID]time.Time // when each job became final
+	finalSince     map[table.JobID]time.Time // when each job became final, or when its state was in the log
+	unloggedFinal  map[table.JobID]bool      // final jobs whose state is not in the log yet
 	workers        map[table.WorkerID]*worker
 	queues         map[workload.QueueID]workload.Queue
 	interference   *interferenceModel
@@ -84,7 +85,7 @@
 // NewScheduler returns a Scheduler without jobs and workers.
 func NewScheduler(cfg Config) *Scheduler {
 	return &Scheduler{
-		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{},
+		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{}, unloggedFinal: map[table.JobID]bool{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{}, acks: map[*worker]ResultNumber{},
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
@@ -271,7 +272,7 @@
 // finishJob makes a job final and stops its running tasks.
 func (sched *Scheduler) finishJob(j *job, s workload.State, now time.Time) {
 	j.state, j.statusChanged, j.dirty = s, true, true
-	sched.finalSince[j.id] = now
+	sched.finalSince[j.id], sched.unloggedFinal[j.id] = now, true
 	c := j.summary(now)
 	sched.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
 		"Objective", sched.objective(j).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
@@ -320,7 +321,7 @@
 		}
 	}
 	for id, at := range sched.finalSince {
-		if now.Sub(at) > sched.cfg.StatusRetention {
+		if !sched.unloggedFinal[id] && now.Sub(at) > sched.cfg.StatusRetention {
 			delete(sched.finalSince, id)
 			sched.droppedRecords = append(sched.droppedRecords, ledger.DropJob(id)...)
 		}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -358,3 +359,34 @@
 	r.PollDone(o, r.now, PollReply{}, fault.New(fault.NotCurrent, "another worker"), r.now)
 	is.Equal(r.task(key("j", 0, 0)).phase, running)
 }
+
+// Guards against a final state that is deleted as soon as it is written, since the log was away for the retention.
+func TestFinalStateIsKeptForItsTimeAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	status, err := ledger.StatusRecord("j", workload.Status{})
+	is.NoErr(err)
+	deletes := func(f *Batch) bool {
+		return f != nil && slices.ContainsFunc(f.records, func(rec ledger.Record) bool { return rec.Key == status.Key && rec.Value == nil })
+	}
+	r.addWorkers("w")
+	r.submit("j", step(1))
+	is.Equal(len(r.placeAndStart()), 1)
+	r.list("w", TaskResult{Number: 1, Task: key("j", 0, 0), Run: 1, Cause: EndDone})
+	is.Equal(r.jobs["j"].state, workload.Completed)
+	r.now = r.now.Add(r.cfg.StatusRetention + time.Second) // another write is in flight
+	r.Tick(r.now)
+	f := r.Flush(r.now)
+	is.True(!deletes(f))
+	r.now = r.now.Add(r.cfg.StatusRetention + time.Second)
+	r.Tick(r.now)
+	is.True(!deletes(r.Flush(r.now)))
+	r.Flushed(f, r.now, true)
+	r.now = r.now.Add(r.cfg.StatusRetention)
+	r.Tick(r.now)
+	is.True(!deletes(r.Flush(r.now)))
+	r.now = r.now.Add(time.Second)
+	r.Tick(r.now)
+	is.True(deletes(r.Flush(r.now)))
+	is.Equal(len(r.unloggedFinal), 0)
+}
