Count the end of a job that the newest leader told in the review of logs

An engineer saw a job counted as failed in 'review' that callers were shown as completed: the first line 'job final' counted, which a leader logs before its record is in the log and may be superseded after. Where leaders told different states, that of the newest counts now; a line's leader is known from the 'leading' line before it in the same source.

Partial: an end that never came into the log and that no later leader told still counts.

--- a/oncall/read.go
+++ b/oncall/read.go
@@ -17,11 +17,12 @@
 // maxLine bounds the length of a log line, in bytes.
 const maxLine = 1 << 20
 
-// line is a log line: its time, its message and its fields.
+// line is a log line: its time, its message, its fields, and the epoch under which its host led last, or 0.
 type line struct {
 	at     time.Time
 	msg    string
 	fields map[string]string
+	epoch  float64
 }
 
 // timeKey starts a log line; what stands before it on a line was added by whoever collected the logs.
@@ -30,6 +31,7 @@
 // readLines reads the log lines of r; other lines are left out.
 func readLines(r io.Reader) ([]line, error) {
 	var ls []line
+	epoch := 0.0
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLine)
 	for s.Scan() {
@@ -38,6 +40,10 @@
 			continue
 		}
 		if l, ok := parseLine(s.Text()[start:]); ok {
+			if l.msg == "leading" {
+				epoch = l.number("Epoch")
+			}
+			l.epoch = epoch
 			ls = append(ls, l)
 		}
 	}
@@ -87,9 +93,23 @@
 	}
 	slices.SortStableFunc(all, func(a, b line) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
 	rev := Review{Queues: map[string]*Queue{}, Stops: map[string]int{}, Messages: map[string]int{}}
-	final := map[string]bool{}
+	states, final := finalStates(all), map[string]bool{}
 	for _, l := range all {
-		rev.add(l, final)
+		if l.msg != "job final" || l.fields["State"] == states[l.fields["Job"]] {
+			rev.add(l, final)
+		}
 	}
 	return rev, nil
 }
+
+// finalStates returns the state of each job that became final, by the newest leader that told one: what a leader before
+// it told otherwise was not in the log.
+func finalStates(ls []line) map[string]string {
+	states, epochs := map[string]string{}, map[string]float64{}
+	for _, l := range ls {
+		if job := l.fields["Job"]; l.msg == "job final" && l.epoch >= epochs[job] {
+			states[job], epochs[job] = l.fields["State"], l.epoch
+		}
+	}
+	return states
+}
--- a/oncall/review_test.go
+++ b/oncall/review_test.go
@@ -74,3 +74,25 @@
 	is.NoErr(r.WriteHTML(&out))
 	is.Equal(strings.Count(out.String(), "<svg"), 0)
 }
+
+// Guards against a failed job in the review that callers were shown as completed, as its leader was superseded.
+func TestEndThatIsNotInTheLogIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	before := `time=2026-12-04T10:00:00.000Z level=INFO msg=leading Epoch=1
+time=2026-12-04T10:00:02.000Z level=INFO msg="job final" Job=a Queue=q State=Failed After=5s Objective=2s
+`
+	after := `time=2026-12-04T10:00:02.100Z level=WARN msg="leadership lost" Epoch=1 Kind=Stale
+time=2026-12-04T10:00:02.200Z level=INFO msg="leadership ended" Epoch=1 Displaced=true
+`
+	newest := `time=2026-12-04T10:00:01.500Z level=INFO msg=leading Epoch=2
+time=2026-12-04T10:00:06.000Z level=INFO msg="job final" Job=a Queue=q State=Completed After=9s Objective=20s
+`
+	late := `time=2026-12-04T10:00:07.000Z level=INFO msg="job final" Job=a Queue=q State=Failed After=10s Objective=2s
+`
+	for _, first := range []string{before + after, before + late + after} {
+		r, err := Read(strings.NewReader(first), strings.NewReader(newest))
+		is.NoErr(err)
+		is.Equal(r.Queues["q"].Failed, 0)
+		is.Equal(r.Queues["q"].OnTime.Jobs, 1)
+	}
+}
