Acknowledge an end only once the log holds its effect

What callers saw: when the log refused the progress record of a job for its size, the worker was told all the same that the ends in it were noted. It forgot them, so after a change of leader a failed run did not count, and a task that was done ran again.

Cause: the acknowledgement followed each batch, whether the record of the job was in it, was refused, or was put off by a second. Now each end waits until a record of its job that was made after the end is in the log, or the final state of the job is; later ends of that worker wait too. That also holds for ends without an effect, as they may have none only by what is not in the log yet.

The same elsewhere: the progress of a job was deleted beside its final state, so a refused state left neither, and a refused state was not written again; a handover record (of upkeep waves) was reported as written though refused; an encoding error lost the record. A final job now stays in memory until its state is in the log, and a run of it that a worker lists late is stopped instead of adopted (before, only other held tasks kept such a job in memory).

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -79,6 +79,11 @@
 
 	losesStart func(StartOrder) bool // whether a start is neither carried out nor answered; nil for none
 	losesPoll  func(PollOrder) bool
+
+	refuses  func(ledger.Record) bool // whether the log refuses a record for its size; nil for none
+	delays   func() bool              // whether the append in flight goes on; nil for none
+	inFlight *Batch
+	acked    func(TaskResult) // called with each end that a worker forgets; may be nil
 }
 
 func newCrashSite(t *testing.T, way string, workers int) *crashSite {
@@ -185,13 +190,23 @@
 
 // write writes the records to the log and carries out the orders that follow.
 func (s *crashSite) write() {
-	f := s.Flush(s.now)
-	if f == nil {
+	if s.inFlight == nil {
+		s.inFlight = s.Flush(s.now)
+	}
+	f := s.inFlight
+	if f == nil || s.delays != nil && s.delays() {
 		return
 	}
+	s.inFlight = nil
+	var refused []ledger.Record
 	for _, rec := range f.records {
+		if s.refuses != nil && s.refuses(rec) {
+			refused = append(refused, rec)
+			continue
+		}
 		s.records[rec.Key] = rec.Value
 	}
+	s.RecordsRefused(f, refused, s.now)
 	orders := s.Flushed(f, s.now, true)
 	results := make([]StartResult, len(orders))
 	for i, o := range orders {
@@ -303,6 +318,11 @@
 	if !s.up(w) || !w.crashAt.IsZero() || s.losesPoll != nil && s.losesPoll(o) {
 		return PollReply{}, fault.New(fault.OutcomeUnknown, "no answer")
 	}
+	for _, e := range w.ended {
+		if e.Number <= o.Acked && s.acked != nil {
+			s.acked(e)
+		}
+	}
 	w.ended = slices.DeleteFunc(w.ended, func(e TaskResult) bool { return e.Number <= o.Acked })
 	if o.LeaseUntil > 0 {
 		w.lease = s.now.Add(testTerm)
@@ -324,6 +344,7 @@
 	s.rig = &rig{Scheduler: NewScheduler(Config{
 		Epoch: epoch, LeaseTerm: testTerm, StatusRetention: time.Hour, RemoteFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}), now: s.now}
+	s.inFlight = nil
 	handovers := map[string][]byte{}
 	for k, v := range s.records {
 		if name, ok := strings.CutPrefix(k, "N"); ok && v != nil {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -124,12 +124,15 @@
 	groups          map[int][]*group // by occurrence; of a scheduled job only while it is not finished
 	nextOccurrence  int              // number of the next occurrence to open
 	finished        occurrenceSet
-	finishedSummary jobSummary // of the finished occurrences that are not in groups
-	foldsRecord     bool       // its progress record did not fit otherwise
-	recordRetryAt   time.Time  // when its progress record is written again, which was too large
-	dirty           bool       // progress record must be written
-	statusChanged   bool       // status record must be written
-	idleSince       time.Time  // since when nothing of it has run though a task's turn has come
+	finishedSummary jobSummary  // of the finished occurrences that are not in groups
+	foldsRecord     bool        // its progress record did not fit otherwise
+	recordRetryAt   time.Time   // when its progress record is written again, which was too large
+	dirty           bool        // progress record must be written
+	statusChanged   bool        // status record must be written
+	writtenIn       batchNumber // newest batch with its progress or its final state
+	loggedIn        batchNumber // newest batch whose record of its progress is in the log
+	finalLogged     bool        // its final state is in the log
+	idleSince       time.Time   // since when nothing of it has run though a task's turn has come
 	idleLoggedAt    time.Time
 }
 
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -98,11 +98,9 @@
 		if e.Number > w.appliedResult {
 			w.appliedResult = e.Number
 			sched.applyResult(w, e, now)
+			sched.awaitRecord(w, e)
 		}
 	}
-	if w.appliedResult > w.loggedResult {
-		sched.acks[w] = w.appliedResult
-	}
 	sched.reconcile(w, o, sent, l, now)
 	sched.updateThrottles(w, now)
 }
@@ -170,7 +168,7 @@
 // observe applies a run that w lists as running.
 func (sched *Scheduler) observe(w *worker, r RunningTask, sent, now time.Time) {
 	t := sched.task(r.Task)
-	if t == nil {
+	if t == nil || t.worker == nil && t.group.job.state.Final() {
 		sched.stray(w, r, "job unknown or final")
 		return
 	}
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -10,37 +10,43 @@
 
 // Batch is a set of records to write to the log, with the actions that follow once they are written.
 type Batch struct {
-	records []ledger.Record
-	intents []*task
-	runs    []workload.RunNumber
-	acks    map[*worker]ack
-	done    []func()
-	jobs    map[string]*job // whose progress is written, by the key of the record
+	number    batchNumber
+	records   []ledger.Record
+	intents   []*task
+	runs      []workload.RunNumber
+	acks      map[*worker]ack
+	handovers []handover
+	progress  map[string]*job // whose progress is written, by the key of the record
+	states    map[string]*job // whose state is written, by the key of the record
+	final     map[*job]bool   // whose final state is written
 }
 
-// ack is the newest result of an incarnation of a worker whose effect is in a batch or before it.
+// ack is the newest result of an incarnation of a worker that was applied before a batch.
 type ack struct {
 	number      ResultNumber
 	incarnation table.UnixMillis
 }
 
+// batchNumber numbers the batches of a Scheduler from 1.
+type batchNumber int
+
 // Flush returns the records of all changes since the last call, or nil if there are none. The caller must call
 // Flushed once they are in the log.
 func (sched *Scheduler) Flush(now time.Time) *Batch {
-	f := &Batch{acks: make(map[*worker]ack, len(sched.acks)), jobs: map[string]*job{}}
-	for w, n := range sched.acks {
-		f.acks[w] = ack{n, w.info.Incarnation}
+	sched.batches++
+	f := &Batch{number: sched.batches, acks: map[*worker]ack{}, progress: map[string]*job{}, states: map[string]*job{}, final: map[*job]bool{}}
+	for _, w := range sched.workers {
+		if w.appliedResult > w.loggedResult {
+			f.acks[w] = ack{w.appliedResult, w.info.Incarnation}
+		}
 	}
-	for id, j := range sched.jobs {
+	for _, j := range sched.jobs {
 		if !j.dirty {
 			continue
 		}
 		j.dirty = false
 		f.records = append(f.records, sched.jobRecords(f, j, now)...)
-		j.statusChanged = false
-		if j.state.Final() && !j.hasHeldTasks() {
-			delete(sched.jobs, id)
-		}
+		sched.dropFinished(j)
 	}
 	for _, t := range sched.reserved {
 		if t.phase == reserved { // its record is in the batch
@@ -54,18 +60,28 @@
 		f.records = append(f.records, sched.modelRecords()...)
 	}
 	f.records = append(f.records, sched.workerRecords()...)
-	for _, h := range sched.handovers {
+	f.handovers = sched.handovers
+	for _, h := range f.handovers {
 		f.records = append(f.records, h.record)
-		f.done = append(f.done, h.done)
 	}
 	sched.handovers, sched.droppedRecords = nil, nil
-	sched.acks = map[*worker]ResultNumber{}
+	if len(f.records) > 0 { // no append for these alone
+		f.records = append(sched.finishedProgress, f.records...)
+		sched.finishedProgress = nil
+	}
 	if len(f.records) == 0 && len(f.acks) == 0 {
 		return nil
 	}
 	return f
 }
 
+// dropFinished drops j if its final state is in the log and no worker holds a task of it.
+func (sched *Scheduler) dropFinished(j *job) {
+	if j.finalLogged && !j.dirty && !j.hasHeldTasks() {
+		delete(sched.jobs, j.id)
+	}
+}
+
 // hasHeldTasks reports whether a worker holds a task of j.
 func (j *job) hasHeldTasks() bool {
 	held := false
@@ -73,25 +89,29 @@
 	return held
 }
 
-// jobRecords returns the records of j. The state comes first, since they may be written by several appends.
+// jobRecords returns the records of j. Its progress is not deleted before its final state is in the log.
 func (sched *Scheduler) jobRecords(f *Batch, j *job, now time.Time) []ledger.Record {
 	var rs []ledger.Record
 	if j.statusChanged {
 		r, err := ledger.StatusRecord(j.id, workload.Status{State: j.state, At: table.UnixMillis(now.UnixMilli())})
 		if err != nil {
 			sched.cfg.Log.Error("cannot encode job status; record not written", "Job", j.id, "Error", err)
+			sched.putOff(j, now)
+			j.dirty = true
 			return nil
 		}
+		j.statusChanged = false
+		f.states[r.Key] = j
 		rs = append(rs, r)
+		if j.state.Final() {
+			j.writtenIn, f.final[j] = f.number, true
+		}
 	}
 	if j.state.Final() {
-		if j.statusChanged {
-			rs = append(rs, ledger.DropProgress(j.id))
-		}
 		return rs
 	}
 	if r, ok := sched.progressRecord(j, now); ok {
-		f.jobs[r.Key] = j
+		j.writtenIn, f.progress[r.Key] = f.number, j
 		rs = append(rs, r)
 	}
 	return rs
@@ -99,12 +119,20 @@
 
 // Flushed applies a batch that is in the log, and returns the start orders of the tasks reserved in it.
 func (sched *Scheduler) Flushed(f *Batch, now time.Time, extend bool) []StartOrder {
-	for _, done := range f.done {
-		done()
+	for _, h := range f.handovers {
+		h.done()
+	}
+	for _, j := range f.progress {
+		j.loggedIn = max(j.loggedIn, f.number)
+	}
+	for j := range f.final {
+		j.finalLogged = true
+		sched.finishedProgress = append(sched.finishedProgress, ledger.DropProgress(j.id))
+		sched.dropFinished(j)
 	}
 	for w, a := range f.acks {
-		if a.incarnation == w.info.Incarnation && a.number > w.loggedResult && a.number <= w.appliedResult {
-			w.loggedResult = a.number
+		if a.incarnation == w.info.Incarnation {
+			w.acknowledge(a.number)
 		}
 	}
 	incomplete := map[*group]bool{} // gangs, of which no member is started
--- a/dispatch/recordsize.go
+++ b/dispatch/recordsize.go
@@ -44,7 +44,7 @@
 	}
 	if err != nil {
 		sched.cfg.Log.Error("cannot encode job progress; record not written", "Job", j.id, "Error", err)
-		sched.putOff(j, now)
+		sched.writeLater(j, now)
 		return ledger.Record{}, false
 	}
 	if sched.tooLarge(r, 1) {
@@ -63,17 +63,31 @@
 // recordTooLarge puts off the starts that a record names which cannot be written, and has it written again later.
 func (sched *Scheduler) recordTooLarge(j *job, r ledger.Record, now time.Time) {
 	sched.cfg.Log.Error("job progress too large; record not written", "Job", j.id, "Size", r.Size(), "Limit", sched.cfg.MaxRecord)
+	j.foldsRecord = true
+	sched.writeLater(j, now)
+}
+
+// writeLater puts off the starts of j that are not in the log, and has its progress record written again later.
+func (sched *Scheduler) writeLater(j *job, now time.Time) {
 	sched.putOff(j, now)
-	j.recordRetryAt, j.dirty, j.foldsRecord = now.Add(recordRetryDelay), true, true
+	j.recordRetryAt, j.dirty = now.Add(recordRetryDelay), true
 }
 
 // RecordsRefused applies that the log refused records of a batch for their size. The caller must call it before
 // Flushed.
 func (sched *Scheduler) RecordsRefused(f *Batch, refused []ledger.Record, now time.Time) {
 	for _, r := range refused {
-		if j := f.jobs[r.Key]; j != nil && !j.state.Final() {
-			sched.recordTooLarge(j, r, now)
+		if j := f.progress[r.Key]; j != nil {
+			delete(f.progress, r.Key)
+			if !j.state.Final() {
+				sched.recordTooLarge(j, r, now)
+			}
+		}
+		if j := f.states[r.Key]; j != nil {
+			delete(f.final, j)
+			j.statusChanged, j.dirty = true, true
 		}
+		f.handovers = slices.DeleteFunc(f.handovers, func(h handover) bool { return h.record.Key == r.Key })
 	}
 }
 
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -7,6 +7,45 @@
 	"persimmonpick/workload"
 )
 
+// unloggedResult is a result that was applied and may not be acknowledged.
+type unloggedResult struct {
+	number ResultNumber
+	job    *job
+	batch  batchNumber // the first one whose record of the job, or a later one, holds what was known with the result
+}
+
+// logged reports whether all that was known of the job of r when r was applied is in the log.
+func (r unloggedResult) logged() bool { return r.job.finalLogged || r.job.loggedIn >= r.batch }
+
+// awaitRecord lets the acknowledgement of e, which was applied, wait until its effect is in the log. That holds for
+// a result without an effect too, since it may have none only by what is not in the log yet.
+func (sched *Scheduler) awaitRecord(w *worker, e TaskResult) {
+	j := sched.jobs[e.Task.Job]
+	if j == nil {
+		return
+	}
+	r := unloggedResult{e.Number, j, j.writtenIn}
+	if j.dirty {
+		r.batch = sched.batches + 1
+	}
+	if !r.logged() {
+		w.unlogged = append(w.unlogged, r)
+	}
+}
+
+// acknowledge raises loggedResult to n at most, a result that was applied, as far as the effects are in the log.
+func (w *worker) acknowledge(n ResultNumber) {
+	for len(w.unlogged) > 0 && w.unlogged[0].logged() {
+		w.unlogged = w.unlogged[1:]
+	}
+	if len(w.unlogged) > 0 {
+		n = min(n, w.unlogged[0].number-1)
+	}
+	if n <= w.appliedResult {
+		w.loggedResult = max(w.loggedResult, n)
+	}
+}
+
 // applyResult applies the result of a run that w lists as ended.
 func (sched *Scheduler) applyResult(w *worker, e TaskResult, now time.Time) {
 	t := sched.task(e.Task)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -42,17 +42,19 @@
 	typicalWork    queueWork
 	durationRatios durationRatios
 
-	reserved       []*task // reserved since the last call of Flush
-	acks           map[*worker]ResultNumber
+	reserved       []*task         // reserved since the last call of Flush
+	batches        batchNumber     // of the newest batch
 	droppedRecords []ledger.Record // records to write that delete those of expired jobs
-	suspects       map[*task]bool  // tasks with crashes, and some without by now
-	crashes        []*crash        // recent
-	causeless      []causelessCrash
-	crashRates     map[workload.QueueID]*crashRate
-	startOutcomes  outcomesByService
-	crashedAt      map[table.ServiceID]time.Time  // newest crash of a worker, or when this leader began to look
-	isolations     map[table.ServiceID]*isolation // updated by Decide
-	decidedAt      time.Time
+	// Records that delete the progress of jobs whose final state is in the log.
+	finishedProgress []ledger.Record
+	suspects         map[*task]bool // tasks with crashes, and some without by now
+	crashes          []*crash       // recent
+	causeless        []causelessCrash
+	crashRates       map[workload.QueueID]*crashRate
+	startOutcomes    outcomesByService
+	crashedAt        map[table.ServiceID]time.Time  // newest crash of a worker, or when this leader began to look
+	isolations       map[table.ServiceID]*isolation // updated by Decide
+	decidedAt        time.Time
 
 	changedWorkers []*worker        // whose handover record must be written
 	removedWorkers []table.WorkerID // whose handover record must be deleted
@@ -86,7 +88,7 @@
 	return &Scheduler{
 		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
-		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{}, acks: map[*worker]ResultNumber{},
+		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
 		startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
 	}
@@ -237,11 +239,10 @@
 	}
 	w.info.Incarnation = incarnation
 	sched.recordWorkerChange(w)
-	w.contacted, w.clockAt, w.appliedResult, w.loggedResult = false, time.Time{}, 0, 0
+	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
 	w.token++
 	w.pollSentAt = now
 	w.failStreak, w.stall = 0, workerStall{}
-	delete(sched.acks, w)
 	w.pollUrgently(now)
 }
 
@@ -304,7 +305,6 @@
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
-			delete(sched.acks, w)
 			sched.removedWorkers = append(sched.removedWorkers, id)
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -48,9 +48,10 @@
 	urgent          bool                                    // the next poll must resolve an unknown outcome
 	strays          map[workload.TaskKey]workload.RunNumber // runs to stop that no task holds
 	straysStoppedAt time.Time
-	fullUntil       time.Time    // after it refused a start for lack of room
-	appliedResult   ResultNumber // newest result that was applied
-	loggedResult    ResultNumber // newest result whose effect is in the log
+	fullUntil       time.Time        // after it refused a start for lack of room
+	appliedResult   ResultNumber     // newest result that was applied
+	loggedResult    ResultNumber     // up to which the effects of all results are in the log
+	unlogged        []unloggedResult // applied results whose effects are not known to be in the log, by their numbers
 
 	tasks         map[workload.TaskKey]*task
 	used          table.Resources  // counted against the capacity
