Show the final state of a job that comes first in the log

What callers saw: a job shown as cancelled turned to completed or failed when the leader recorded its end before it had read of the cancellation.

Cause: a final state of the leader always counted for more than the cancellation. Now the one that is first in the log counts. A leader that finds such an end, also one of the leader before, writes cancelled after it.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -83,7 +83,8 @@
 	refuses  func(ledger.Record) bool // whether the log refuses a record for its size; nil for none
 	delays   func() bool              // whether the append in flight goes on; nil for none
 	inFlight *Batch
-	acked    func(TaskResult) // called with each end that a worker forgets; may be nil
+	onWrite  func([]ledger.Record) // called with the records that the log has taken; may be nil
+	acked    func(TaskResult)      // called with each end that a worker forgets; may be nil
 }
 
 func newCrashSite(t *testing.T, way string, workers int) *crashSite {
@@ -198,13 +199,17 @@
 		return
 	}
 	s.inFlight = nil
-	var refused []ledger.Record
+	var refused, taken []ledger.Record
 	for _, rec := range f.records {
 		if s.refuses != nil && s.refuses(rec) {
 			refused = append(refused, rec)
 			continue
 		}
 		s.records[rec.Key] = rec.Value
+		taken = append(taken, rec)
+	}
+	if s.onWrite != nil {
+		s.onWrite(taken)
 	}
 	s.RecordsRefused(f, refused, s.now)
 	orders := s.Flushed(f, s.now, true)
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -54,6 +54,7 @@
 		}
 	}
 	sched.reserved = nil
+	f.records = append(f.records, sched.corrections...)
 	f.records = append(f.records, sched.droppedRecords...)
 	if len(f.records) > 0 && now.Sub(sched.modelWrittenAt) > modelWriteInterval && len(sched.interference.sensitivities) > 0 {
 		sched.modelWrittenAt = now
@@ -64,7 +65,7 @@
 	for _, h := range f.handovers {
 		f.records = append(f.records, h.record)
 	}
-	sched.handovers, sched.droppedRecords = nil, nil
+	sched.handovers, sched.corrections, sched.droppedRecords = nil, nil, nil
 	if len(f.records) > 0 { // no append for these alone
 		f.records = append(sched.finishedProgress, f.records...)
 		sched.finishedProgress = nil
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -45,6 +45,7 @@
 	reserved       []*task         // reserved since the last call of Flush
 	batches        batchNumber     // of the newest batch
 	droppedRecords []ledger.Record // records to write that delete those of expired jobs
+	corrections    []ledger.Record // of states of jobs that had been cancelled
 	// Records that delete the progress of jobs whose final state is in the log.
 	finishedProgress []ledger.Record
 	suspects         map[*task]bool // tasks with crashes, and some without by now
@@ -112,6 +113,9 @@
 
 // SetEntry applies the log entry of a job: it adds a new job, or cancels a known one.
 func (sched *Scheduler) SetEntry(e ledger.Entry, now time.Time) {
+	if e.Overruled() {
+		sched.correctState(e, now)
+	}
 	j := sched.jobs[e.ID]
 	if j == nil {
 		if _, ended := sched.finalSince[e.ID]; ended || e.Submission == nil {
@@ -133,6 +137,17 @@
 	}
 }
 
+// correctState has the state that callers see of a job written, whose cancellation is in the log before its end.
+func (sched *Scheduler) correctState(e ledger.Entry, now time.Time) {
+	sched.cfg.Log.Info("job was cancelled before its end was recorded", "Job", e.ID, "State", e.Status.State)
+	r, err := ledger.StatusRecord(e.ID, workload.Status{State: e.State(), At: table.UnixMillis(now.UnixMilli())})
+	if err != nil {
+		sched.cfg.Log.Error("cannot encode job status; record not written", "Job", e.ID, "Error", err)
+		return
+	}
+	sched.corrections = append(sched.corrections, r)
+}
+
 func (sched *Scheduler) accept(e ledger.Entry, now time.Time) *job {
 	j := newJob(e.ID, e.Submission)
 	if q, ok := sched.queues[j.queue.ID]; ok {
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -79,7 +79,7 @@
 func (v View) Final() bool { return v.Cancelled || v.State.Final() }
 
 func viewOf(e ledger.Entry) View {
-	return View{Queue: e.Submission.Queue.ID, State: e.Status.State, Cancelled: e.Cancelled}
+	return View{Queue: e.Submission.Queue.ID, State: e.State(), Cancelled: e.Cancelled}
 }
 
 // Cancel records the cancellation of a job; it fails with fault.NotFound if the queue has no such job.
@@ -146,7 +146,7 @@
 			return View{}, fault.New(fault.NotFound, "no job %q", id)
 		}
 	}
-	if v := viewOf(e); v.Final() {
+	if v := viewOf(e); v.Final() && s.cfg.View.Settled() {
 		return v, nil
 	}
 	if err := s.refresh(ctx); err != nil {
--- a/intake/jobs_test.go
+++ b/intake/jobs_test.go
@@ -196,3 +196,58 @@
 		is.Equal(len(r.appended) == 1, c.want == fault.None)
 	}
 }
+
+// Guards against a job that turns to cancelled after its end, since the host that was asked had not read of that.
+func TestJobThatEndedBeforeItsCancellationStaysSo(t *testing.T) {
+	for _, end := range []workload.State{workload.Completed, workload.Failed} {
+		is := is.New(t)
+		r := newTestService()
+		is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+		rec, err := ledger.StatusRecord("aa", workload.Status{State: end})
+		is.NoErr(err)
+		is.NoErr(r.cfg.Append(t.Context(), rec))
+		is.NoErr(r.cfg.Refresh(t.Context()))
+		rec, err = ledger.CancelRecord("aa", 1)
+		is.NoErr(err)
+		for range 2 {
+			s, err := r.State(t.Context(), "q", "aa")
+			is.NoErr(err)
+			is.Equal(s, end)
+			is.NoErr(r.cfg.Append(t.Context(), rec))
+			is.NoErr(r.cfg.Refresh(t.Context()))
+		}
+		is.NoErr(r.Cancel(t.Context(), "q", "aa")) // nothing to record
+		is.Equal(len(r.appended), 4)
+	}
+}
+
+// Guards against an answer from a snapshot that is newer in parts and may lack a cancellation before the end.
+func TestSnapshotThatIsNotCompleteIsNotAnswered(t *testing.T) {
+	is := is.New(t)
+	r := newTestService()
+	is.NoErr(r.Submit(t.Context(), queue, "aa", spec()))
+	is.NoErr(r.Cancel(t.Context(), "q", "aa"))
+	rec, err := ledger.StatusRecord("aa", workload.Status{State: workload.Completed})
+	is.NoErr(err)
+	is.NoErr(r.cfg.Append(t.Context(), rec))
+	r.view.Unload()
+	complete := r.log.Newest
+	r.log.Newest = func(ctx context.Context, topic ledger.Topic, after string) (ledger.Snapshot, error) {
+		s, err := complete(ctx, topic, after)
+		return ledger.Snapshot{Records: []ledger.Record{s.Records[0], s.Records[2]}, End: 1}, err
+	}
+	readErr := fault.New(fault.LogUnavailable, "down")
+	cfg := ledger.ReaderConfig{Log: ledger.Log{Newest: r.log.Newest, Read: func(context.Context, ledger.Topic, ledger.Position, time.Duration) (ledger.Page, error) {
+		return ledger.Page{}, readErr
+	}}, View: r.view, Logger: r.cfg.Logger}
+	is.Equal(fault.Of(ledger.NewReader(cfg).Refresh(t.Context())), fault.LogUnavailable)
+	_, known := r.view.Job("aa")
+	is.True(known)
+	r.readErr = readErr
+	_, err = r.State(t.Context(), "q", "aa")
+	is.Equal(fault.Of(err), fault.LogUnavailable)
+	r.readErr = nil
+	s, err := r.State(t.Context(), "q", "aa")
+	is.NoErr(err)
+	is.Equal(s, workload.Cancelled)
+}
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -15,12 +15,28 @@
 type Entry struct {
 	ID         table.JobID
 	Submission *workload.Submission // nil until its record was read
-	Status     workload.Status
+	Status     workload.Status      // newest of the leader
 	Cancelled  bool
 	CancelAt   table.UnixMillis
 	Progress   []byte // encoded workload.Progress
+
+	cancelPosition Position // of its first cancellation that was read
+	statusPosition Position // where Status.State was first read
+}
+
+// State returns the state that callers see: that of the leader, unless a cancellation is in the log before a final
+// one. The order in the log is the same for all hosts and leaders.
+func (e Entry) State() workload.State {
+	s := e.Status.State
+	if e.Cancelled && (!s.Final() || e.cancelPosition < e.statusPosition) {
+		return workload.Cancelled
+	}
+	return s
 }
 
+// Overruled reports whether the leader recorded another final state after the job was cancelled.
+func (e Entry) Overruled() bool { return e.Status.State.Final() && e.State() != e.Status.State }
+
 // View is the in-memory state of the topic. Its methods may be called from any goroutine.
 type View struct {
 	logger *slog.Logger
@@ -105,8 +121,15 @@
 	return v.pending[q]
 }
 
-// Watch returns all entries and registers changed, which is called for each later submission, cancellation and
-// snapshot until the next call of Watch. changed must not block.
+// Settled reports whether the view holds the records of one position, as it does not while a snapshot is completed.
+func (v *View) Settled() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.snapshotPositions) == 0
+}
+
+// Watch returns all entries and registers changed, which is called for each later submission, cancellation,
+// overruled state and snapshot until the next call of Watch. changed must not block.
 func (v *View) Watch(changed func(Entry)) []Entry {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -123,7 +146,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	handover, readAt := v.handover, v.handoverReadAt
+	handover, readAt, before := v.handover, v.handoverReadAt, v.entries
 	v.clear()
 	for _, r := range records {
 		v.apply(r, now)
@@ -131,12 +154,20 @@
 			v.snapshotPositions[r.Key] = r.Position
 		}
 	}
+	for id, e := range v.entries {
+		if b := before[id]; b != nil && b.Cancelled && e.Cancelled && b.sameJob(e) {
+			e.cancelPosition = b.cancelPosition // the snapshot holds the newest cancellation only
+		}
+	}
 	for name, data := range v.handover {
 		if before, ok := handover[name]; ok && bytes.Equal(before, data) {
 			v.handoverReadAt[name] = readAt[name]
 		}
 	}
 	v.position, v.loaded, v.confirmed = end, true, began
+	if len(v.snapshotPositions) > 0 {
+		v.confirmed = time.Time{}
+	}
 	if v.onChange != nil {
 		for _, e := range v.entries {
 			v.onChange(*e)
@@ -200,7 +231,7 @@
 		v.entries[id] = e
 	}
 	v.adjustPending(e, -1)
-	if err := e.apply(kind, r.Value); err != nil {
+	if err := e.apply(kind, r); err != nil {
 		v.logger.Error("record cannot be decoded", "Key", r.Key, "Position", r.Position, "Error", err)
 	}
 	if kind == kindStatus || kind == kindProgress {
@@ -211,7 +242,7 @@
 	} else {
 		v.adjustPending(e, 1)
 	}
-	if v.onChange != nil && kind != kindProgress && kind != kindStatus {
+	if v.onChange != nil && kind != kindProgress && (kind != kindStatus || e.Overruled()) {
 		v.onChange(*e)
 	}
 }
@@ -231,6 +262,11 @@
 	v.leader, v.leaderSeen = l, now
 }
 
+// sameJob reports whether e and o are of one acceptance of a job, not of two with the same ID.
+func (e *Entry) sameJob(o *Entry) bool {
+	return e.Submission != nil && o.Submission != nil && e.Submission.Submitted == o.Submission.Submitted
+}
+
 // adjustPending adds n to the pending count of e's queue if e is pending.
 func (v *View) adjustPending(e *Entry, n int) {
 	if e.Submission != nil && e.Status.State == workload.Queued && !e.Cancelled && e.Submission.Spec.Repeat == 0 {
@@ -242,7 +278,8 @@
 	return e.Submission == nil && !e.Cancelled && e.Status == workload.Status{} && e.Progress == nil
 }
 
-func (e *Entry) apply(kind rune, value []byte) error {
+func (e *Entry) apply(kind rune, r Record) error {
+	value := r.Value
 	switch kind {
 	case kindSubmission:
 		return e.applySubmission(value)
@@ -252,6 +289,9 @@
 			e.Cancelled = false
 			return nil
 		}
+		if !e.Cancelled {
+			e.cancelPosition = r.Position
+		}
 		e.Cancelled = true // even if the time cannot be decoded
 		err := decode(value, &c)
 		e.CancelAt = c.At
@@ -263,6 +303,9 @@
 				return err
 			}
 		}
+		if s.State != e.Status.State {
+			e.statusPosition = r.Position
+		}
 		e.Status = s
 	case kindProgress:
 		e.Progress = value
