Send a silent worker no acknowledgements

A worker may restart under its ID, at its address; its ends are numbered from 1 then, and the platform's header names the ID only. The first poll that reached it still named the ends acknowledged to the incarnation of before, so an end of a start that was carried out late was forgotten unheard: it counted as taken note of, and its task ran again.

While calls to a worker fail, polls acknowledge nothing; its answer tells which incarnation it is. TestSilentWorkerIsToldOfNoAcknowledgements failed before. A restart that no call runs into is still met by one poll with the old number.

--- a/dispatch/acknowledge_test.go
+++ b/dispatch/acknowledge_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonpick/fault"
 	"persimmonpick/ledger"
 	"persimmonpick/table"
 	"persimmonpick/workload"
@@ -197,3 +198,30 @@
 	r.refuse(r.Flush(r.now), "Nwave/1")
 	is.Equal(written, map[string]bool{"wave/2": true})
 }
+
+// Guards against a worker that restarts under its ID and forgets ends which nobody has heard of, since their numbers
+// were acknowledged to its last incarnation.
+func TestSilentWorkerIsToldOfNoAcknowledgements(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("w")
+	r.submit("j", step(1))
+	r.placeAndStart()
+	k := key("j", 0, 0)
+	r.list("w", failed(1, k, 1))
+	r.Flushed(r.Flush(r.now), r.now, true)
+	poll := func(l PollReply, err error) PollOrder {
+		r.now = r.now.Add(pollRetryMaxDelay)
+		o := r.PollOrders(r.now, true)[0]
+		r.PollDone(o, r.now, l, err, r.now)
+		return o
+	}
+	alive := PollReply{Incarnation: 1, Clock: 1}
+	is.Equal(poll(alive, nil).Acked, ResultNumber(1))
+	poll(PollReply{}, fault.New(fault.OutcomeUnknown, "no answer"))
+	is.Equal(poll(alive, nil).Acked, ResultNumber(0))
+	is.Equal(poll(alive, nil).Acked, ResultNumber(1)) // it has not restarted
+	poll(PollReply{}, fault.New(fault.OutcomeUnknown, "no answer"))
+	is.Equal(poll(PollReply{Incarnation: 2, Clock: 1, Ended: []TaskResult{failed(1, k, 2)}}, nil).Acked, ResultNumber(0))
+	is.Equal(poll(PollReply{Incarnation: 2, Clock: 1}, nil).Acked, ResultNumber(0))
+}
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -28,7 +28,11 @@
 }
 
 func (sched *Scheduler) pollOrder(w *worker, now time.Time, extend bool) PollOrder {
-	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Acked: w.loggedResult}
+	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token}
+	// A silent worker may have restarted under its ID, and its results are numbered anew then.
+	if w.missedPolls == 0 {
+		o.Acked = w.loggedResult
+	}
 	// Whether a silent worker received an extension is unknown, so another request would delay the time from which
 	// its tasks can safely start elsewhere.
 	if extend && w.missedPolls == 0 {
