--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -28,7 +28,11 @@
 }
 
 func (sched *Scheduler) pollOrder(w *worker, now time.Time, extend bool) PollOrder {
-	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, Acked: w.loggedResult}
+	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token}
+	// A silent worker may have restarted under its ID, and its results are numbered anew then.
+	if w.missedPolls == 0 {
+		o.Acked = w.loggedResult
+	}
 	// Whether a silent worker received an extension is unknown, so another request would delay the time from which
 	// its tasks can safely start elsewhere.
 	if extend && w.missedPolls == 0 {
@@ -98,11 +102,9 @@
 		if e.Number > w.appliedResult {
 			w.appliedResult = e.Number
 			sched.applyResult(w, e, now)
+			sched.awaitRecord(w, e)
 		}
 	}
-	if w.appliedResult > w.loggedResult {
-		sched.acks[w] = w.appliedResult
-	}
 	sched.reconcile(w, o, sent, l, now)
 	sched.updateThrottles(w, now)
 }
@@ -170,7 +172,7 @@
 // observe applies a run that w lists as running.
 func (sched *Scheduler) observe(w *worker, r RunningTask, sent, now time.Time) {
 	t := sched.task(r.Task)
-	if t == nil {
+	if t == nil || t.worker == nil && t.group.job.state.Final() {
 		sched.stray(w, r, "job unknown or final")
 		return
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -43,17 +43,20 @@
 	typicalWork    queueWork
 	durationRatios durationRatios
 
-	reserved       []*task // reserved since the last call of Flush
-	acks           map[*worker]ResultNumber
+	reserved       []*task         // reserved since the last call of Flush
+	batches        batchNumber     // of the newest batch
 	droppedRecords []ledger.Record // records to write that delete those of expired jobs
-	suspects       map[*task]bool  // tasks with crashes, and some without by now
-	crashes        []*crash        // recent
-	causeless      []causelessCrash
-	crashRates     map[workload.QueueID]*crashRate
-	startOutcomes  outcomesByService
-	crashedAt      map[table.ServiceID]time.Time  // newest crash of a worker, or when this leader began to look
-	isolations     map[table.ServiceID]*isolation // updated by Decide
-	decidedAt      time.Time
+	corrections    []ledger.Record // of states of jobs that had been cancelled
+	// Records that delete the progress of jobs whose final state is in the log.
+	finishedProgress []ledger.Record
+	suspects         map[*task]bool // tasks with crashes, and some without by now
+	crashes          []*crash       // recent
+	causeless        []causelessCrash
+	crashRates       map[workload.QueueID]*crashRate
+	startOutcomes    outcomesByService
+	crashedAt        map[table.ServiceID]time.Time  // newest crash of a worker, or when this leader began to look
+	isolations       map[table.ServiceID]*isolation // updated by Decide
+	decidedAt        time.Time
 
 	changedWorkers []*worker        // whose handover record must be written
 	removedWorkers []table.WorkerID // whose handover record must be deleted
@@ -87,7 +90,7 @@
 	return &Scheduler{
 		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{}, unloggedFinal: map[table.JobID]bool{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
-		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{}, acks: map[*worker]ResultNumber{},
+		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
 		startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
 	}
@@ -111,6 +114,9 @@
 
 // SetEntry applies the log entry of a job: it adds a new job, or cancels a known one.
 func (sched *Scheduler) SetEntry(e ledger.Entry, now time.Time) {
+	if e.Overruled() {
+		sched.correctState(e, now)
+	}
 	j := sched.jobs[e.ID]
 	if j == nil {
 		if _, ended := sched.finalSince[e.ID]; ended || e.Submission == nil {
@@ -132,6 +138,17 @@
 	}
 }
 
+// correctState has the state that callers see of a job written, whose cancellation is in the log before its end.
+func (sched *Scheduler) correctState(e ledger.Entry, now time.Time) {
+	sched.cfg.Log.Info("job was cancelled before its end was recorded", "Job", e.ID, "State", e.Status.State)
+	r, err := ledger.StatusRecord(e.ID, workload.Status{State: e.State(), At: table.UnixMillis(now.UnixMilli())})
+	if err != nil {
+		sched.cfg.Log.Error("cannot encode job status; record not written", "Job", e.ID, "Error", err)
+		return
+	}
+	sched.corrections = append(sched.corrections, r)
+}
+
 func (sched *Scheduler) accept(e ledger.Entry, now time.Time) *job {
 	j := newJob(e.ID, e.Submission)
 	if q, ok := sched.queues[j.queue.ID]; ok {
@@ -238,11 +255,10 @@
 	}
 	w.info.Incarnation = incarnation
 	sched.recordWorkerChange(w)
-	w.contacted, w.clockAt, w.appliedResult, w.loggedResult = false, time.Time{}, 0, 0
+	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
 	w.token++
 	w.pollSentAt = now
 	w.failStreak, w.stall = 0, workerStall{}
-	delete(sched.acks, w)
 	w.pollUrgently(now)
 }
 
@@ -305,7 +321,6 @@
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
-			delete(sched.acks, w)
 			sched.removedWorkers = append(sched.removedWorkers, id)
 		}
 	}
