Let the fifth crash wait for others of its moment before a task is given up

What callers saw: a sound job failed at the fifth crash under one of its tasks, though nine workers crashed at that moment and the others showed 0.6 s later.

Cause: giveUpSuspects waited for evidenceDelay after the third and fourth crash only. The fifth waits for it too now, counted from when the crash was seen, so a longer pause does not hold up the end of a deadly job.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -302,6 +302,12 @@
 	return now.Sub(at) >= calmTime || sched.startOutcomes.of(service).areAnswered(now)
 }
 
+// othersHaveShown reports whether t, which is to be given up, has waited for other crashes of the moment of its last
+// one to show. After many crashes its pause may be longer than that takes.
+func (t *task) othersHaveShown(now time.Time) bool {
+	return !now.Before(t.notBefore) || t.crashes >= maxCrashes && t.lastCrash != nil && now.Sub(t.lastCrash.seenAt) >= evidenceDelay
+}
+
 // giveUpSuspects gives up the tasks that crash every worker by the evidence against them.
 func (sched *Scheduler) giveUpSuspects(now time.Time) {
 	for t := range sched.suspects {
@@ -313,7 +319,7 @@
 			t.pauses, t.awaitsAnswers, t.endedEarly = false, false, true
 			t.notBefore = now
 			sched.cfg.Log.Info("pause after unanswered starts ends early", "Task", t.key.String(), "Crashes", t.crashes, "KnownCrashes", t.knownCrashes)
-		case t.phase == waiting && sched.mustGiveUp(t) && (t.crashes >= maxCrashes || !now.Before(t.notBefore)):
+		case t.phase == waiting && sched.mustGiveUp(t) && t.othersHaveShown(now):
 			delete(sched.suspects, t)
 			sched.counts.GivenUp++
 			sched.cfg.Log.Warn("task given up", "Task", t.key.String(), "Run", t.run, "Crashes", t.crashes, "KnownCrashes", t.knownCrashes,
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -180,3 +180,30 @@
 		})
 	}
 }
+
+// Guards against a sound job that is failed at its fifth crash before other crashes of the same moment show.
+func TestFifthCrashWaitsForOthersOfItsMoment(t *testing.T) {
+	s, k := startSound(t, backReplaced, 12)
+	s.pass(time.Second)
+	x := s.task(k)
+	s.requeue(x, s.now, 0)
+	for _, w := range s.workers {
+		delete(w.running, k)
+	}
+	x.crashes, x.knownCrashes, x.evidence = 4, 2, 2
+	s.suspects[x] = true
+	s.starts[k] = nil
+	s.passUntilStarted(k, 1)
+	n := 0
+	for _, w := range s.workers {
+		if w == s.worker(x.worker.info.ID) {
+			s.takeDown(w, backReplaced)
+		} else if n < 8 {
+			n++
+			s.takeDown(w, backReplaced)
+			w.downTo = w.downTo.Add(600 * time.Millisecond)
+		}
+	}
+	s.passUntilFinal(time.Minute)
+	s.checkDeadly()
+}
