Ignore refusals of polls that were sent before the incarnation was known

What callers saw: runs at work were lost, as known crashes, since an answer 421 to an old poll came late ("it may also be executed seconds later", PROTOCOL.md). A worker that had only been listed was dropped from the list by it.

Cause: pollFailed took each 421 for another life at the address of the present incarnation. Polls sent before a reply that was applied, or before the incarnation was known, say nothing of it now; SetWorker notes that time also for a worker that this leader has not reached.

--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonpick/fault"
 	"persimmonpick/table"
 	"persimmonpick/workload"
 )
@@ -207,3 +208,47 @@
 	s.passUntilFinal(time.Minute)
 	s.checkDeadly()
 }
+
+// Guards against runs that count as crashed since a poll of before their incarnation was refused.
+func TestLateRefusalByAnEarlierLifeEndsNoRun(t *testing.T) {
+	for _, c := range []struct{ heard, answered bool }{{true, true}, {true, false}, {false, false}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig()
+			r.SetWorker(r.workerInfo("w"), r.now)
+			if c.heard {
+				r.answerPolls(nil)
+			}
+			r.now = r.now.Add(time.Second)
+			o, sent := r.PollOrders(r.now, true)[0], r.now
+			refuse := func() { r.PollDone(o, sent, PollReply{}, fault.New(fault.NotCurrent, "421"), r.now) }
+			r.now = r.now.Add(time.Second)
+			info := r.workerInfo("w")
+			info.Incarnation = 2
+			r.SetWorker(info, r.now)
+			answer := func() {
+				r.now = r.now.Add(pollPause)
+				for _, p := range r.PollOrders(r.now, true) {
+					l := r.listRunning("w")
+					l.Incarnation = 2
+					r.PollDone(p, r.now, l, nil, r.now)
+				}
+			}
+			if !c.answered {
+				refuse()
+			}
+			answer()
+			r.submit("j", step(1))
+			is.Equal(len(r.placeAndStart()), 1)
+			answer()
+			x := r.task(key("j", 0, 0))
+			is.Equal(x.phase, running)
+			if c.answered {
+				refuse()
+			}
+			if x.phase != running || x.crashes > 0 || x.knownCrashes > 0 {
+				t.Errorf("run that is at work: phase %s, %d crashes, %d known", x.phase, x.crashes, x.knownCrashes)
+			}
+		})
+	}
+}
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -61,6 +61,9 @@
 	w.pollsInFlight--
 	if err != nil {
 		sched.checkFence(w, o.Token, fault.Of(err) == fault.Stale)
+		if fault.Of(err) == fault.NotCurrent && sent.Before(w.pollSentAt) {
+			return // by an earlier incarnation, or the present one has answered since
+		}
 		sched.pollFailed(w, o, err, now)
 		return
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -200,8 +200,11 @@
 	case w.info.Incarnation != 0:
 		sched.workerCrashed(w, crashRestarted, now) // after the last leader heard it
 	}
-	if info.Incarnation > w.info.Incarnation && !w.contacted && w.leaseBound.incarnation != 0 {
-		w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
+	if info.Incarnation > w.info.Incarnation && !w.contacted {
+		w.pollSentAt = now
+		if w.leaseBound.incarnation != 0 {
+			w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
+		}
 	}
 	// An incarnation that drains is never ready again, and its lease is not extended any more.
 	info.Draining = info.Draining || w.leaseBound.covers(info.Incarnation)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -41,7 +41,7 @@
 	clockAt         time.Time
 	leaseBound      leaseBound
 	leaseUntil      time.Time // bound on the lease; no run there outlasts it unless the lease is extended
-	pollSentAt      time.Time // of the newest poll that was applied
+	pollSentAt      time.Time // of the newest poll that was applied, or when its incarnation was first known
 	pollsInFlight   int
 	firstPollAt     time.Time // of this leader
 	nextPollAt      time.Time
