Let a worker be gone only by the list or an end that this leader has seen

What callers saw: nothing yet; a job can be failed on it. Each worker that a new leader knew of by the log counted as missing from the list from the start, so with the list unread and the worker unreached it was "gone" after the inherited lease, a known crash (2 known instead of 1 in the test), which no answer takes back.

Cause: ensureWorker set missingSince. Only RemoveWorker (a complete list without the worker, or its removal) and another life at its address set it now. Runs of a worker that can't be reached are still requeued when the lease has ended, as those of a silent worker, whose crash isn't known and is taken back when it answers; that holds now also for a worker without an address. Start orders of the leader before wait as beside any silent worker.

TestWorkerOfAnUnreadListIsNotGone failed before. TestRunsOfAGoneWorkerStartAgainWithANewLeader passes before and after: with the list read, runs of a gone worker start at the end of the lease, as a known crash.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -79,6 +79,7 @@
 
 	losesStart func(StartOrder) bool // whether a start is neither carried out nor answered; nil for none
 	losesPoll  func(PollOrder) bool
+	listUnread bool // new leaders do not read the list of workers
 }
 
 func newCrashSite(t *testing.T, way string, workers int) *crashSite {
@@ -336,6 +337,22 @@
 		e.Progress = s.records["P"+string(id)]
 		s.SetEntry(e, s.now)
 	}
+	if !s.listUnread {
+		s.readList()
+	}
+}
+
+// readList applies the complete list of workers.
+func (s *crashSite) readList() {
+	listed := map[table.WorkerID]bool{}
+	for _, w := range s.workers {
+		listed[w.info.ID] = !w.gone
+	}
+	for id := range s.Scheduler.workers {
+		if !listed[id] {
+			s.RemoveWorker(id, s.now)
+		}
+	}
 	for _, w := range s.workers {
 		if !w.gone {
 			s.SetWorker(w.info, s.now)
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -252,3 +252,51 @@
 		})
 	}
 }
+
+// Guards against a crash that is counted as known since a new leader has not read the list of workers.
+func TestWorkerOfAnUnreadListIsNotGone(t *testing.T) {
+	s, k := startSound(t, backReplaced, 1)
+	s.takes = time.Minute
+	x := s.task(k)
+	x.crashes, x.knownCrashes, x.evidence = 1, 1, 3
+	s.suspects[x] = true
+	s.passUntilStarted(k, 1)
+	s.pass(100 * time.Millisecond)
+	s.listUnread, s.losesPoll = true, func(PollOrder) bool { return true }
+	s.changeLeader()
+	s.pass(20 * time.Second)
+	x = s.task(k)
+	if x.phase != waiting || x.knownCrashes > 1 {
+		t.Errorf("phase %s, %d crashes, %d known; the lease ended, and no list was read", x.phase, x.crashes, x.knownCrashes)
+	}
+	s.losesPoll = nil
+	s.readList()
+	s.pass(200 * time.Millisecond)
+	if x.crashes > 1 || x.knownCrashes > 1 {
+		t.Errorf("%d crashes, %d known, and the worker answers", x.crashes, x.knownCrashes)
+	}
+}
+
+// Guards against runs that wait for longer than the lease though the list tells that their worker is gone.
+func TestRunsOfAGoneWorkerStartAgainWithANewLeader(t *testing.T) {
+	s, k := startSound(t, neverBack, 2)
+	s.takes = time.Minute
+	x := s.task(k)
+	x.crashes, x.knownCrashes, x.evidence = 1, 1, 3
+	s.suspects[x] = true
+	s.passUntilStarted(k, 1)
+	s.pass(100 * time.Millisecond)
+	for _, w := range s.workers {
+		if w.running[k] != nil {
+			s.takeDown(w, neverBack)
+			s.back(w)
+		}
+	}
+	s.changeLeader()
+	began := s.now
+	s.passUntilStarted(k, 2)
+	latest := s.inheritedLeaseEnd(began).Add(crashPause + 100*time.Millisecond)
+	if took := s.now.Sub(began); s.now.After(latest) || s.task(k).knownCrashes != 2 {
+		t.Errorf("started again after %v, %d crashes are known", took, s.task(k).knownCrashes)
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -173,7 +173,6 @@
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id}, sched.firstToken())
 		w.leaseUntil = sched.inheritedLeaseEnd(now)
-		w.missingSince = now
 		sched.workers[id] = w
 	}
 	return w
@@ -313,7 +312,7 @@
 	}
 	for _, w := range sched.workers {
 		// The lease of an unreachable worker has ended, so nothing runs there, whether it is listed or not.
-		if w.missedPolls > 0 && now.After(w.leaseUntil) {
+		if (w.missedPolls > 0 || w.info.Address == "") && now.After(w.leaseUntil) {
 			sched.workerCrashed(w, crashSilent, now)
 			for _, t := range w.tasks {
 				if !t.heldByUnansweredStart(now) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -10,8 +10,8 @@
 // worker is the leader's view of a worker.
 type worker struct {
 	info               WorkerInfo
-	listed             bool // in the worker list
-	missingSince       time.Time
+	listed             bool             // in the worker list
+	missingSince       time.Time        // 0 unless this leader has seen that it is not in the list, or was replaced
 	listedIncarnation  table.UnixMillis // in its newest entry of the list
 	handedOver         bool             // its handover record is written or scheduled
 	recorded           WorkerInfo       // in its handover record
