Count no known crash of a worker that was taken down for its maintenance

What callers saw: a job can be failed sooner, as the end of a worker by planned maintenance counted as a known crash under its runs.

Cause: the wave names a worker no more once the platform has confirmed the order, so its evacuation ended before the scheduler saw the incarnation end. The worker keeps which incarnation was evacuated and until when; that incarnation leaves by plan unless it answers more than 2 s after its evacuation has ended.

If a wave is cancelled, or the order refused, and the worker stays, then it answers on, and 2 s later its end counts as known again. A crash within these 2 s is taken for a leave by plan: it counts against suspects only and isn't known, as while the worker is evacuated. A new leader names the workers of all orders in the log once more, by the code of waveState.restore; that isn't tested here.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -42,7 +42,7 @@
 // workerCrashed counts the end of the incarnation of w against the runs that can have caused it. It counts once a run,
 // and against suspects only if w leaves by plan.
 func (sched *Scheduler) workerCrashed(w *worker, why string, now time.Time) {
-	leaves := w.info.Draining || w.evacuating || w.leaseBound.covers(w.info.Incarnation)
+	leaves := w.leavesByPlan()
 	if why != crashSilent && !leaves {
 		sched.incarnationEnded(w)
 	}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"persimmonpick/fault"
 	"persimmonpick/ledger"
@@ -11,7 +12,7 @@
 
 // Evacuate puts the given workers under evacuation and ends the evacuation of all others. Workers under evacuation get
 // no new tasks, and their long-running and checkpointing tasks are moved. It returns what is left on them.
-func (sched *Scheduler) Evacuate(ids []table.WorkerID) map[table.WorkerID]maintenance.Remaining {
+func (sched *Scheduler) Evacuate(ids []table.WorkerID, now time.Time) map[table.WorkerID]maintenance.Remaining {
 	wanted := make(map[table.WorkerID]bool, len(ids))
 	for _, id := range ids {
 		wanted[id] = true
@@ -21,6 +22,9 @@
 		if w.evacuating != wanted[id] {
 			sched.cfg.Log.Info("worker evacuation began or ended", "Worker", id, "Begins", wanted[id], "Tasks", len(w.tasks))
 		}
+		if w.evacuating && !wanted[id] {
+			w.evacuated, w.evacuatedAt = w.info.Incarnation, now
+		}
 		w.evacuating = wanted[id]
 		if !w.evacuating {
 			continue
@@ -39,6 +43,14 @@
 	return left
 }
 
+// leavesByPlan reports whether the present incarnation of w leaves by plan. An incarnation whose evacuation has ended
+// does unless it answers for longer after that: the wave names a machine no more once the platform takes it down.
+func (w *worker) leavesByPlan() bool {
+	i := w.info.Incarnation
+	evacuated := i != 0 && w.evacuated == i && w.heardAt.Sub(w.evacuatedAt) <= evacuatedGrace
+	return w.info.Draining || w.evacuating || evacuated || w.leaseBound.covers(i)
+}
+
 // handover is a handover record of another component, and the function to call once it is in the log.
 type handover struct {
 	record ledger.Record
@@ -53,7 +65,7 @@
 // Evacuate evacuates workers for maintenance; see Scheduler.Evacuate.
 func (d *Dispatcher) Evacuate(ctx context.Context, ids []table.WorkerID) (map[table.WorkerID]maintenance.Remaining, error) {
 	left := make(chan map[table.WorkerID]maintenance.Remaining, 1)
-	d.call(ctx, func() { left <- d.scheduler.Evacuate(ids) })
+	d.call(ctx, func() { left <- d.scheduler.Evacuate(ids, time.Now()) })
 	select {
 	case l := <-left:
 		return l, nil
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -31,7 +33,7 @@
 		}}
 	}
 	r.answerPolls(map[string]PollReply{"a": at(20)})
-	is.Equal(r.Evacuate([]table.WorkerID{"a", "unknown"}), map[table.WorkerID]maintenance.Remaining{"a": {Tasks: 4, Blocked: true}, "unknown": {}})
+	is.Equal(r.Evacuate([]table.WorkerID{"a", "unknown"}, r.now), map[table.WorkerID]maintenance.Remaining{"a": {Tasks: 4, Blocked: true}, "unknown": {}})
 	r.submit("new", step(1))
 	is.Equal(len(r.placeAndStart()), 0)
 	r.Decide(r.now)
@@ -41,7 +43,7 @@
 	}
 	// The other task of the step is the only one that is ready.
 	is.Equal(stops, map[string]bool{"lasting.0.0.0": true, "budgeted.0.0.1": true})
-	is.Equal(len(r.Evacuate(nil)), 0)
+	is.Equal(len(r.Evacuate(nil, r.now)), 0)
 	is.True(r.workers["a"].usable(r.now))
 }
 
@@ -57,3 +59,43 @@
 	r.Flushed(f, r.now, true)
 	is.True(written)
 }
+
+// Guards against a known crash of a worker that was taken down for maintenance, which the wave names no more by then.
+func TestPlannedMaintenanceIsNoKnownCrash(t *testing.T) {
+	for _, way := range []string{backReplaced, backRestarted, backLate, backLater, neverBack} {
+		for _, late := range []time.Duration{0, time.Second} { // from the order until the scheduler is told
+			t.Run(fmt.Sprintf("%s, told after %v", way, late), func(t *testing.T) {
+				s, k := startSound(t, way, 1)
+				s.takes = 30 * time.Second
+				s.passUntilStarted(k, 1)
+				w := s.workers[0]
+				s.Evacuate([]table.WorkerID{w.info.ID}, s.now)
+				s.pass(100 * time.Millisecond)
+				s.takeDown(w, way)
+				s.pass(late)
+				s.Evacuate(nil, s.now)
+				for range 1000 {
+					s.pass(20 * time.Millisecond)
+					if x := s.task(k); x.knownCrashes > 0 {
+						t.Fatalf("%d crashes, %d known, for a worker that was taken down for maintenance", x.crashes, x.knownCrashes)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a crash that never counts as known since its worker was to be maintained once and stayed.
+func TestCrashAfterACancelledMaintenanceIsKnown(t *testing.T) {
+	s := newCrashSite(t, backReplaced, 1)
+	s.answered = true
+	s.pass(time.Second)
+	w := s.workers[0]
+	s.Evacuate([]table.WorkerID{w.info.ID}, s.now)
+	s.pass(300 * time.Millisecond)
+	s.Evacuate(nil, s.now)
+	s.pass(2 * evacuatedGrace)
+	s.submitJob("deadly", step(1))
+	s.pass(4 * time.Second)
+	s.is.Equal(s.task(key("deadly", 0, 0)).knownCrashes, 1)
+}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -42,6 +42,8 @@
 	missingGrace = 2500 * time.Millisecond
 	// An order without an answer may be carried out seconds later; after this time beyond the lease it is not.
 	lateStartGrace = 15 * time.Second
+	// A worker that still answers so long after its evacuation has ended stays.
+	evacuatedGrace = 2 * time.Second
 	drainMargin    = 600 * time.Millisecond // a draining worker must be empty this long before it leaves
 
 	modelWriteInterval = 2 * time.Second // coefficients change within seconds
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -17,6 +17,8 @@
 	recorded           WorkerInfo       // in its handover record
 	leavesAt           time.Time        // when a draining worker leaves at the earliest
 	evacuating         bool             // being evacuated for the maintenance of its machine
+	evacuated          table.UnixMillis // incarnation whose evacuation has ended, at evacuatedAt
+	evacuatedAt        time.Time
 	clearedUntil       time.Time        // cleared of latency-critical tasks, see consolidate
 	crashedIncarnation table.UnixMillis // whose crash is counted
 	// Crashes that were counted while it was silent, of the runs that were lost.
