--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonpick/fault"
 	"persimmonpick/table"
 	"persimmonpick/workload"
 )
@@ -180,3 +181,122 @@
 		})
 	}
 }
+
+// Guards against a sound job that is failed at its fifth crash before other crashes of the same moment show.
+func TestFifthCrashWaitsForOthersOfItsMoment(t *testing.T) {
+	s, k := startSound(t, backReplaced, 12)
+	s.pass(time.Second)
+	x := s.task(k)
+	s.requeue(x, s.now, 0)
+	for _, w := range s.workers {
+		delete(w.running, k)
+	}
+	x.crashes, x.knownCrashes, x.evidence = 4, 2, 2
+	s.suspects[x] = true
+	s.starts[k] = nil
+	s.passUntilStarted(k, 1)
+	n := 0
+	for _, w := range s.workers {
+		if w == s.worker(x.worker.info.ID) {
+			s.takeDown(w, backReplaced)
+		} else if n < 8 {
+			n++
+			s.takeDown(w, backReplaced)
+			w.downTo = w.downTo.Add(600 * time.Millisecond)
+		}
+	}
+	s.passUntilFinal(time.Minute)
+	s.checkDeadly()
+}
+
+// Guards against runs that count as crashed since a poll of before their incarnation was refused.
+func TestLateRefusalByAnEarlierLifeEndsNoRun(t *testing.T) {
+	for _, c := range []struct{ heard, answered bool }{{true, true}, {true, false}, {false, false}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig()
+			r.SetWorker(r.workerInfo("w"), r.now)
+			if c.heard {
+				r.answerPolls(nil)
+			}
+			r.now = r.now.Add(time.Second)
+			o, sent := r.PollOrders(r.now, true)[0], r.now
+			refuse := func() { r.PollDone(o, sent, PollReply{}, fault.New(fault.NotCurrent, "421"), r.now) }
+			r.now = r.now.Add(time.Second)
+			info := r.workerInfo("w")
+			info.Incarnation = 2
+			r.SetWorker(info, r.now)
+			answer := func() {
+				r.now = r.now.Add(pollPause)
+				for _, p := range r.PollOrders(r.now, true) {
+					l := r.listRunning("w")
+					l.Incarnation = 2
+					r.PollDone(p, r.now, l, nil, r.now)
+				}
+			}
+			if !c.answered {
+				refuse()
+			}
+			answer()
+			r.submit("j", step(1))
+			is.Equal(len(r.placeAndStart()), 1)
+			answer()
+			x := r.task(key("j", 0, 0))
+			is.Equal(x.phase, running)
+			if c.answered {
+				refuse()
+			}
+			if x.phase != running || x.crashes > 0 || x.knownCrashes > 0 {
+				t.Errorf("run that is at work: phase %s, %d crashes, %d known", x.phase, x.crashes, x.knownCrashes)
+			}
+		})
+	}
+}
+
+// Guards against a crash that is counted as known since a new leader has not read the list of workers.
+func TestWorkerOfAnUnreadListIsNotGone(t *testing.T) {
+	s, k := startSound(t, backReplaced, 1)
+	s.takes = time.Minute
+	x := s.task(k)
+	x.crashes, x.knownCrashes, x.evidence = 1, 1, 3
+	s.suspects[x] = true
+	s.passUntilStarted(k, 1)
+	s.pass(100 * time.Millisecond)
+	s.listUnread, s.losesPoll = true, func(PollOrder) bool { return true }
+	s.changeLeader()
+	s.pass(20 * time.Second)
+	x = s.task(k)
+	if x.phase != waiting || x.knownCrashes > 1 {
+		t.Errorf("phase %s, %d crashes, %d known; the lease ended, and no list was read", x.phase, x.crashes, x.knownCrashes)
+	}
+	s.losesPoll = nil
+	s.readList()
+	s.pass(200 * time.Millisecond)
+	if x.crashes > 1 || x.knownCrashes > 1 {
+		t.Errorf("%d crashes, %d known, and the worker answers", x.crashes, x.knownCrashes)
+	}
+}
+
+// Guards against runs that wait for longer than the lease though the list tells that their worker is gone.
+func TestRunsOfAGoneWorkerStartAgainWithANewLeader(t *testing.T) {
+	s, k := startSound(t, neverBack, 2)
+	s.takes = time.Minute
+	x := s.task(k)
+	x.crashes, x.knownCrashes, x.evidence = 1, 1, 3
+	s.suspects[x] = true
+	s.passUntilStarted(k, 1)
+	s.pass(100 * time.Millisecond)
+	for _, w := range s.workers {
+		if w.running[k] != nil {
+			s.takeDown(w, neverBack)
+			s.back(w)
+		}
+	}
+	s.changeLeader()
+	began := s.now
+	s.passUntilStarted(k, 2)
+	latest := s.inheritedLeaseEnd(began).Add(crashPause + 100*time.Millisecond)
+	if took := s.now.Sub(began); s.now.After(latest) || s.task(k).knownCrashes != 2 {
+		t.Errorf("started again after %v, %d crashes are known", took, s.task(k).knownCrashes)
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -191,7 +191,6 @@
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id}, sched.firstToken())
 		w.leaseUntil = sched.inheritedLeaseEnd(now)
-		w.missingSince = now
 		sched.workers[id] = w
 	}
 	return w
@@ -218,8 +217,11 @@
 	case w.info.Incarnation != 0:
 		sched.workerCrashed(w, crashRestarted, now) // after the last leader heard it
 	}
-	if info.Incarnation > w.info.Incarnation && !w.contacted && w.leaseBound.incarnation != 0 {
-		w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
+	if info.Incarnation > w.info.Incarnation && !w.contacted {
+		w.pollSentAt = now
+		if w.leaseBound.incarnation != 0 {
+			w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
+		}
 	}
 	// An incarnation that drains is never ready again, and its lease is not extended any more.
 	info.Draining = info.Draining || w.leaseBound.covers(info.Incarnation)
@@ -326,7 +328,7 @@
 	}
 	for _, w := range sched.workers {
 		// The lease of an unreachable worker has ended, so nothing runs there, whether it is listed or not.
-		if w.missedPolls > 0 && now.After(w.leaseUntil) {
+		if (w.missedPolls > 0 || w.info.Address == "") && now.After(w.leaseUntil) {
 			sched.workerCrashed(w, crashSilent, now)
 			for _, t := range w.tasks {
 				if !t.heldByUnansweredStart(now) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -10,13 +10,15 @@
 // worker is the leader's view of a worker.
 type worker struct {
 	info               WorkerInfo
-	listed             bool // in the worker list
-	missingSince       time.Time
+	listed             bool             // in the worker list
+	missingSince       time.Time        // 0 unless this leader has seen that it is not in the list, or was replaced
 	listedIncarnation  table.UnixMillis // in its newest entry of the list
 	handedOver         bool             // its handover record is written or scheduled
 	recorded           WorkerInfo       // in its handover record
 	leavesAt           time.Time        // when a draining worker leaves at the earliest
 	evacuating         bool             // being evacuated for the maintenance of its machine
+	evacuated          table.UnixMillis // incarnation whose evacuation has ended, at evacuatedAt
+	evacuatedAt        time.Time
 	clearedUntil       time.Time        // cleared of latency-critical tasks, see consolidate
 	crashedIncarnation table.UnixMillis // whose crash is counted
 	// Crashes that were counted while it was silent, of the runs that were lost.
@@ -41,7 +43,7 @@
 	clockAt         time.Time
 	leaseBound      leaseBound
 	leaseUntil      time.Time // bound on the lease; no run there outlasts it unless the lease is extended
-	pollSentAt      time.Time // of the newest poll that was applied
+	pollSentAt      time.Time // of the newest poll that was applied, or when its incarnation was first known
 	pollsInFlight   int
 	firstPollAt     time.Time // of this leader
 	nextPollAt      time.Time
