Count one crash for each incarnation of a worker that ended

When a worker was silent until its lease ended and was seen to have restarted or been replaced later, the runs lost first and those held by unanswered starts became causes of two crashes, which did not explain each other: each run looked likelier to be the cause than it was, up to a job shown as failed.

A worker keeps the crash of its incarnation. Its causes grow, it is weighed again with all of them, without its own part in the rate of the queue, and is taken back as one. What was known of other causes is kept when it is weighed later. A run that the next incarnation lists no longer explains the crash. A crash whose runs were all settled counts as without a likely cause though it showed as silence first, and a task that has crashed another worker since stays a cause; one that is done or cleared does not.

TestEndOfAnIncarnationIsOneCrash failed before (2 crashes of 3 tasks, evidence 3.89 and 4.62, want 4.44), so did TestCrashSeenTwiceIsTakenBack and TestRunOfTheNextIncarnationDoesNotExplainACrash.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -40,33 +40,65 @@
 func (t *task) mayCrash() bool { return !t.proven && t.phase != reserved }
 
 // workerCrashed counts the end of the incarnation of w against the runs that can have caused it. It counts once a run,
-// and against suspects only if w leaves by plan.
+// and against suspects only if w leaves by plan. Each incarnation has one crash, which may show in several ways.
 func (sched *Scheduler) workerCrashed(w *worker, why string, now time.Time) {
 	leaves := w.info.Draining || w.evacuating || w.leaseBound.covers(w.info.Incarnation)
-	if why != crashSilent && !leaves {
-		sched.incarnationEnded(w)
+	ended := why != crashSilent && !leaves
+	c := w.currentCrash()
+	if c == nil {
+		c = &crash{worker: w, service: w.info.Service, incarnation: w.info.Incarnation, at: w.crashTime(now), silent: why == crashSilent}
+	}
+	if ended && !c.ended {
+		c.ended, c.silent = true, false
+		sched.weighAgain(c)
+		c.know()
 	}
 	var causes []*task
 	for _, t := range w.tasks {
-		if t.mayCrash() && !t.crashCounted && (why != crashSilent || !t.heldByUnansweredStart(now)) && (!leaves || t.suspect()) {
+		if t.mayCrash() && !t.crashCounted && (why != crashSilent || !t.heldByUnansweredStart(now)) && (!leaves || t.suspect()) && c.cause(t) == nil {
 			causes = append(causes, t)
 		}
 	}
-	if len(causes) == 0 && (leaves || why == crashSilent) {
+	if len(causes) == 0 && !ended {
 		return
 	}
 	sched.crashedAt[w.info.Service] = now
-	known := w.crashedIncarnation == w.info.Incarnation // it shows in more than one way
-	w.crashedIncarnation = w.info.Incarnation
-	if !known && !leaves && w.contacted && why != crashSilent && !slices.ContainsFunc(causes, func(t *task) bool { return !w.settled(t) }) {
+	w.crash = c
+	c.likely = c.likely || slices.ContainsFunc(causes, func(t *task) bool { return !w.settled(t) })
+	if ended && !c.likely && !c.causeless && w.contacted && w.info.Incarnation != 0 {
+		c.causeless = true
 		sched.crashWithoutCause(w, now)
 	}
-	if len(causes) == 0 {
-		return
+	if len(causes) > 0 {
+		sched.addCauses(c, causes, why, now)
+	}
+}
+
+// currentCrash returns the crash that was counted of the present incarnation of w, or nil if there is none.
+func (w *worker) currentCrash() *crash {
+	if c := w.crash; c != nil && (c.incarnation == w.info.Incarnation || c.incarnation == 0) {
+		return c
 	}
+	return nil
+}
+
+// addCauses counts c against the given tasks too, whose runs its worker still holds.
+func (sched *Scheduler) addCauses(c *crash, causes []*task, why string, now time.Time) {
+	w := c.worker
 	slices.SortFunc(causes, func(a, b *task) int { return cmp.Compare(a.key.String(), b.key.String()) })
-	c := &crash{worker: w, service: w.info.Service, at: w.crashTime(now), seenAt: now, unsure: why == crashSilent || !w.contacted && !recordedStart(causes)}
+	if len(c.causes) == 0 {
+		sched.counts.Crashes++
+		c.unheard = !w.contacted
+	}
+	c.unheard = c.unheard && !recordedStart(causes)
+	c.seenAt = now
+	earlier := len(c.causes)
+	var keys, suspects []string
 	for _, t := range causes {
+		keys = append(keys, t.key.String())
+		if t.suspect() {
+			suspects = append(suspects, t.key.String())
+		}
 		k := crashCause{task: t, run: t.run, row: t.crashRow, age: w.ageOf(t), started: t.started != startNotKnown, effect: 1}
 		if !k.started {
 			k.effect = sched.startOutcomes.of(c.service).effect(now)
@@ -75,39 +107,38 @@
 			k.rate = sched.crashRateOf(t.group.job.queue.ID)
 		}
 		c.causes = append(c.causes, k)
-	}
-	sched.weigh(c)
-	var keys, suspects []string
-	for i, t := range causes {
-		keys = append(keys, t.key.String())
-		if t.suspect() {
-			suspects = append(suspects, t.key.String())
-		}
 		t.crashCounted, t.lastCrash = true, c
 		t.recordEnd(why)
-		if !(c.causes[i].weight < leastWeight) {
-			t.crashes++
-			c.causes[i].counted = true
-			if why != crashSilent && !leaves {
-				c.causes[i].know()
-			}
-		}
-		t.group.job.dirty = true
 		sched.suspects[t] = true
-		if why == crashSilent {
-			w.rememberLost(t)
+	}
+	sched.weighAgain(c)
+	for i := earlier; i < len(c.causes); i++ {
+		if k := &c.causes[i]; !(k.weight < leastWeight) {
+			k.task.crashes++
+			k.counted = true
 		}
 	}
-	sched.crashes = append(sched.crashes, c)
-	sched.counts.Crashes++
+	if c.ended {
+		c.know()
+	}
+	sched.crashes = append(slices.DeleteFunc(sched.crashes, func(o *crash) bool { return o == c }), c)
 	if len(suspects) > 0 {
 		keys = suspects
 	}
 	sched.cfg.Log.Warn("worker crashed under task", "Worker", w.info.ID, "Why", why, "Tasks", len(w.tasks), "PossibleCauses", len(causes),
-		"Suspects", len(suspects), "OtherCause", rounded(c.external), "Likeliest", rounded(sched.likeliest(c)),
+		"Earlier", earlier, "Suspects", len(suspects), "OtherCause", rounded(c.external), "Likeliest", rounded(sched.likeliest(c)),
 		"Keys", fmt.Sprint(keys[:min(len(keys), maxLoggedTasks)]))
 }
 
+// know counts c as known against its causes, since its incarnation has ended.
+func (c *crash) know() {
+	for i := range c.causes {
+		if k := &c.causes[i]; k.task != nil {
+			k.know()
+		}
+	}
+}
+
 // crashTime returns when w crashed, as far as its silence tells.
 func (w *worker) crashTime(now time.Time) time.Time {
 	if w.missedPolls > 0 {
@@ -116,59 +147,39 @@
 	return now
 }
 
-func (w *worker) rememberLost(t *task) {
-	if w.lostRuns == nil {
-		w.lostRuns = map[workload.TaskKey]*crash{}
-	}
-	w.lostRuns[t.key] = t.lastCrash
-}
-
 // recordedStart reports whether an earlier leader knew that one of the runs had taken effect, and so knew the
 // incarnation of their worker.
 func recordedStart(tasks []*task) bool {
 	return slices.ContainsFunc(tasks, func(t *task) bool { return t.started == startRecorded })
 }
 
-// incarnationEnded notes that the incarnation of w has ended, so the crashes that were counted while it was silent are
-// no longer in doubt.
-func (sched *Scheduler) incarnationEnded(w *worker) {
-	for key, c := range w.lostRuns {
-		t := sched.task(key)
-		if t == nil {
-			continue
-		}
-		if k := c.cause(t); k != nil {
-			k.know()
-			t.group.job.dirty = true
-		}
-		if c.unsure && t.lastCrash == c {
-			c.unsure = false
-			sched.weighAgain(c)
-		}
+// answersAgain takes back the crash that was counted while w was silent, since its incarnation has not ended.
+func (w *worker) answersAgain() {
+	c := w.currentCrash()
+	if c == nil {
+		return
 	}
-	w.lostRuns = nil
-}
-
-// answersAgain takes back the crashes that were counted while w was silent, since its incarnation has not ended.
-func (sched *Scheduler) answersAgain(w *worker) {
-	for key, c := range w.lostRuns {
-		if t := sched.task(key); t != nil {
-			t.takeBack(c)
+	for _, k := range c.causes {
+		if k.task != nil && !c.ended {
+			k.task.takeBack(c)
 		}
 	}
-	w.lostRuns = nil
+	w.crash = nil
 }
 
-// crashRefuted takes back the crash that was counted for the run of t.
-func (t *task) crashRefuted() {
-	if t.crashCounted {
-		t.crashCounted, t.listed = false, false
-		if t.lastCrash == nil {
-			t.takeBackRecorded()
-			return
-		}
-		t.takeBack(t.lastCrash)
+// crashRefuted takes back the crash that was counted for the run of t, so that other runs are likelier to have caused
+// it.
+func (sched *Scheduler) crashRefuted(t *task) {
+	if !t.crashCounted {
+		return
+	}
+	t.crashCounted, t.listed = false, false
+	if t.lastCrash == nil {
+		t.takeBackRecorded()
+		return
 	}
+	t.takeBack(t.lastCrash)
+	sched.weighAgain(t.lastCrash)
 }
 
 // takeBackRecorded takes back the crash of the run of t that an earlier leader has counted.
@@ -236,7 +247,7 @@
 
 // runListed applies to t that its worker lists its run.
 func (sched *Scheduler) runListed(w *worker, t *task, r RunningTask) {
-	t.crashRefuted()
+	sched.crashRefuted(t)
 	if t.started == startNotKnown {
 		t.started = startListed
 		t.group.job.dirty = t.group.job.dirty || t.crashes > 0
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -41,14 +41,20 @@
 
 // crash is the end of an incarnation of a worker with runs that can have caused it.
 type crash struct {
-	worker   *worker
-	service  table.ServiceID
-	at       time.Time // as far as known
-	seenAt   time.Time
-	unsure   bool
-	external float64 // likelihood that it had another cause
-	series   float64 // the same by the rate of crashes without a likely cause; 0 while these are rare
-	causes   []crashCause
+	worker      *worker
+	service     table.ServiceID
+	incarnation table.UnixMillis
+	at          time.Time // as far as known
+	seenAt      time.Time // the newest way in which it shows
+	ended       bool      // the incarnation has, and not by plan
+	silent      bool      // its worker is no more than that
+	unheard     bool      // this leader has not reached the incarnation
+	likely      bool      // a run that was not settled is among the causes
+	causeless   bool      // counted as without a likely cause
+	external    float64   // likelihood that it had another cause
+	series      float64   // the same by the rate of crashes without a likely cause; 0 while these are rare
+	moment      float64   // the same by such crashes of its moment
+	causes      []crashCause
 }
 
 // crashCause is a task whose run may have caused a crash.
@@ -75,6 +81,20 @@
 	}
 }
 
+// forget takes k off the causes of its crash.
+func (k *crashCause) forget() {
+	k.task = nil
+	k.takeOffRate()
+}
+
+// takeOffRate takes the part of k off the rate in which it is counted.
+func (k *crashCause) takeOffRate() {
+	if k.rate != nil {
+		k.rate.crashed = max(0, k.rate.crashed-k.part) // it may have faded
+	}
+	k.part = 0
+}
+
 // cause returns the entry of t among the causes of c, or nil if it has none or was cleared since.
 func (c *crash) cause(t *task) *crashCause {
 	if c == nil {
@@ -94,13 +114,10 @@
 	if k == nil {
 		return crashCause{}
 	}
-	k.task = nil
 	if k.known {
 		t.knownCrashes--
 	}
-	if k.rate != nil {
-		k.rate.crashed = max(0, k.rate.crashed-k.part) // it may have faded
-	}
+	k.forget()
 	return *k
 }
 
@@ -179,11 +196,10 @@
 			}
 		}
 		k.weight = math.Log(k.effect*outlives(k.age)*(1/(1-spared)+1) + 1 - k.effect)
-		part := (1 - c.external) * likelihoods[i] / (sum + c.series)
+		k.part = (1 - c.external) * likelihoods[i] / (sum + c.series)
 		if k.rate != nil {
-			k.rate.crashed = max(0, k.rate.crashed+part-k.part)
+			k.rate.crashed += k.part
 		}
-		k.part = part
 	}
 	for _, k := range c.causes {
 		if k.task != nil {
@@ -193,12 +209,21 @@
 }
 
 // otherCauseOf returns how likely c had another cause than the runs on its worker, by what happened at that time and
-// lately to the other workers on which no run is a likely cause.
+// lately to the other workers on which no run is a likely cause. What was known of these when c was weighed before
+// counts though it is forgotten since.
 func (sched *Scheduler) otherCauseOf(c *crash) float64 {
 	external := otherCause
-	if c.unsure {
+	if c.silent || c.unheard {
 		external = unsureCause
 	}
+	series, moment := sched.causelessAround(c)
+	c.series, c.moment = max(c.series, series), max(c.moment, moment)
+	return max(external, c.series, c.moment)
+}
+
+// causelessAround returns how likely c had another cause by the rate of crashes without a likely cause, 0 while these
+// are rare, and by those of its moment.
+func (sched *Scheduler) causelessAround(c *crash) (series, moment float64) {
 	var others []causelessCrash
 	for _, o := range sched.causeless {
 		if o.worker != c.worker && o.service == c.service {
@@ -206,7 +231,7 @@
 		}
 	}
 	if len(others) == 0 {
-		return external
+		return 0, 0
 	}
 	spared, settled := 0, 0
 	for _, w := range sched.workers {
@@ -229,13 +254,12 @@
 	}
 	rate := float64(repeated(others)) / (float64(max(1, settled+away)) * causelessWindow.Seconds()) // of a worker, in 1 s
 	if rate >= leastSeries {
-		c.series = min(unsureCause, rate*provenAge.Seconds())
-		external = max(external, c.series)
+		series = min(unsureCause, rate*provenAge.Seconds())
 	}
-	if crashed == 0 {
-		return external
+	if crashed > 0 {
+		moment = float64(crashed) / float64(crashed+spared)
 	}
-	return max(external, float64(crashed)/float64(crashed+spared))
+	return series, moment
 }
 
 // causelessCrash is the end of an incarnation on which no run is a likely cause.
@@ -280,10 +304,11 @@
 	for i := range c.causes {
 		switch k := &c.causes[i]; {
 		case k.task == nil:
-		case k.task.lastCrash != c:
-			k.task = nil // cleared, or has crashed another worker since
+		case k.row != k.task.crashRow || k.task.phase == done:
+			k.forget()
 		default:
 			k.task.evidence -= k.weight
+			k.takeOffRate()
 			k.task.group.job.dirty = true
 		}
 	}
@@ -304,7 +329,9 @@
 func (sched *Scheduler) likeliest(c *crash) float64 {
 	most := 0.0
 	for _, k := range c.causes {
-		most = max(most, sched.likelihood(k.task))
+		if k.task != nil {
+			most = max(most, sched.likelihood(k.task))
+		}
 	}
 	return most
 }
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -256,7 +256,7 @@
 	x.crashes, x.lastCrash, c.causes[0].counted = 1, c, true
 	before := x.evidence
 	w.missedPolls = 0
-	r.answersAgain(w)
+	w.answersAgain()
 	is.Equal(x.crashes, 1)
 	is.Equal(x.evidence, before)
 }
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"persimmonpick/table"
 	"persimmonpick/workload"
 )
@@ -149,3 +152,108 @@
 		})
 	}
 }
+
+// Guards against causes of one crash that do not explain each other, since it was seen in two ways.
+func TestEndOfAnIncarnationIsOneCrash(t *testing.T) {
+	evidence := func(way string) map[workload.TaskKey]float64 {
+		s := newCrashSite(t, way, 1)
+		s.answered = true
+		s.pass(time.Second)
+		unanswered := key("unanswered", 0, 0)
+		s.losesStart = func(o StartOrder) bool { return o.Task == unanswered }
+		s.submitJob("answered", step(2))
+		s.submitJob("unanswered", step(1))
+		s.onOrders = func() { s.takeDown(s.workers[0], way) }
+		s.pass(20 * time.Millisecond)
+		s.onOrders = func() {}
+		crashes := map[*crash]bool{}
+		got := map[workload.TaskKey]float64{}
+		for end := s.now.Add(20 * time.Second); len(got) < 3 && s.now.Before(end); {
+			for _, k := range []workload.TaskKey{key("answered", 0, 0), key("answered", 0, 1), unanswered} {
+				if x := s.task(k); x.lastCrash != nil {
+					got[k] = x.evidence
+					crashes[x.lastCrash] = true
+				}
+			}
+			s.pass(20 * time.Millisecond)
+		}
+		if len(got) != 3 || len(crashes) != 1 {
+			t.Errorf("worker %s: %d crashes of %d tasks are counted, want 1 of 3", way, len(crashes), len(got))
+		}
+		return got
+	}
+	for _, c := range []struct{ inTime, late string }{{backRestarted, backLate}, {backReplaced, backLater}} {
+		want := evidence(c.inTime)
+		for k, got := range evidence(c.late) {
+			if math.Abs(got-want[k]) > 1e-6 {
+				t.Errorf("worker %s: evidence of %s is %v, want %v", c.late, k, got, want[k])
+			}
+		}
+	}
+}
+
+// Guards against causes that stay counted when a crash that was seen in two ways is taken back.
+func TestCrashSeenTwiceIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	s := newCrashSite(t, onlySilent, 1)
+	s.answered, s.takes = true, time.Minute
+	s.pass(time.Second)
+	s.losesStart = func(o StartOrder) bool { return o.Task == key("unanswered", 0, 0) }
+	s.submitJob("answered", step(1))
+	s.submitJob("unanswered", step(1))
+	w := s.workers[0]
+	s.onOrders = func() {
+		s.takeDown(w, onlySilent)
+		w.downTo = s.now.Add(time.Minute)
+	}
+	s.pass(maxLeaseDuration(testTerm) + time.Second)
+	x, y := s.task(key("answered", 0, 0)), s.task(key("unanswered", 0, 0))
+	is.Equal(x.crashes, 1)
+	is.Equal(y.crashes, 0)
+	s.pass(lateStartGrace)
+	is.Equal(y.crashes, 1)
+	is.True(x.lastCrash == y.lastCrash)
+	s.onOrders = func() {}
+	w.downTo = s.now
+	s.pass(900 * time.Millisecond)
+	for _, o := range []*task{x, y} {
+		is.Equal(o.crashes, 0)
+		is.True(math.Abs(o.evidence) < 1e-6)
+	}
+	is.True(s.crashRateOf("q").crashed < 1e-6)
+}
+
+// Guards against a run that stays an explanation of a crash though its worker's next incarnation lists it.
+func TestRunOfTheNextIncarnationDoesNotExplainACrash(t *testing.T) {
+	evidence := func(ids ...string) float64 {
+		s := newCrashSite(t, backRestarted, 1)
+		s.answered = true
+		s.pass(time.Second)
+		k := key("late", 0, 0)
+		s.losesStart = func(o StartOrder) bool { return o.Task == k }
+		for _, id := range ids {
+			s.submitJob(id, step(1))
+		}
+		w := s.workers[0]
+		s.onOrders = func() {
+			s.onOrders = func() {}
+			s.takeDown(w, backRestarted)
+			if s.task(k) != nil {
+				w.running[k], w.lease = &simRun{run: 1, since: w.downTo}, w.downTo.Add(testTerm)
+			}
+		}
+		x := s.task(key("answered", 0, 0))
+		for end := s.now.Add(10 * time.Second); s.now.Before(end) && x.lastCrash == nil; {
+			s.pass(20 * time.Millisecond)
+		}
+		s.pass(100 * time.Millisecond)
+		if late := s.task(k); late != nil && (late.crashes != 0 || math.Abs(late.evidence) > 1e-6) {
+			t.Errorf("%d crashes, evidence %v of a run at work", late.crashes, late.evidence)
+		}
+		return x.evidence
+	}
+	want, got := evidence("answered"), evidence("answered", "late")
+	if math.Abs(got-want) > 1e-6 {
+		t.Errorf("evidence is %v beside a run of the next incarnation, want %v", got, want)
+	}
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -43,7 +43,7 @@
 	sched.counts.Refused++
 	sched.cfg.Log.Info("start refused", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Result", res)
 	w.pollUrgently(now)
-	t.crashRefuted()
+	sched.crashRefuted(t)
 	t.refusedBy = o.Worker
 	sched.requeue(t, now, refusedBackoff)
 	sched.breakGang(t, "member refused")
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -92,7 +92,7 @@
 		w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
 		sched.recordWorkerChange(w)
 	}
-	sched.answersAgain(w)
+	w.answersAgain()
 	w.nextPollAt = now.Add(max(pollPause, pollPausePerWorker*time.Duration(len(sched.workers))))
 	for _, e := range l.Ended {
 		if e.Number > w.appliedResult {
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -19,7 +19,7 @@
 		return
 	}
 	sched.counts.Ended++
-	t.crashRefuted()
+	sched.crashRefuted(t)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -9,18 +9,16 @@
 
 // worker is the leader's view of a worker.
 type worker struct {
-	info               WorkerInfo
-	listed             bool // in the worker list
-	missingSince       time.Time
-	listedIncarnation  table.UnixMillis // in its newest entry of the list
-	handedOver         bool             // its handover record is written or scheduled
-	recorded           WorkerInfo       // in its handover record
-	leavesAt           time.Time        // when a draining worker leaves at the earliest
-	evacuating         bool             // being evacuated for the maintenance of its machine
-	clearedUntil       time.Time        // cleared of latency-critical tasks, see consolidate
-	crashedIncarnation table.UnixMillis // whose crash is counted
-	// Crashes that were counted while it was silent, of the runs that were lost.
-	lostRuns map[workload.TaskKey]*crash
+	info              WorkerInfo
+	listed            bool // in the worker list
+	missingSince      time.Time
+	listedIncarnation table.UnixMillis // in its newest entry of the list
+	handedOver        bool             // its handover record is written or scheduled
+	recorded          WorkerInfo       // in its handover record
+	leavesAt          time.Time        // when a draining worker leaves at the earliest
+	evacuating        bool             // being evacuated for the maintenance of its machine
+	clearedUntil      time.Time        // cleared of latency-critical tasks, see consolidate
+	crash             *crash           // the last one that was counted
 
 	watched     int       // suspects here whose runs may still crash it
 	isolated    int       // of these, those that must run beside proven runs only
