Take a known crash back if the incarnation that was gone answers again

What callers saw: nothing yet; a sound job can be failed on it. A worker that left the list and was silent beyond its lease counted as crashed, known, for good, though the same incarnation was listed and answered later (PROTOCOL.md: entries that expired while the store was away come back).

Cause: only crashes of silent workers were taken back, and what was known of them was dropped with the worker once it counted as gone. The crash of an incarnation that is only gone is kept by id and incarnation when its worker is dropped, 1,000 at most, for 5 min. An answer of that incarnation takes it back; another one that is seen makes it final. A job that has failed by then stays failed, and the next leader does not know of what was kept.

TestIncarnationThatAnswersAgainHasNotCrashed failed before in the six cases of eight in which the same incarnation answers. It passes now, three times.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"persimmonpick/table"
 	"persimmonpick/workload"
 )
 
@@ -26,13 +27,17 @@
 	longestUnknownPause = 5 * time.Minute
 
 	maxLoggedTasks = 4 // keys in the log line on a crash
+
+	// Of the incarnations that were gone and may answer again, so many are kept for so long.
+	maxGone  = 1000
+	goneTime = 5 * time.Minute
 )
 
 // The ways in which a crash shows.
 const (
 	crashReplaced  = "worker replaced"
 	crashRestarted = "worker restarted"
-	crashGone      = "worker gone, lease ended"
+	crashGone      = "worker gone, lease ended"   // taken back if the incarnation answers again
 	crashSilent    = "worker silent, lease ended" // taken back if the incarnation answers again
 )
 
@@ -48,6 +53,9 @@
 	if c == nil {
 		c = &crash{worker: w, service: w.info.Service, incarnation: w.info.Incarnation, at: w.crashTime(now), silent: why == crashSilent}
 	}
+	if ended {
+		c.gone = why == crashGone && (c.gone || !c.ended)
+	}
 	if ended && !c.ended {
 		c.ended, c.silent = true, false
 		sched.weighAgain(c)
@@ -153,14 +161,44 @@
 	return slices.ContainsFunc(tasks, func(t *task) bool { return t.started == startRecorded })
 }
 
-// answersAgain takes back the crash that was counted while w was silent, since its incarnation has not ended.
+// goneWorker is the crash that is kept of an incarnation that was gone, in case it answers again.
+type goneWorker struct {
+	id    table.WorkerID
+	at    time.Time
+	crash *crash
+}
+
+// keepGone keeps the crash that was counted since w, which is dropped, was gone.
+func (sched *Scheduler) keepGone(w *worker, now time.Time) {
+	if c := w.currentCrash(); c != nil && c.gone && c.incarnation != 0 {
+		sched.gone = append(sched.gone, goneWorker{w.info.ID, now, c})
+	}
+	for len(sched.gone) > 0 && (len(sched.gone) > maxGone || now.Sub(sched.gone[0].at) > goneTime) {
+		sched.gone = sched.gone[1:]
+	}
+}
+
+// restoreGone gives w, which is back, the crash that is kept of its incarnation.
+func (sched *Scheduler) restoreGone(w *worker, now time.Time) {
+	for i, g := range sched.gone {
+		if g.id == w.info.ID && g.crash.incarnation == w.info.Incarnation {
+			if now.Sub(g.at) <= goneTime {
+				w.crash = g.crash
+			}
+			sched.gone = slices.Delete(sched.gone, i, i+1)
+			return
+		}
+	}
+}
+
+// answersAgain takes back the crash that was counted while w was silent or gone, since its incarnation has not ended.
 func (w *worker) answersAgain() {
 	c := w.currentCrash()
 	if c == nil {
 		return
 	}
 	for _, k := range c.causes {
-		if k.task != nil && !c.ended {
+		if k.task != nil && (!c.ended || c.gone) {
 			k.task.takeBack(c)
 		}
 	}
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -49,6 +49,7 @@
 	at          time.Time // as far as known
 	seenAt      time.Time // the newest way in which it shows
 	ended       bool      // the incarnation has, and not by plan
+	gone        bool      // as far as is known since its worker is gone
 	silent      bool      // its worker is no more than that
 	unheard     bool      // this leader has not reached the incarnation
 	likely      bool      // a run that was not settled is among the causes
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -406,3 +406,80 @@
 		t.Errorf("evidence is %v beside a run of the next incarnation, want %v", got, want)
 	}
 }
+
+// Guards against a crash that stays known though the incarnation that was gone answers again.
+func TestIncarnationThatAnswersAgainHasNotCrashed(t *testing.T) {
+	for _, c := range []struct {
+		silent, away time.Duration // before it leaves the list, and once it is gone
+		polled       bool          // it is not forgotten, since a poll is under way all the while
+		restarted    bool          // another incarnation answers
+	}{
+		{polled: true},
+		{silent: 8 * time.Second, polled: true},
+		{polled: true, restarted: true},
+		{},
+		{silent: 8 * time.Second},
+		{away: 10 * time.Second},
+		{silent: 8 * time.Second, away: 10 * time.Second},
+		{restarted: true},
+	} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			s, k := startSound(t, neverBack, 2)
+			s.takes = time.Minute
+			s.passUntilStarted(k, 1)
+			x := s.task(k)
+			w := s.worker(x.worker.info.ID)
+			s.losesPoll = func(o PollOrder) bool { return o.Worker == w.info.ID }
+			s.losesStart = func(StartOrder) bool { return true } // another run would clear the task
+			s.pass(c.silent)
+			if c.polled {
+				s.Scheduler.workers[w.info.ID].pollsInFlight++
+			}
+			s.RemoveWorker(w.info.ID, s.now)
+			known := false
+			for end := s.now.Add(30 * time.Second); !known && s.now.Before(end); {
+				s.pass(20 * time.Millisecond)
+				known = x.knownCrashes > 0
+			}
+			s.is.True(known)
+			s.pass(c.away)
+			s.losesPoll = nil
+			s.is.Equal(s.Scheduler.workers[w.info.ID] != nil, c.polled)
+			if c.polled {
+				s.Scheduler.workers[w.info.ID].pollsInFlight--
+			}
+			if c.restarted {
+				w.info.Incarnation++
+			}
+			s.SetWorker(w.info, s.now)
+			s.pass(700 * time.Millisecond)
+			if c.restarted {
+				s.is.Equal(x.knownCrashes, 1)
+				return
+			}
+			if x.crashes > 0 || x.knownCrashes > 0 || x.evidence != 0 {
+				t.Errorf("%d crashes, %d known, evidence %v, under an incarnation that lives on", x.crashes, x.knownCrashes, x.evidence)
+			}
+		})
+	}
+}
+
+// Guards against what is kept of gone incarnations without bound.
+func TestCrashesOfGoneWorkersAreKeptWithinBounds(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	w := newWorker(r.workerInfo("w"), 1)
+	c := &crash{incarnation: w.info.Incarnation, gone: true}
+	for range maxGone + 1 {
+		w.crash = c
+		r.keepGone(w, r.now)
+	}
+	is.Equal(len(r.gone), maxGone)
+	r.now = r.now.Add(goneTime + 1)
+	w.crash = nil
+	r.restoreGone(w, r.now)
+	is.Equal(w.crash, nil)
+	w.crash = c
+	r.keepGone(w, r.now)
+	is.Equal(len(r.gone), 1)
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -51,6 +51,7 @@
 	finishedProgress []ledger.Record
 	suspects         map[*task]bool // tasks with crashes, and some without by now
 	crashes          []*crash       // recent
+	gone             []goneWorker   // the oldest first
 	causeless        []causelessCrash
 	crashRates       map[workload.QueueID]*crashRate
 	startOutcomes    outcomesByService
@@ -233,6 +234,9 @@
 		sched.cfg.Log.Info("worker listed", "Worker", info.ID, "Labels", info.Labels, "CPU", info.Capacity.CPU, "Memory", info.Capacity.Memory, "Rack", info.Rack, "Zone", info.Zone)
 	}
 	w.info, w.listed, w.missingSince = info, true, time.Time{}
+	if w.crash == nil {
+		sched.restoreGone(w, now)
+	}
 	w.listedIncarnation = info.Incarnation
 	sched.recordWorkerChange(w)
 }
@@ -323,6 +327,7 @@
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
+			sched.keepGone(w, now)
 			sched.removedWorkers = append(sched.removedWorkers, id)
 		}
 	}
