Show that a next leader does not wait for other crashes of the moment

The test is listed as red. The set-up that it shares with the test of the fifth crash is one function now.

--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -183,8 +183,9 @@
 	}
 }
 
-// Guards against a sound job that is failed at its fifth crash before other crashes of the same moment show.
-func TestFifthCrashWaitsForOthersOfItsMoment(t *testing.T) {
+// loseRack starts a sound task with the given crashes again, and takes down its worker and eight others at the same
+// moment; those of the others show 0.6 s later.
+func loseRack(t *testing.T, crashes, known int, evidence float64) (*crashSite, *task) {
 	s, k := startSound(t, backReplaced, 12)
 	s.pass(time.Second)
 	x := s.task(k)
@@ -192,7 +193,7 @@
 	for _, w := range s.workers {
 		delete(w.running, k)
 	}
-	x.crashes, x.knownCrashes, x.evidence = 4, 2, 2
+	x.crashes, x.knownCrashes, x.evidence = crashes, known, evidence
 	s.suspects[x] = true
 	s.starts[k] = nil
 	s.passUntilStarted(k, 1)
@@ -206,6 +207,23 @@
 			w.downTo = w.downTo.Add(600 * time.Millisecond)
 		}
 	}
+	return s, x
+}
+
+// Guards against a sound job that is failed at its fifth crash before other crashes of the same moment show.
+func TestFifthCrashWaitsForOthersOfItsMoment(t *testing.T) {
+	s, _ := loseRack(t, 4, 2, 2)
+	s.passUntilFinal(time.Minute)
+	s.checkDeadly()
+}
+
+// Guards against a next leader that fails a job while the one before still waited. Red, see KNOWN-RED.txt.
+func TestNextLeaderWaitsForOtherCrashesOfTheMoment(t *testing.T) {
+	s, x := loseRack(t, 2, 1, 8)
+	for end := s.now.Add(10 * time.Second); x.crashes < 3 && s.now.Before(end); {
+		s.pass(20 * time.Millisecond)
+	}
+	s.changeLeader()
 	s.passUntilFinal(time.Minute)
 	s.checkDeadly()
 }
