Poll a silent worker once another one is listed at its address

Callers saw jobs idle for twice as long as a crash takes: if the worker that replaced a crashed one at its address crashed as well, before the crashed one was polled again (each 1.2 s at most), nobody answered there, and the runs of the first counted as at work until their lease ended. Where many deadly tasks wait, the first of them starts on the replacement at once.

A silent worker is polled as soon as another one is listed at its address.

--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -149,3 +149,24 @@
 		})
 	}
 }
+
+// Guards against runs that count as at work until their lease ends, as the worker that replaced theirs crashed soon.
+func TestRunsAreLostThoughTheReplacementOfTheirWorkerCrashesAtOnce(t *testing.T) {
+	s := newCrashSite(t, backReplaced, 1)
+	s.answered = true
+	s.pass(time.Second)
+	s.submitJob("sound", step(1))
+	s.pass(100 * time.Millisecond)
+	s.submitJob("deadly1", step(1))
+	s.pass(100 * time.Millisecond)
+	s.submitJob("deadly2", step(1))
+	began := s.now
+	sound := s.task(key("sound", 0, 0))
+	for sound.worker != nil && sound.run == 1 && s.now.Sub(began) < 20*time.Second {
+		s.pass(20 * time.Millisecond)
+	}
+	s.is.True(s.crashes > 0)
+	if took := s.now.Sub(began); took > 3500*time.Millisecond {
+		t.Errorf("the run is lost after %v", took)
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -212,6 +212,9 @@
 	if !w.listed {
 		sched.cfg.Log.Info("worker listed", "Worker", info.ID, "Labels", info.Labels, "CPU", info.Capacity.CPU, "Memory", info.Capacity.Memory, "Rack", info.Rack, "Zone", info.Zone)
 	}
+	if !w.listed || info.Address != w.info.Address {
+		sched.pollSilentAt(info.Address, now)
+	}
 	w.info, w.listed, w.missingSince = info, true, time.Time{}
 	w.listedIncarnation = info.Incarnation
 	sched.recordWorkerChange(w)
@@ -245,6 +248,16 @@
 	w.pollUrgently(now)
 }
 
+// pollSilentAt polls the silent workers with the given address, since the worker that is there now tells that they have
+// ended. It may crash before their next polls.
+func (sched *Scheduler) pollSilentAt(address string, now time.Time) {
+	for _, w := range sched.workers {
+		if w.missedPolls > 0 && w.info.Address == address {
+			w.pollUrgently(now)
+		}
+	}
+}
+
 func (w *worker) pollUrgently(now time.Time) {
 	w.urgent = true
 	w.nextPollAt = now
