Let suspects end less than one run on average while workers are away

Callers' sound jobs ended late beside many deadly ones: while a tenth of the workers was away, any suspect that had waited for 2 s started beside two settled runs. Once all others had been told apart, the likely deadly ones (likelihood 0.9 and more) started within 0.3 s on four or five of the workers left, and each ended two runs that had just been found sound; these came back 3 s later, behind others. A suspect at 0.3 got no more places than that, and so waited for longer than needed.

A suspect now starts there beside runs as long as its likelihood times their number is 0.9 at most: three at 0.3, none from 0.91. Turns are as before.

TestLikelySuspectEndsNoNeighborsWhileWorkersAreAway failed before. In TestTurnsOfDeadlyTasksEndTheRunsOfFewWorkers the bound of three runs is a number, as spareRuns is none of runs any more; it checks the same.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -271,8 +271,8 @@
 	w.pollUrgently(now)
 }
 
-// pollSilentAt polls the silent workers with the given address, since the worker that is there now tells that they have
-// ended. It may crash before their next polls.
+// pollSilentAt polls the silent workers with the given address, since the worker that is there now tells that they
+// have ended. It may crash before their next polls.
 func (sched *Scheduler) pollSilentAt(address string, now time.Time) {
 	for _, w := range sched.workers {
 		if w.missedPolls > 0 && w.info.Address == address {
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -19,7 +19,7 @@
 	// From this likelihood, and before the last start, a suspect starts beside settled runs only.
 	isolatedLikelihood = 0.2
 	isolationStep      = 1.0         // of the logarithm of the odds; within a step those that have waited longest come first
-	spareRuns          = 2           // that a suspect may end while many workers are away
+	spareRuns          = 0.9         // that a suspect may be expected to end while many workers are away
 	isolationTime      = time.Second // for which a worker is kept free for a suspect
 	// Suspects are isolated on this share of the workers of a service at least, and on others as long as so many remain
 	// for other tasks: this share, and this many times what their tasks reserve.
@@ -190,11 +190,11 @@
 }
 
 // spares reports whether t may crash w without ending many runs. While many workers are away, others return without
-// runs, and a task that has waited for one may start beside a few short runs.
+// runs, and a task that has waited for one may start beside short runs, the fewer the likelier it crashes the worker.
 func (sched *Scheduler) spares(w *worker, t *task, now time.Time) bool {
 	i := sched.isolations[w.info.Service]
 	return len(w.tasks) == 0 || i == nil || float64(i.usable) >= returning*i.size ||
-		w.longRunning == 0 && len(w.tasks) <= spareRuns && now.Sub(t.notBefore) >= separation
+		w.longRunning == 0 && sched.likelihood(t)*float64(len(w.tasks)) <= spareRuns && now.Sub(t.notBefore) >= separation
 }
 
 // hasPlace reports whether a worker could take t if suspects are left out of account.
--- a/dispatch/suspectwaits_test.go
+++ b/dispatch/suspectwaits_test.go
@@ -391,7 +391,7 @@
 		s.pass(20 * time.Millisecond)
 		least = min(least, s.countUp())
 		for _, w := range s.workers {
-			if !w.crashAt.IsZero() && len(w.running) > spareRuns+1 {
+			if !w.crashAt.IsZero() && len(w.running) > 3 {
 				ended = append(ended, s.now)
 			}
 		}
@@ -428,3 +428,25 @@
 		t.Errorf("%d sound suspects wait for %v, more than %v", each, took, bound)
 	}
 }
+
+// Guards against deadly tasks that end the runs of sound ones, just told apart, again and again while workers are away.
+func TestLikelySuspectEndsNoNeighborsWhileWorkersAreAway(t *testing.T) {
+	for evidence, most := range map[float64]int{6: 3, 9: 1, 12: 0} {
+		t.Run(fmt.Sprint(evidence), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig()
+			r.addWorkers("a", "b", "c", "d")
+			r.countIsolations(r.now)
+			r.workers["c"].missedPolls, r.workers["d"].missedPolls = 1, 1
+			r.countIsolations(r.now)
+			r.submit("suspect", step(1))
+			suspect := r.setCrashes(key("suspect", 0, 0), suspectCrashes, evidence)
+			w := r.workers["a"]
+			for n := range 5 {
+				is.Equal(r.spares(w, suspect, r.now.Add(separation)), n <= most)
+				k := key("sound", 0, n)
+				w.tasks[k] = &task{key: k}
+			}
+		})
+	}
+}
