--- a/dispatch/suspectwaits_test.go
+++ b/dispatch/suspectwaits_test.go
@@ -429,7 +429,7 @@
 	}
 }
 
-// Guards against deadly tasks that end the runs of sound ones, just told apart, again and again while workers are away.
+// Guards against deadly tasks that end the runs of sound ones, just told apart, again and again.
 func TestLikelySuspectEndsNoNeighborsWhileWorkersAreAway(t *testing.T) {
 	for evidence, most := range map[float64]int{6: 3, 9: 1, 12: 0} {
 		t.Run(fmt.Sprint(evidence), func(t *testing.T) {
--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -312,7 +312,7 @@
 	})
 }
 
-// Guards against a machine that is left out for good since the list lacked it for longer than a machine may be missing.
+// Guards against a machine that is left out for good since the list lacked it for too long.
 func TestMachineThatIsListedAgainHasItsMaintenance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/oncall/read.go
+++ b/oncall/read.go
@@ -102,8 +102,8 @@
 	return rev, nil
 }
 
-// finalStates returns the state of each job that became final, by the newest leader that told one: what a leader before
-// it told otherwise was not in the log.
+// finalStates returns the state of each job that became final, by the newest leader that told one: what a leader
+// before it told otherwise was not in the log.
 func finalStates(ls []line) map[string]string {
 	states, epochs := map[string]string{}, map[string]float64{}
 	for _, l := range ls {
--- a/test.sh
+++ b/test.sh
@@ -11,7 +11,7 @@
 # The race detector runs on the packages in which goroutines share state.
 race=$(go list ./... | grep -E '/(journal|peer|share|route|claim|entry|provider|burn|ledger|dispatch|intake|fleet|platform|standby|maintenance)$' || true)
 rest=$(go list ./... | grep -vxF "${race:-none}")
-# The tests of ./dispatch have no clock of their own and take all cores, so they run before those that wait for answers.
+# The tests of ./dispatch use no real time and take all cores, so they run before those that wait for answers.
 busy=$(grep -E '/dispatch$' <<<"$race" || true)
 race=$(grep -vxF "${busy:-none}" <<<"$race" || true)
 if [ -n "$busy" ]; then go test -race -count=1 "${skip[@]}" "$busy"; fi
