Share the set-up of two tests and what two questions on starts ask

Read again after the landing: two tests of known crashes began with the same seven lines, areAnswered and areUnanswered computed the same share, and answersAgain asked for each cause what holds for the whole crash. Behaviour and assertions are unchanged.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -199,12 +199,15 @@
 	if c == nil {
 		return
 	}
+	w.crash = nil
+	if c.ended && !c.gone {
+		return
+	}
 	for _, k := range c.causes {
-		if k.task != nil && (!c.ended || c.gone) {
+		if k.task != nil {
 			k.task.takeBack(c)
 		}
 	}
-	w.crash = nil
 }
 
 // crashRefuted takes back the crash that was counted for the run of t, so that other runs are likelier to have caused
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -272,19 +272,25 @@
 	}
 }
 
-// Guards against a crash that is counted as known since a new leader has not read the list of workers.
-func TestWorkerOfAnUnreadListIsNotGone(t *testing.T) {
-	s, k := startSound(t, backReplaced, 1)
+// startOnceCrashed starts a sound job of one task with a known crash, and lets its run work for a while.
+func startOnceCrashed(t *testing.T, way string, workers int) (*crashSite, workload.TaskKey) {
+	s, k := startSound(t, way, workers)
 	s.takes = time.Minute
 	x := s.task(k)
 	x.crashes, x.knownCrashes, x.evidence = 1, 1, 3
 	s.suspects[x] = true
 	s.passUntilStarted(k, 1)
 	s.pass(100 * time.Millisecond)
+	return s, k
+}
+
+// Guards against a crash that is counted as known since a new leader has not read the list of workers.
+func TestWorkerOfAnUnreadListIsNotGone(t *testing.T) {
+	s, k := startOnceCrashed(t, backReplaced, 1)
 	s.listUnread, s.losesPoll = true, func(PollOrder) bool { return true }
 	s.changeLeader()
 	s.pass(20 * time.Second)
-	x = s.task(k)
+	x := s.task(k)
 	if x.phase != waiting || x.knownCrashes > 1 {
 		t.Errorf("phase %s, %d crashes, %d known; the lease ended, and no list was read", x.phase, x.crashes, x.knownCrashes)
 	}
@@ -298,13 +304,7 @@
 
 // Guards against runs that wait for longer than the lease though the list tells that their worker is gone.
 func TestRunsOfAGoneWorkerStartAgainWithANewLeader(t *testing.T) {
-	s, k := startSound(t, neverBack, 2)
-	s.takes = time.Minute
-	x := s.task(k)
-	x.crashes, x.knownCrashes, x.evidence = 1, 1, 3
-	s.suspects[x] = true
-	s.passUntilStarted(k, 1)
-	s.pass(100 * time.Millisecond)
+	s, k := startOnceCrashed(t, neverBack, 2)
 	for _, w := range s.workers {
 		if w.running[k] != nil {
 			s.takeDown(w, neverBack)
--- a/dispatch/startoutcomes.go
+++ b/dispatch/startoutcomes.go
@@ -66,14 +66,19 @@
 
 // areAnswered reports whether starts are known to be answered now.
 func (o *startOutcomes) areAnswered(now time.Time) bool {
-	o.fade(now)
-	all := o.answered + o.unanswered
-	return all >= leastOutcomes && o.unanswered <= mostUnanswered*all
+	share, known := o.unansweredShare(now)
+	return known && share <= mostUnanswered
 }
 
 // areUnanswered reports whether starts are known not to be answered now by workers that live on.
 func (o *startOutcomes) areUnanswered(now time.Time) bool {
+	share, known := o.unansweredShare(now)
+	return known && share > mostUnanswered
+}
+
+// unansweredShare returns the share of starts that are not answered by workers that live on, if enough is known.
+func (o *startOutcomes) unansweredShare(now time.Time) (share float64, known bool) {
 	o.fade(now)
 	all := o.answered + o.unanswered
-	return all >= leastOutcomes && o.unanswered > mostUnanswered*all
+	return o.unanswered / all, all >= leastOutcomes
 }
