--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -63,7 +63,7 @@
 	}
 	var causes []*task
 	for _, t := range w.tasks {
-		if t.mayCrash() && !t.crashCounted && (why != crashSilent || !t.heldByUnansweredStart(now)) && (!leaves || t.suspect()) && c.cause(t) == nil {
+		if t.mayCrash() && !t.crashCounted && (why != crashSilent || !sched.heldByUnansweredStart(t, now)) && (!leaves || t.suspect()) && c.cause(t) == nil {
 			causes = append(causes, t)
 		}
 	}
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -46,6 +46,7 @@
 // RestoreHandover loads the handover records of the last leader. A worker in them is polled if tasks are assigned to
 // it, but gets no new tasks before it is listed.
 func (sched *Scheduler) RestoreHandover(records map[string][]byte, now time.Time) {
+	sched.ledSince = now
 	for name, data := range records {
 		id, isWorker := strings.CutPrefix(name, handoverWorkerPrefix)
 		var err error
--- /dev/null
+++ b/dispatch/incarnation.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"time"
+
+	"persimmonpick/table"
+)
+
+// An order names its worker by ID, which all incarnations of the worker share, so an order that is carried out late
+// may reach a later incarnation than it is meant for. That one grants a lease up to its limit, whatever the order
+// says, as the time in the order is far ahead on its clock. An order under a newer token keeps such orders off.
+
+// clearClock is a reading that the next incarnation does not reach while answers to orders for this one come in.
+const clearClock = WorkerClock(lateOrderLimit / time.Millisecond)
+
+// longestLease returns how long a lease may last on this host's clock that an order for another incarnation extends.
+func (sched *Scheduler) longestLease() time.Duration {
+	return maxLeaseDuration(max(sched.cfg.LeaseTerm, sched.cfg.MaxLease))
+}
+
+// inheritedLeaseEnd returns when a lease has ended that an earlier leader may have extended until it noticed that a
+// newer leader had superseded it.
+func (sched *Scheduler) inheritedLeaseEnd(now time.Time) time.Time {
+	return now.Add(supersededExtension + sched.longestLease())
+}
+
+// lateOrdersEnd returns when the lease of an incarnation of w has ended that no leader has polled, but that may have
+// carried out orders for earlier incarnations.
+func (sched *Scheduler) lateOrdersEnd(w *worker) time.Time {
+	return sched.lastLateOrder(w).Add(sched.longestLease())
+}
+
+// lastLateOrder returns the time after which no order with a lease is carried out on w that has been sent so far.
+func (sched *Scheduler) lastLateOrder(w *worker) time.Time {
+	sent := sched.ledSince.Add(supersededExtension)
+	if w.leaseSentAt.After(sent) {
+		sent = w.leaseSentAt
+	}
+	return sent.Add(lateOrderLimit)
+}
+
+// workerRestarted resets what is known of w, so that it is polled under a higher token as by a new leader. The new
+// incarnation may have answered starts already, and unanswered starts may still reach it, so only a list of its
+// runs under a higher token tells which of these were lost.
+func (sched *Scheduler) workerRestarted(w *worker, incarnation table.UnixMillis, now time.Time) {
+	sched.cfg.Log.Info("worker restarted", "Worker", w.info.ID, "Born", incarnation, "Before", w.info.Incarnation, "Tasks", len(w.tasks))
+	if w.info.Incarnation != 0 {
+		sched.workerCrashed(w, crashRestarted, now)
+	}
+	w.info.Incarnation = incarnation
+	sched.recordWorkerChange(w)
+	sched.contactAnew(w, now)
+}
+
+// contactAnew has w polled as by a new leader.
+func (sched *Scheduler) contactAnew(w *worker, now time.Time) {
+	if end := sched.lateOrdersEnd(w); w.clock < clearClock && end.After(w.leaseUntil) {
+		w.leaseUntil = end // answered starts may be of either incarnation
+	}
+	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
+	w.token++
+	w.pollSentAt = now
+	w.failStreak, w.stall = 0, workerStall{}
+	w.pollUrgently(now)
+}
+
+// firstContact applies the first reply of an incarnation of w under a token of this leader.
+func (sched *Scheduler) firstContact(w *worker, l PollReply, now time.Time) {
+	bound := now.Add(sched.longestLease())
+	if !w.leaseBound.covers(l.Incarnation) || bound.Before(w.leaseUntil) {
+		w.leaseUntil = bound
+	}
+	if w.info.Incarnation != 0 && l.Incarnation > w.info.Incarnation {
+		sched.workerCrashed(w, crashRestarted, now)
+	}
+	w.contacted, w.contactedAt = true, now
+	w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
+	sched.recordWorkerChange(w)
+	sched.cfg.Log.Debug("worker contacted", "Worker", w.info.ID, "Born", l.Incarnation, "Clock", l.Clock, "LeaseLeft", w.leaseUntil.Sub(now).Round(time.Millisecond))
+}
+
+// startedByAnother notes that o was answered by a later incarnation than the one that it is for.
+func (sched *Scheduler) startedByAnother(w *worker, o StartOrder, now time.Time) {
+	sched.cfg.Log.Info("start order answered by another incarnation", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker)
+	if w.contacted && w.info.Incarnation == o.incarnation {
+		sched.contactAnew(w, now)
+	}
+}
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -377,7 +377,7 @@
 	x, y := s.task(key("answered", 0, 0)), s.task(key("unanswered", 0, 0))
 	is.Equal(x.crashes, 1)
 	is.Equal(y.crashes, 0)
-	s.pass(lateStartGrace)
+	s.pass(lateOrderLimit)
 	is.Equal(y.crashes, 1)
 	is.True(x.lastCrash == y.lastCrash)
 	s.onOrders = func() {}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -40,8 +40,8 @@
 
 	// A worker that is missing from the worker list for less is kept, since an outage of the store may be the reason.
 	missingGrace = 2500 * time.Millisecond
-	// An order without an answer may be carried out seconds later; after this time beyond the lease it is not.
-	lateStartGrace = 15 * time.Second
+	// An order without an answer may be carried out seconds later, by a later incarnation too; after this time it is not.
+	lateOrderLimit = 13 * time.Second
 	// A worker that still answers so long after its evacuation has ended stays.
 	evacuatedGrace = 2 * time.Second
 	drainMargin    = 600 * time.Millisecond // a draining worker must be empty this long before it leaves
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -13,6 +13,11 @@
 		return
 	}
 	w := t.worker
+	if res == AnsweredByAnother {
+		t.startUnknown = true
+		sched.startedByAnother(w, o, now)
+		return
+	}
 	if res != NotSent && res != StartUnknown {
 		sched.startOutcomes.of(w.info.Service).observe(true, now)
 	}
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -28,7 +28,7 @@
 }
 
 func (sched *Scheduler) pollOrder(w *worker, now time.Time, extend bool) PollOrder {
-	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token}
+	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, leastClock: w.leastClock(now)}
 	// A silent worker may have restarted under its ID, and its results are numbered anew then.
 	if w.missedPolls == 0 {
 		o.Acked = w.loggedResult
@@ -81,6 +81,11 @@
 		sched.workerRestarted(w, l.Incarnation, now)
 		return
 	}
+	if l.Incarnation == 0 && w.contacted && l.Clock < o.leastClock {
+		sched.cfg.Log.Info("worker's clock went back", "Worker", w.info.ID, "Clock", l.Clock, "Least", o.leastClock)
+		sched.contactAnew(w, now)
+		return
+	}
 	if o.Token < w.token {
 		w.missedPolls = 0
 		return // the poll that resolves the unanswered orders is in flight
@@ -88,16 +93,7 @@
 	w.missedPolls, w.heardAt, w.pollSentAt = 0, now, sent
 	w.clock, w.clockAt = l.Clock, now
 	if !w.contacted {
-		// Earlier leaders can no longer extend the lease. What is known of it is of the incarnation in the record.
-		if bound := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)); bound.Before(w.leaseUntil) || l.Incarnation > w.info.Incarnation {
-			w.leaseUntil = bound
-		}
-		if w.info.Incarnation != 0 && l.Incarnation > w.info.Incarnation {
-			sched.workerCrashed(w, crashRestarted, now)
-		}
-		w.contacted, w.contactedAt = true, now
-		w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
-		sched.recordWorkerChange(w)
+		sched.firstContact(w, l, now)
 	}
 	w.answersAgain()
 	w.nextPollAt = now.Add(max(pollPause, pollPausePerWorker*time.Duration(len(sched.workers))))
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -42,6 +42,17 @@
 	Ticket     string      // from the approval service, if the queue needs approval
 	LeaseUntil WorkerClock // lease of all runs on the worker
 	Token      FenceToken
+	LeastClock WorkerClock // of a reply by the incarnation that the order is for; 0 if not known
+
+	incarnation table.UnixMillis // that the order is for
+}
+
+// Outcome returns the outcome of o, which a worker has answered with the given result at the given time on its clock.
+func (o StartOrder) Outcome(res StartResult, clock WorkerClock) StartResult {
+	if clock < o.LeastClock {
+		return AnsweredByAnother
+	}
+	return res
 }
 
 // StopOrder asks a worker to stop a run.
@@ -71,12 +82,14 @@
 	Acked      ResultNumber  // results up to this number need not be listed again
 	LeaseUntil WorkerClock   // 0 leaves the lease as it is
 	Wait       time.Duration // how long the worker waits for a run to end before it answers
+
+	leastClock WorkerClock // of a reply by the incarnation that the order is for; 0 if not known
 }
 
 // StartResult is the outcome of a StartOrder.
 type StartResult uint8
 
-// The outcomes of a StartOrder; all but Started and StartUnknown mean that the run did not start.
+// The outcomes of a StartOrder; all but Started, StartUnknown and AnsweredByAnother mean that the run did not start.
 const (
 	Started StartResult = iota
 	StartUnknown
@@ -89,10 +102,11 @@
 	RefusedUnhealthy    // the worker accepts no tasks
 	RefusedInvalid      // the worker could not parse the order
 	NotSent
+	AnsweredByAnother // another incarnation than the one that the order is for may have started the run
 )
 
 var startResultNames = [...]string{
-	"Started", "Unknown", "Fence", "Old", "Late", "Room", "Ticket", "Life", "Unhealthy", "Invalid", "NotSent",
+	"Started", "Unknown", "Fence", "Old", "Late", "Room", "Ticket", "Life", "Unhealthy", "Invalid", "NotSent", "AnotherLife",
 }
 
 // String returns the name of r.
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -494,6 +494,6 @@
 	r.submit("j", step(1))
 	r.StartDone(r.place()[0], StartUnknown, r.now)
 	took := restartAfter(r)
-	is.True(took < maxLeaseDuration(testTerm)+lateStartGrace+time.Second)
+	is.True(took < maxLeaseDuration(testTerm)+lateOrderLimit+time.Second)
 	is.True(took >= maxLeaseDuration(testTerm)) // it may run until then
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -13,6 +13,7 @@
 type Config struct {
 	Epoch           ledger.Epoch
 	LeaseTerm       time.Duration // of worker leases
+	MaxLease        time.Duration // longest lease that a worker grants; at least LeaseTerm
 	StatusRetention time.Duration // how long the status of a final job is kept
 	RemoteFactor    float64       // how many times longer a task runs when its data is in another rack
 	// HandoverReadAt returns when a handover record was first read; nil means when it is restored.
@@ -58,6 +59,7 @@
 	crashedAt        map[table.ServiceID]time.Time  // newest crash of a worker, or when this leader began to look
 	isolations       map[table.ServiceID]*isolation // updated by Decide
 	decidedAt        time.Time
+	ledSince         time.Time
 
 	changedWorkers []*worker        // whose handover record must be written
 	removedWorkers []table.WorkerID // whose handover record must be deleted
@@ -197,12 +199,6 @@
 	return w
 }
 
-// inheritedLeaseEnd returns when a lease has ended that an earlier leader may have extended until it noticed that a
-// newer leader had superseded it.
-func (sched *Scheduler) inheritedLeaseEnd(now time.Time) time.Time {
-	return now.Add(supersededExtension + maxLeaseDuration(sched.cfg.LeaseTerm))
-}
-
 func (sched *Scheduler) firstToken() FenceToken { return FenceToken(sched.cfg.Epoch) * tokensPerEpoch }
 
 // SetWorker applies an entry of the worker list.
@@ -254,23 +250,6 @@
 	sched.cfg.Log.Info("worker removed from the list", "Worker", id, "Tasks", len(w.tasks))
 }
 
-// workerRestarted resets what is known of w, so that it is polled under a higher token as by a new leader. The new
-// incarnation may have answered starts already, and unanswered starts may still reach it, so only a list of its
-// runs under a higher token tells which runs were lost.
-func (sched *Scheduler) workerRestarted(w *worker, incarnation table.UnixMillis, now time.Time) {
-	sched.cfg.Log.Info("worker restarted", "Worker", w.info.ID, "Born", incarnation, "Before", w.info.Incarnation, "Tasks", len(w.tasks))
-	if w.info.Incarnation != 0 {
-		sched.workerCrashed(w, crashRestarted, now)
-	}
-	w.info.Incarnation = incarnation
-	sched.recordWorkerChange(w)
-	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
-	w.token++
-	w.pollSentAt = now
-	w.failStreak, w.stall = 0, workerStall{}
-	w.pollUrgently(now)
-}
-
 // pollSilentAt polls the silent workers with the given address, since the worker that is there now tells that they
 // have ended. It may crash before their next polls.
 func (sched *Scheduler) pollSilentAt(address string, now time.Time) {
@@ -336,7 +315,10 @@
 		}
 		sched.workerCrashed(w, crashGone, now)
 		for _, t := range w.tasks {
-			sched.loseRun(t, now, crashGone)
+			// An incarnation that carries out the start later is listed by then.
+			if t.phase != starting || now.After(sched.lastLateOrder(w)) {
+				sched.loseRun(t, now, crashGone)
+			}
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
@@ -349,7 +331,7 @@
 		if (w.missedPolls > 0 || w.info.Address == "") && now.After(w.leaseUntil) {
 			sched.workerCrashed(w, crashSilent, now)
 			for _, t := range w.tasks {
-				if !t.heldByUnansweredStart(now) {
+				if !sched.heldByUnansweredStart(t, now) {
 					sched.loseRun(t, now, crashSilent)
 				}
 			}
@@ -369,10 +351,10 @@
 	sched.logStatus(now)
 }
 
-// heldByUnansweredStart reports whether a start order of t that was not answered may still take effect once the lease
-// has ended, in another incarnation of its worker.
-func (t *task) heldByUnansweredStart(now time.Time) bool {
-	return t.phase == starting && now.Sub(t.worker.leaseUntil) <= lateStartGrace
+// heldByUnansweredStart reports whether a run of t may be at work once the lease has ended, since its start order was
+// not answered and another incarnation of its worker may carry it out.
+func (sched *Scheduler) heldByUnansweredStart(t *task, now time.Time) bool {
+	return t.phase == starting && !now.After(sched.lateOrdersEnd(t.worker))
 }
 
 // openDueOccurrences creates the tasks of the occurrences that are due.
--- a/dispatch/suspects_test.go
+++ b/dispatch/suspects_test.go
@@ -35,7 +35,7 @@
 			w.crashAt = time.Time{}
 			s.crashes++
 			s.takeDown(w, backLate)
-			w.downTo = s.now.Add(testTerm + lateStartGrace + 5*time.Second)
+			w.downTo = s.now.Add(testTerm + lateOrderLimit + 5*time.Second)
 		}
 	}
 	s.submitJob("deadly", step(1))
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -41,6 +41,7 @@
 	clockAt         time.Time
 	leaseBound      leaseBound
 	leaseUntil      time.Time // bound on the lease; no run there outlasts it unless the lease is extended
+	leaseSentAt     time.Time // when this leader sent the newest order with a lease
 	pollSentAt      time.Time // of the newest poll that was applied, or when its incarnation was first known
 	pollsInFlight   int
 	firstPollAt     time.Time // of this leader
@@ -161,9 +162,18 @@
 	if end.After(w.leaseUntil) {
 		w.leaseUntil = end
 	}
+	w.leaseSentAt = now
 	return w.clock + WorkerClock(ahead/time.Millisecond)
 }
 
+// leastClock returns the least that the clock of the present incarnation of w reads now, or 0 if that is not known.
+func (w *worker) leastClock(now time.Time) WorkerClock {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	return w.clock + WorkerClock(float64(now.Sub(w.clockAt)/time.Millisecond)*(1-clockDrift))
+}
+
 // maxLeaseDuration returns how long a lease of the given term may last on this host's clock.
 func maxLeaseDuration(term time.Duration) time.Duration {
 	return time.Duration(float64(term)*(1+clockDrift)) + leaseSlack
