--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -58,7 +58,7 @@
 		w.leaseUntil = end // answered starts may be of either incarnation
 	}
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
-	w.token++
+	w.raiseToken()
 	w.pollSentAt = now
 	w.failStreak, w.stall = 0, workerStall{}
 	w.pollUrgently(now)
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -152,3 +152,65 @@
 	is.True(took >= lateOrderLimit-time.Second)
 	is.True(took < lateOrderLimit+time.Second)
 }
+
+// Guards against a result that the next incarnation drops unread, since a poll for the one before acknowledged its
+// number.
+func TestAcknowledgementIsVoidWhereALaterStartRan(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1), step(1))
+	first := r.place()
+	is.Equal(len(first), 2)
+	r.now = r.now.Add(pollPause)
+	is.Equal(r.PollOrders(r.now, true)[0].Acked, ResultNumber(0))
+	for _, o := range first {
+		r.StartDone(o, Started, r.now)
+	}
+	r.workers["a"].pollsInFlight = 0
+	r.list("a", TaskResult{Number: 1, Task: key("j", 0, 0), Run: 1})
+	r.place()
+	r.now = r.now.Add(pollPause)
+	poll := r.PollOrders(r.now, true)[0]
+	is.Equal(poll.Acked, ResultNumber(1))
+	r.submit("k", step(2))
+	starts := r.place()
+	is.Equal(len(starts), 2)
+	is.True(starts[0].Token > poll.Token)
+	is.Equal(starts[0].Token, starts[1].Token) // neither makes the other void
+}
+
+// Guards against a start that follows an unanswered acknowledgement under the same token.
+func TestUnansweredAcknowledgementIsVoidForLaterStarts(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	r.placeAndStart()
+	r.list("a", TaskResult{Number: 1, Task: key("j", 0, 0), Run: 1})
+	r.place()
+	r.now = r.now.Add(pollPause)
+	poll := r.PollOrders(r.now, true)[0]
+	is.Equal(poll.Acked, ResultNumber(1))
+	r.PollDone(poll, r.now, PollReply{}, fault.New(fault.OutcomeUnknown, "no answer"), r.now)
+	r.now = r.now.Add(time.Second)
+	r.list("a")
+	r.submit("k", step(1))
+	starts := r.place()
+	is.Equal(len(starts), 1)
+	is.True(starts[0].Token > poll.Token)
+}
+
+// Guards against a worker that counts as silent since a newer order has overtaken a poll.
+func TestPollThatANewerOrderHasOvertakenIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.now = r.now.Add(pollPause)
+	poll := r.PollOrders(r.now, true)[0]
+	r.workers["a"].raiseToken()
+	r.PollDone(poll, r.now, PollReply{}, fault.New(fault.Stale, "fence"), r.now)
+	is.True(!r.Superseded())
+	is.Equal(r.workers["a"].missedPolls, 0)
+	is.Equal(len(r.PollOrders(r.now, true)), 1) // at once
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -32,7 +32,7 @@
 		sched.cfg.Log.Info("start order not answered", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Result", res)
 		t.startUnknown = true
 		if w.token == o.Token {
-			w.token++
+			w.raiseToken()
 		}
 		w.pollUrgently(now)
 		return
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -29,9 +29,8 @@
 
 func (sched *Scheduler) pollOrder(w *worker, now time.Time, extend bool) PollOrder {
 	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, leastClock: w.leastClock(now)}
-	// A silent worker may have restarted under its ID, and its results are numbered anew then.
-	if w.missedPolls == 0 {
-		o.Acked = w.loggedResult
+	if w.mayAcknowledge() {
+		o.Acked, w.ackSent = w.loggedResult, true
 	}
 	// Whether a silent worker received an extension is unknown, so another request would delay the time from which
 	// its tasks can safely start elsewhere.
@@ -65,6 +64,10 @@
 	w.pollsInFlight--
 	if err != nil {
 		sched.checkFence(w, o.Token, fault.Of(err) == fault.Stale)
+		if fault.Of(err) == fault.Stale && o.Token < w.token {
+			w.pollUrgently(now) // a newer order of this leader has overtaken it
+			return
+		}
 		if fault.Of(err) == fault.NotCurrent && sent.Before(w.pollSentAt) {
 			return // by an earlier incarnation, or the present one has answered since
 		}
@@ -86,9 +89,12 @@
 		sched.contactAnew(w, now)
 		return
 	}
-	if o.Token < w.token {
+	if o.Token < w.token && !w.contacted {
 		w.missedPolls = 0
-		return // the poll that resolves the unanswered orders is in flight
+		return // only a reply under the newer token shows what has become of earlier orders
+	}
+	if o.Acked > 0 && o.Token == w.token {
+		w.ackSent = false
 	}
 	w.missedPolls, w.heardAt, w.pollSentAt = 0, now, sent
 	w.clock, w.clockAt = l.Clock, now
@@ -96,7 +102,9 @@
 		sched.firstContact(w, l, now)
 	}
 	w.answersAgain()
-	w.nextPollAt = now.Add(max(pollPause, pollPausePerWorker*time.Duration(len(sched.workers))))
+	if !w.urgent {
+		w.nextPollAt = now.Add(max(pollPause, pollPausePerWorker*time.Duration(len(sched.workers))))
+	}
 	for _, e := range l.Ended {
 		if e.Number > w.appliedResult {
 			w.appliedResult = e.Number
@@ -116,6 +124,9 @@
 	if fault.Of(err) == fault.NotCurrent && o.Address == w.info.Address {
 		sched.workerReplaced(w, now)
 	}
+	if o.Acked > 0 && o.Token == w.token {
+		w.raiseToken() // it may be carried out late
+	}
 	w.missedPolls++
 	w.nextPollAt = now.Add(min(pollRetryMaxDelay, pollRetryDelay<<min(w.missedPolls-1, 4)))
 	w.urgent = true
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -153,6 +153,9 @@
 			sched.requeue(t, now, refusedBackoff)
 			continue
 		}
+		if w.ackSent {
+			w.raiseToken()
+		}
 		t.phase, t.token, t.orderedAt = starting, w.token, now
 		sched.counts.Starts++
 		orders = append(orders, StartOrder{
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -52,6 +52,7 @@
 	fullUntil       time.Time        // after it refused a start for lack of room
 	appliedResult   ResultNumber     // newest result that was applied
 	loggedResult    ResultNumber     // up to which the effects of all results are in the log
+	ackSent         bool             // a poll under the token acknowledges results and was not answered yet
 	unlogged        []unloggedResult // applied results whose effects are not known to be in the log, by their numbers
 
 	tasks         map[workload.TaskKey]*task
@@ -144,6 +145,27 @@
 	}
 }
 
+// raiseToken makes all orders that are on their way to w void once it has seen a newer one.
+func (w *worker) raiseToken() {
+	w.token++
+	w.ackSent = false
+}
+
+// mayAcknowledge reports whether the next poll may acknowledge results. Each incarnation numbers its results anew. If
+// the next one carried out such a poll after a start under the same token, it would drop the result of that run unread.
+// So no start is on its way when the poll is sent, and later ones get a newer token until it is answered.
+func (w *worker) mayAcknowledge() bool {
+	if w.missedPolls > 0 || w.ackSent || w.loggedResult == 0 {
+		return false
+	}
+	for _, t := range w.tasks {
+		if t.phase == reserved || t.phase == starting {
+			return false
+		}
+	}
+	return true
+}
+
 // leaseUntilFor returns the lease to request and updates leaseUntil; it returns 0 while the worker's clock is
 // unknown, and once its lease may not be extended any more.
 func (w *worker) leaseUntilFor(now time.Time, term time.Duration) WorkerClock {
