--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -75,19 +75,27 @@
 		Capacity: n.Capacity, Incarnation: n.Incarnation,
 	}
 	w.handedOver, w.recorded = true, w.info
+	if n.Incarnation != 0 {
+		w.leaseUntil = sched.recordedLeaseEnd(sched.handoverReadAt(id, now), now)
+	}
 	if n.LeaseEnd != 0 && n.Incarnation != 0 {
 		sched.restoreLeaseBound(w, leaseBound{n.Incarnation, n.LeaseEnd, n.LeaseEndsIn}, now)
 	}
 	return nil
 }
 
-func (sched *Scheduler) restoreLeaseBound(w *worker, b leaseBound, now time.Time) {
-	readAt := now
+// handoverReadAt returns when the handover record of a worker was first read, now if that is not known.
+func (sched *Scheduler) handoverReadAt(id table.WorkerID, now time.Time) time.Time {
 	if sched.cfg.HandoverReadAt != nil {
-		if at := sched.cfg.HandoverReadAt(handoverWorkerPrefix + string(w.info.ID)); !at.IsZero() {
-			readAt = at
+		if at := sched.cfg.HandoverReadAt(handoverWorkerPrefix + string(id)); !at.IsZero() {
+			return at
 		}
 	}
+	return now
+}
+
+func (sched *Scheduler) restoreLeaseBound(w *worker, b leaseBound, now time.Time) {
+	readAt := sched.handoverReadAt(w.info.ID, now)
 	w.leaseBound = b
 	if end := readAt.Add(time.Duration(b.endsIn) * time.Millisecond); end.Before(w.leaseUntil) {
 		w.leaseUntil = end
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -18,25 +18,39 @@
 	return maxLeaseDuration(max(sched.cfg.LeaseTerm, sched.cfg.MaxLease))
 }
 
+// leaseOfOthers returns how long a lease may last by orders for earlier incarnations that an incarnation has carried out
+// whose clock reads c, and that carries out no more of them.
+func (sched *Scheduler) leaseOfOthers(c WorkerClock) time.Duration {
+	// Such orders were sent before a leader knew of its start.
+	latest := supersededExtension + lateOrderLimit
+	since := max(0, time.Duration(c)*time.Millisecond-latest)
+	return max(0, sched.longestLease()-since)
+}
+
 // inheritedLeaseEnd returns when a lease has ended that an earlier leader may have extended until it noticed that a
 // newer leader had superseded it.
 func (sched *Scheduler) inheritedLeaseEnd(now time.Time) time.Time {
 	return now.Add(supersededExtension + sched.longestLease())
 }
 
+// recordedLeaseEnd is inheritedLeaseEnd for an incarnation that earlier leaders have known since the given time, so
+// that orders for the ones before it have been void for about as long.
+func (sched *Scheduler) recordedLeaseEnd(since, now time.Time) time.Time {
+	own := now.Add(supersededExtension + maxLeaseDuration(sched.cfg.LeaseTerm))
+	if other := sched.inheritedLeaseEnd(since); other.After(own) {
+		return other
+	}
+	return own
+}
+
 // lateOrdersEnd returns when the lease of an incarnation of w has ended that no leader has polled, but that may have
 // carried out orders for earlier incarnations.
 func (sched *Scheduler) lateOrdersEnd(w *worker) time.Time {
-	return sched.lastLateOrder(w).Add(sched.longestLease())
-}
-
-// lastLateOrder returns the time after which no order with a lease is carried out on w that has been sent so far.
-func (sched *Scheduler) lastLateOrder(w *worker) time.Time {
 	sent := sched.ledSince.Add(supersededExtension)
 	if w.leaseSentAt.After(sent) {
 		sent = w.leaseSentAt
 	}
-	return sent.Add(lateOrderLimit)
+	return sent.Add(lateOrderLimit + sched.longestLease())
 }
 
 // workerRestarted resets what is known of w, so that it is polled under a higher token as by a new leader. The new
@@ -54,6 +68,7 @@
 
 // contactAnew has w polled as by a new leader.
 func (sched *Scheduler) contactAnew(w *worker, now time.Time) {
+	w.acknowledged, w.ackDueSince, w.answeredToken = 0, time.Time{}, 0
 	if end := sched.lateOrdersEnd(w); w.clock < clearClock && end.After(w.leaseUntil) {
 		w.leaseUntil = end // answered starts may be of either incarnation
 	}
@@ -66,9 +81,12 @@
 
 // firstContact applies the first reply of an incarnation of w under a token of this leader.
 func (sched *Scheduler) firstContact(w *worker, l PollReply, now time.Time) {
-	bound := now.Add(sched.longestLease())
-	if !w.leaseBound.covers(l.Incarnation) || bound.Before(w.leaseUntil) {
-		w.leaseUntil = bound
+	own := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm))
+	if own.Before(w.leaseUntil) || l.Incarnation > w.info.Incarnation {
+		w.leaseUntil = own
+	}
+	if other := now.Add(sched.leaseOfOthers(l.Clock)); other.After(w.leaseUntil) && !w.leaseBound.covers(l.Incarnation) {
+		w.leaseUntil = other
 	}
 	if w.info.Incarnation != 0 && l.Incarnation > w.info.Incarnation {
 		sched.workerCrashed(w, crashRestarted, now)
@@ -84,5 +102,7 @@
 	sched.cfg.Log.Info("start order answered by another incarnation", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker)
 	if w.contacted && w.info.Incarnation == o.incarnation {
 		sched.contactAnew(w, now)
+		return
 	}
+	w.pollUrgently(now)
 }
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -21,6 +21,7 @@
 	pollRetryDelay    = 150 * time.Millisecond // after a failed poll; doubled up to pollRetryMaxDelay
 	pollRetryMaxDelay = 1200 * time.Millisecond
 	pollGrace         = 900 * time.Millisecond  // allowed for the answer beyond the wait
+	longestAckWait    = time.Second             // results that wait for longer are acknowledged before the next start
 	orderTimeout      = 500 * time.Millisecond  // of start, stop and throttle calls; many times the usual latency
 	maxPollAge        = 3500 * time.Millisecond // a worker whose last answer is older gets no new tasks
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -88,6 +88,9 @@
 	if err != nil {
 		sched.checkFence(w, o.Token, fault.Of(err) == fault.Stale)
 		sched.cfg.Log.Info("stop order not confirmed", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Error", err)
+		if t := sched.task(o.Task); fault.Of(err) == fault.Stale && o.Token < w.token && t != nil && t.worker == w && t.run == o.Run {
+			t.stopSentAt = time.Time{} // a newer order has overtaken it
+		}
 		return
 	}
 	w.pollUrgently(now.Add(pollPause))
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -29,7 +29,7 @@
 
 func (sched *Scheduler) pollOrder(w *worker, now time.Time, extend bool) PollOrder {
 	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, leastClock: w.leastClock(now)}
-	if w.mayAcknowledge() {
+	if w.mayAcknowledge(now) {
 		o.Acked, w.ackSent = w.loggedResult, true
 	}
 	// Whether a silent worker received an extension is unknown, so another request would delay the time from which
@@ -77,6 +77,9 @@
 	if w.missedPolls > 0 {
 		sched.cfg.Log.Info("worker answers again", "Worker", w.info.ID, "Calls", w.missedPolls)
 	}
+	if o.Acked > 0 && o.Token == w.token {
+		w.ackSent, w.acknowledged = false, o.Acked
+	}
 	if l.Incarnation != 0 && l.Incarnation < w.info.Incarnation || sent.Before(w.pollSentAt) {
 		return // older than a reply that was applied, or from an earlier incarnation
 	}
@@ -93,10 +96,8 @@
 		w.missedPolls = 0
 		return // only a reply under the newer token shows what has become of earlier orders
 	}
-	if o.Acked > 0 && o.Token == w.token {
-		w.ackSent = false
-	}
 	w.missedPolls, w.heardAt, w.pollSentAt = 0, now, sent
+	w.answeredToken = max(w.answeredToken, o.Token)
 	w.clock, w.clockAt = l.Clock, now
 	if !w.contacted {
 		sched.firstContact(w, l, now)
@@ -165,6 +166,9 @@
 		if ok && r.Run == t.run || t.phase == reserved {
 			continue
 		}
+		if ok && t.phase != starting {
+			continue // another run of it is at work here, which is stopped first
+		}
 		if t.phase == starting && (t.startUnknown && o.Token > t.token) {
 			sched.startUnanswered(t, now)
 			sched.cfg.Log.Info("unanswered start did not take effect", "Task", key.String(), "Run", t.run, "Worker", w.info.ID)
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -49,7 +49,7 @@
 
 // Outcome returns the outcome of o, which a worker has answered with the given result at the given time on its clock.
 func (o StartOrder) Outcome(res StartResult, clock WorkerClock) StartResult {
-	if clock < o.LeastClock {
+	if clock < o.LeastClock && res != RefusedIncarnation {
 		return AnsweredByAnother
 	}
 	return res
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -27,7 +27,7 @@
 const milliunitsPerCoreSecond = 1e6
 
 // tokensPerEpoch is the range of fencing tokens of one leader; an epoch starts at Epoch*tokensPerEpoch.
-const tokensPerEpoch = 1 << 24
+const tokensPerEpoch = 1 << 32
 
 // Scheduler holds all jobs that are not final and all workers, and decides which task runs on which worker.
 //
@@ -315,10 +315,7 @@
 		}
 		sched.workerCrashed(w, crashGone, now)
 		for _, t := range w.tasks {
-			// An incarnation that carries out the start later is listed by then.
-			if t.phase != starting || now.After(sched.lastLateOrder(w)) {
-				sched.loseRun(t, now, crashGone)
-			}
+			sched.loseRun(t, now, crashGone)
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -53,6 +53,9 @@
 	appliedResult   ResultNumber     // newest result that was applied
 	loggedResult    ResultNumber     // up to which the effects of all results are in the log
 	ackSent         bool             // a poll under the token acknowledges results and was not answered yet
+	acknowledged    ResultNumber     // newest one that an answered poll has acknowledged
+	ackDueSince     time.Time        // since when results wait to be acknowledged; 0 if none do
+	answeredToken   FenceToken       // newest one under which the present incarnation has answered a poll
 	unlogged        []unloggedResult // applied results whose effects are not known to be in the log, by their numbers
 
 	tasks         map[workload.TaskKey]*task
@@ -154,18 +157,28 @@
 // mayAcknowledge reports whether the next poll may acknowledge results. Each incarnation numbers its results anew. If
 // the next one carried out such a poll after a start under the same token, it would drop the result of that run unread.
 // So no start is on its way when the poll is sent, and later ones get a newer token until it is answered.
-func (w *worker) mayAcknowledge() bool {
+func (w *worker) mayAcknowledge(now time.Time) bool {
 	if w.missedPolls > 0 || w.ackSent || w.loggedResult == 0 {
 		return false
 	}
 	for _, t := range w.tasks {
-		if t.phase == reserved || t.phase == starting {
+		if t.phase == reserved || t.phase == starting && !(t.startUnknown && w.answeredToken > t.token) {
+			if w.ackDueSince.IsZero() && w.loggedResult > w.acknowledged {
+				w.ackDueSince = now
+			}
 			return false
 		}
 	}
+	w.ackDueSince = time.Time{}
 	return true
 }
 
+// awaitsAcknowledgement reports whether results have waited so long that w gets no starts before a poll acknowledges
+// them.
+func (w *worker) awaitsAcknowledgement(now time.Time) bool {
+	return !w.ackDueSince.IsZero() && now.Sub(w.ackDueSince) >= longestAckWait
+}
+
 // leaseUntilFor returns the lease to request and updates leaseUntil; it returns 0 while the worker's clock is
 // unknown, and once its lease may not be extended any more.
 func (w *worker) leaseUntilFor(now time.Time, term time.Duration) WorkerClock {
@@ -218,7 +231,7 @@
 
 // offered reports whether t may be placed on w now; in quarantine one task is placed in probeInterval.
 func (w *worker) offered(t *task, now time.Time) bool {
-	return w.accepts(t, now) && (!w.quarantined(now) || now.Sub(w.probedAt) >= probeInterval)
+	return w.accepts(t, now) && !w.awaitsAcknowledgement(now) && (!w.quarantined(now) || now.Sub(w.probedAt) >= probeInterval)
 }
 
 // estimatedUse returns the estimated processor use, best-effort tasks included, as a share of the capacity.
