Evacuate availability zones at the operator's request

Change: the follower of the operator's topic keeps the zones to evacuate. A worker there gets no starts, by any way of placement, and what is reserved there when a request comes is placed elsewhere. A leader that does not know the requests, or whose view of them is older than the stated delay less the time of an order, starts nothing. Long- running tasks, and those with checkpoints and much left to do, move while the other zones have room, one task of a step at a time; the rest ends where it is.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -38,6 +38,10 @@
 	View      *ledger.View
 	Workers   Workers
 	Queues    func() []workload.Queue // queues of the newest configuration
+	// ZoneRequests returns the operator's requests to evacuate availability zones; nil if there are never any.
+	ZoneRequests func() ZoneRequests
+	// ReportZones is called on each tick with the number of tasks that are left in each zone that is evacuated.
+	ReportZones func(map[table.ZoneID]int)
 	// Calls apply with updates of the worker list until ctx ends.
 	FollowWorkers func(ctx context.Context, apply func(WorkerListUpdate))
 	ReportCounts  func(Counts) // called on each tick
@@ -71,6 +75,12 @@
 	cfg.Scheduler.Epoch = cfg.Writer.Epoch()
 	cfg.Scheduler.MaxRecord = cfg.Writer.MaxRecord()
 	cfg.Scheduler.HandoverReadAt = cfg.View.HandoverReadAt
+	if cfg.ZoneRequests == nil {
+		cfg.ZoneRequests = func() ZoneRequests { return ZoneRequests{Known: true} }
+	}
+	if cfg.ReportZones == nil {
+		cfg.ReportZones = func(map[table.ZoneID]int) {}
+	}
 	return &Dispatcher{cfg: cfg, scheduler: NewScheduler(cfg.Scheduler), events: make(chan func(time.Time), maxEvents)}
 }
 
@@ -171,11 +181,13 @@
 }
 
 func (d *Dispatcher) runRound(now time.Time) {
+	d.scheduler.SetZoneRequests(d.cfg.ZoneRequests(), now)
 	if now.Sub(d.tickedAt) >= tickInterval {
 		d.tickedAt = now
 		d.scheduler.SetQueues(d.cfg.Queues())
 		d.scheduler.Tick(now)
 		d.cfg.ReportCounts(d.scheduler.Counts())
+		d.cfg.ReportZones(d.scheduler.ZoneTasks())
 	}
 	extend := now.Sub(d.cfg.Writer.Confirmed()) < extensionWindow
 	for _, o := range d.scheduler.PollOrders(now, extend) {
@@ -223,6 +235,7 @@
 
 func (d *Dispatcher) flushed(f *Batch, now time.Time) {
 	extend := now.Sub(d.cfg.Writer.Confirmed()) < extensionWindow
+	d.scheduler.SetZoneRequests(d.cfg.ZoneRequests(), now) // the last look before starts are sent
 	for _, o := range d.scheduler.Flushed(f, now, extend) {
 		go d.start(o)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -55,7 +55,9 @@
 	notBefore       time.Time
 	lastFailedOn    table.WorkerID
 	refusedBy       table.WorkerID // refused the last start order; empty once a run has started
-	destination     table.WorkerID // of a move by consolidate; empty once it is placed
+	destination     table.WorkerID // of a move by consolidate or out of a zone; empty once it is placed
+	zoneMovedAt     time.Time      // when it last left an availability zone that was evacuated
+	zoneTriedAt     time.Time      // when a move out of its zone was last considered
 	moves           int            // times it was moved by supervise
 	stalls          int            // times it was moved since its run made no progress
 	stall           taskStall
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,11 +23,15 @@
 // Decide places waiting tasks; they are started once their records are in the log.
 func (sched *Scheduler) Decide(now time.Time) {
 	sched.supervise(now)
+	sched.moveFromZones(now)
 	sched.consolidate(now)
 	sched.scarcity = sched.capacityScarcity(now)
 	sched.decidedAt = now
 	sched.giveUpSuspects(now)
 	sched.countIsolations(now)
+	if sched.startsHeld {
+		return
+	}
 	var rejected []rejectedNeed
 	placed := sched.placeLongestWaiting(now)
 	sched.awaitingApproval = nil
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		w := t.worker
-		if !extend || !w.accepts(t, now) || t.group.job.state.Final() || incomplete[t.group] {
+		if !extend || sched.startsHeld || !w.accepts(t, now) || t.group.job.state.Final() || incomplete[t.group] {
 			sched.requeue(t, now, refusedBackoff)
 			continue
 		}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -20,6 +20,9 @@
 	Log            *slog.Logger
 	// MaxRecord is the size limit of a record in the log; 0 means no limit.
 	MaxRecord table.Bytes
+	// EvacuationDelay is the time within which a request to evacuate an availability zone takes effect; 0 if the
+	// deployment states none.
+	EvacuationDelay time.Duration
 }
 
 // milliunitsPerCoreSecond converts millicores times milliseconds to core-seconds.
@@ -70,6 +73,10 @@
 	scarcity       float64   // how scarce capacity is, see capacityScarcity
 	consolidatedAt time.Time // when latency-critical tasks were last considered for moves
 
+	zones       map[table.ZoneID]*zoneEvacuation
+	zoneMovesAt time.Time // when tasks were last considered for moves out of zones
+	startsHeld  bool      // the operator's requests may be unknown
+
 	superseded bool // a worker has refused an order because of the token of another leader
 
 	statusLoggedAt time.Time
@@ -93,7 +100,7 @@
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
-		startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
+		zones: map[table.ZoneID]*zoneEvacuation{}, startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
 	}
 }
 
@@ -237,6 +244,7 @@
 		sched.pollSilentAt(info.Address, now)
 	}
 	w.info, w.listed, w.missingSince = info, true, time.Time{}
+	sched.markZone(w)
 	if w.crash == nil {
 		sched.restoreGone(w, now)
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -19,6 +19,7 @@
 	evacuating        bool             // being evacuated for the maintenance of its machine
 	evacuated         table.UnixMillis // incarnation whose evacuation has ended, at evacuatedAt
 	evacuatedAt       time.Time
+	zoneEvacuated     bool      // its availability zone is evacuated
 	clearedUntil      time.Time // cleared of latency-critical tasks, see consolidate
 	crash             *crash    // the last one that was counted
 
@@ -174,7 +175,7 @@
 
 // reachable reports whether w stays and answers, in quarantine or not.
 func (w *worker) reachable(now time.Time) bool {
-	return w.listed && !w.info.Draining && !w.evacuating && w.contacted && w.missedPolls == 0 && now.Sub(w.heardAt) < maxPollAge
+	return w.listed && !w.info.Draining && !w.evacuating && !w.zoneEvacuated && w.contacted && w.missedPolls == 0 && now.Sub(w.heardAt) < maxPollAge
 }
 
 func (w *worker) quarantined(now time.Time) bool { return now.Before(w.quarantinedUntil) }
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -20,6 +20,7 @@
 	"persimmonpick/maintenance"
 	"persimmonpick/peer"
 	"persimmonpick/standby"
+	"persimmonpick/table"
 	"persimmonpick/workload"
 )
 
@@ -55,11 +56,12 @@
 	Logger         *slog.Logger
 }
 
-// OperatorCallbacks receive the operator's configuration and maintenance waves.
+// OperatorCallbacks receive the operator's configuration, maintenance waves and zone evacuations.
 type OperatorCallbacks struct {
 	Configure func(Configuration)
 	ConfigAge func(func() time.Duration) // sets the function that returns the age of the last confirmed configuration
 	Wave      func(maintenance.Wave)
+	Zones     func([]table.ZoneID) // all availability zones to evacuate, after each change; also if there are none
 }
 
 // Host is an entry host: it accepts jobs, answers queries and, while elected, schedules tasks.
@@ -77,6 +79,7 @@
 	process   string // unique for each process of the host
 	config    atomic.Pointer[Configuration]
 	configAge atomic.Pointer[func() time.Duration]
+	zones     atomic.Pointer[[]table.ZoneID] // to evacuate; nil until they are known
 	stopping  atomic.Bool
 
 	mu    sync.Mutex
@@ -235,7 +238,7 @@
 	go h.appender.Run(ctx)
 	go h.relayed.Run(ctx)
 	go h.cfg.FollowOperator(ctx, OperatorCallbacks{
-		Configure: h.configure, ConfigAge: func(age func() time.Duration) { h.configAge.Store(&age) }, Wave: h.addWave,
+		Configure: h.configure, ConfigAge: func(age func() time.Duration) { h.configAge.Store(&age) }, Wave: h.addWave, Zones: h.setZones,
 	})
 }
 
@@ -267,8 +270,9 @@
 func (h *Host) lead(ctx context.Context, w *ledger.Writer) {
 	s := h.cfg.Settings
 	d := dispatch.NewDispatcher(dispatch.DispatcherConfig{
-		Scheduler: dispatch.Config{LeaseTerm: s.lease(), StatusRetention: s.statusRetention(), RemoteFactor: max(1, s.RemoteFactor)},
+		Scheduler: dispatch.Config{LeaseTerm: s.lease(), StatusRetention: s.statusRetention(), RemoteFactor: max(1, s.RemoteFactor), EvacuationDelay: s.EvacuationDelay},
 		Writer:    w, View: h.view, Workers: h.cfg.Workers, Queues: h.queues, FollowWorkers: h.cfg.FollowWorkers,
+		ZoneRequests: h.zoneRequests, ReportZones: h.metrics.setZoneTasks,
 		ReportCounts: h.metrics.addCounts, ObserveCall: h.metrics.observeWorkerCall, Log: h.logger,
 	})
 	if s.Machines != "" {
@@ -278,6 +282,7 @@
 		}).Run(ctx)
 	}
 	d.Run(ctx)
+	h.metrics.setZoneTasks(nil)
 }
 
 // addWave stores a maintenance wave that the operator requested.
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -10,6 +10,7 @@
 
 	"persimmonpick/dispatch"
 	"persimmonpick/fault"
+	"persimmonpick/table"
 )
 
 // metrics holds the Prometheus metrics of one host.
@@ -18,6 +19,7 @@
 	answers  *prometheus.HistogramVec
 	calls    *prometheus.HistogramVec
 	events   *prometheus.CounterVec
+	zones    *prometheus.GaugeVec
 
 	mu   sync.Mutex
 	last dispatch.Counts
@@ -38,8 +40,11 @@
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonpick_dispatch_total", Help: "Events of the dispatcher while this host leads.",
 		}, []string{"event"}),
+		zones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "persimmonpick_zone_tasks", Help: "Tasks left in an availability zone that is evacuated, while this host leads.",
+		}, []string{"zone"}),
 	}
-	m.registry.MustRegister(m.answers, m.calls, m.events)
+	m.registry.MustRegister(m.answers, m.calls, m.events, m.zones)
 	return m
 }
 
@@ -55,6 +60,14 @@
 	m.calls.WithLabelValues(what).Observe(took.Seconds())
 }
 
+// setZoneTasks sets the number of tasks that are left in each availability zone that is evacuated.
+func (m *metrics) setZoneTasks(left map[table.ZoneID]int) {
+	m.zones.Reset()
+	for z, n := range left {
+		m.zones.WithLabelValues(string(z)).Set(float64(n))
+	}
+}
+
 // addCounts adds the increase of c since the last call; lower counts come from a new scheduler, which starts at zero.
 func (m *metrics) addCounts(c dispatch.Counts) {
 	m.mu.Lock()
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -10,6 +10,7 @@
 
 	"persimmonpick/dispatch"
 	"persimmonpick/fault"
+	"persimmonpick/table"
 )
 
 // Guards against metrics that are missing from docs/platform.md, and against documented metrics that do not exist.
@@ -19,6 +20,7 @@
 	m.observeAnswer("POST", fault.None, time.Millisecond)
 	m.observeWorkerCall("Look", time.Millisecond)
 	m.addCounts(dispatch.Counts{Starts: 2})
+	m.setZoneTasks(map[table.ZoneID]int{"a": 2})
 	families, err := m.registry.Gather()
 	is.NoErr(err)
 	page, err := os.ReadFile("../docs/platform.md")
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -24,6 +24,7 @@
 	StopGrace           time.Duration // between the stop signal and the kill
 	MaxLease            time.Duration // longest lease of a worker
 	StatusRetention     time.Duration // how long callers can query a finished job
+	EvacuationDelay     time.Duration // within which a zone evacuation takes effect; 0 if none is stated
 	RemoteFactor        float64       // run time of a task with remote data, relative to local data
 }
 
@@ -49,7 +50,7 @@
 			return fault.New(fault.Invalid, "setting %s is missing", name)
 		}
 	}
-	if s.StopGrace < 0 || s.MaxLease < 0 || s.StatusRetention < 0 || s.Cores < 0 {
+	if s.StopGrace < 0 || s.MaxLease < 0 || s.StatusRetention < 0 || s.EvacuationDelay < 0 || s.Cores < 0 {
 		return fault.New(fault.Invalid, "a setting is negative")
 	}
 	return nil
