Keep runs in an evacuated zone while the others lack room

And starts were held until 1.3 s after the store answered again, since a waiting read had noticed that late.

Change: no moves out of zones at full scarcity. A follower whose last read failed reads without waiting, as the reader of jobs does.

--- a/dispatch/zones.go
+++ b/dispatch/zones.go
@@ -158,13 +158,17 @@
 // moveFromZones stops runs in the availability zones that are evacuated, so that they are started elsewhere: those that
 // run without end, and those that lose little as they have checkpoints and much left to do. Others end where they are.
 //
-// It answers the load of a zone's work on the others: a run moves only while they have room for it, few at a time.
+// It answers the load of a zone's work on the others: a run moves only while they have room for it that no other work
+// waits for, few at a time.
 func (sched *Scheduler) moveFromZones(now time.Time) {
 	if len(sched.zones) == 0 || now.Sub(sched.zoneMovesAt) < zoneMoveInterval {
 		return
 	}
 	sched.zoneMovesAt = now
 	sched.countZoneTasks(now)
+	if sched.scarcity >= 1 {
+		return // where they are, the runs take no room from work that waits
+	}
 	leaving, movable := sched.zoneMoves(now)
 	taken := map[*worker]table.Resources{} // by the moves of this round
 	for tried, t := range leaving {
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -43,7 +43,7 @@
 	next, loaded, failing := Position(0), false, false
 	for ctx.Err() == nil {
 		began := time.Since(f.start)
-		n, behind, err := f.readNext(ctx, &next, &loaded)
+		n, behind, err := f.readNext(ctx, &next, &loaded, failing)
 		if ctx.Err() != nil {
 			return
 		}
@@ -67,7 +67,7 @@
 
 // readNext loads a snapshot or reads one page. It returns the number of records read and whether more are
 // available.
-func (f *Follower) readNext(ctx context.Context, next *Position, loaded *bool) (int, bool, error) {
+func (f *Follower) readNext(ctx context.Context, next *Position, loaded *bool, failing bool) (int, bool, error) {
 	if !*loaded {
 		records, end, err := readSnapshot(ctx, f.cfg.Log, f.cfg.Topic)
 		if err != nil {
@@ -77,7 +77,11 @@
 		f.cfg.Apply(records, true)
 		return len(records), false, nil
 	}
-	page, err := f.cfg.Log.Read(ctx, f.cfg.Topic, *next, readWait)
+	wait := readWait
+	if failing {
+		wait = 0 // a waiting read would detect late that the log is available again
+	}
+	page, err := f.cfg.Log.Read(ctx, f.cfg.Topic, *next, wait)
 	if fault.Of(err) == fault.NotFound {
 		f.cfg.Logger.Warn("read position no longer retained, loading a snapshot", "Topic", f.cfg.Topic, "From", *next)
 		*loaded = false
