Move runs out of a zone only into room that nothing waits for

Change: no moves while the last decision found no room for a task that fits any worker of its service.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -33,6 +33,7 @@
 		return
 	}
 	var rejected []rejectedNeed
+	sched.roomWanted = false
 	placed := sched.placeLongestWaiting(now)
 	sched.awaitingApproval = nil
 	for _, g := range sched.waitingGroups(now) {
@@ -52,6 +53,7 @@
 		}
 		if !all && need.plain && sched.waitsForRoom(g, now) {
 			rejected = append(rejected, need)
+			sched.roomWanted = true
 		}
 	}
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -74,6 +74,7 @@
 	consolidatedAt time.Time // when latency-critical tasks were last considered for moves
 
 	zones       map[table.ZoneID]*zoneEvacuation
+	roomWanted  bool      // the last decision found no room for a task that fits any worker of its service
 	zoneMovesAt time.Time // when tasks were last considered for moves out of zones
 	startsHeld  bool      // the operator's requests may be unknown
 
--- a/dispatch/zones.go
+++ b/dispatch/zones.go
@@ -166,7 +166,7 @@
 	}
 	sched.zoneMovesAt = now
 	sched.countZoneTasks(now)
-	if sched.scarcity >= 1 {
+	if sched.scarcity >= 1 || sched.roomWanted {
 		return // where they are, the runs take no room from work that waits
 	}
 	leaving, movable := sched.zoneMoves(now)
--- a/dispatch/zones_test.go
+++ b/dispatch/zones_test.go
@@ -183,6 +183,32 @@
 	}
 }
 
+// Guards against runs that move into room that waiting work needs.
+func TestRunsStayWhileWorkWaitsForRoom(t *testing.T) {
+	is := is.New(t)
+	r := newZoneRig()
+	r.evacuate("zb")
+	lasting := step(2)
+	lasting.LongRunning = true
+	r.submit("lasting", lasting)
+	r.placeAndStart()
+	r.settle()
+	r.evacuate("za")
+	r.zoneMovesAt = r.now // so that the next decision on places comes first
+	large := step(3)
+	large.Need.CPU = 10000
+	r.submit("large", large)
+	is.Equal(len(r.placeAndStart()), 2)
+	is.Equal(r.stopped(), 0)
+	e := entryOf(r, "large")
+	e.Cancelled = true
+	r.SetEntry(e, r.now)
+	r.stopped() // the tasks of the cancelled job
+	r.place()
+	r.settle()
+	is.True(r.stopped() > 0)
+}
+
 // Guards against moves that go on, and a zone that stays closed, once the request is withdrawn halfway.
 func TestWithdrawnEvacuationStopsMoves(t *testing.T) {
 	is := is.New(t)
