Let the soak evacuate availability zones

Cause: the soak knew no evacuations, so no run of it could show a start in an evacuated zone beside its faults.

A start is judged once it was answered, unless the link of its worker was faulty or a host had just been paused.

--- a/standins/soak/checker.go
+++ b/standins/soak/checker.go
@@ -37,6 +37,7 @@
 	falseState    violationKind = "FalseState"       // a job state shown to a caller that cannot be true
 	notStopped    violationKind = "NotStopped"       // a task that runs on after its job was cancelled
 	overStarted   violationKind = "OverStarted"      // a deadly task that is started on and on
+	startedInZone violationKind = "StartedInZone"    // a start in an availability zone that is evacuated
 )
 
 // jobRecord is what callers have observed of a job.
@@ -82,6 +83,8 @@
 	crashedRuns map[string][]int          // of deadly tasks, by task
 	faults      []*faultTime
 	jobs        map[string]*jobRecord
+	zones       map[string]time.Time // that are evacuated, by when that was requested
+	thawed      time.Time            // when a host last ran again after a pause
 	violations  []string
 	starts      int
 }
@@ -90,7 +93,7 @@
 	return &checker{
 		running: map[string]map[string]int{}, doneRuns: map[string]int{}, doneTasks: map[string]bool{}, startedJobs: map[string]bool{},
 		crashes: map[string]int{}, further: map[string]int{}, jobs: map[string]*jobRecord{},
-		answers: map[taskRun]answer{}, crashedRuns: map[string][]int{},
+		answers: map[taskRun]answer{}, crashedRuns: map[string][]int{}, zones: map[string]time.Time{},
 	}
 }
 
@@ -125,9 +128,10 @@
 }
 
 // startAnswered records the response to the start of a run; workers call it.
-func (c *checker) startAnswered(worker, task string, run int) {
+func (c *checker) startAnswered(worker, zone, task string, run int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkZone(worker, zone, task, run)
 	if isDeadly(task) {
 		c.answers[taskRun{task, run}] = answer{worker, time.Now()}
 	}
--- a/standins/soak/checker_test.go
+++ b/standins/soak/checker_test.go
@@ -84,7 +84,7 @@
 	for run := range crashes {
 		c.runStarted("w0", "deadly.0.0.0", run+1)
 		if run < answered {
-			c.startAnswered("w0", "deadly.0.0.0", run+1)
+			c.startAnswered("w0", "z0", "deadly.0.0.0", run+1)
 		}
 		time.Sleep(10 * time.Millisecond)
 		c.runEnded("w0", "deadly.0.0.0", run+1, emulator.Crashed)
@@ -129,3 +129,24 @@
 	c.finish()
 	is.Equal(len(c.violations), 1)
 }
+
+func TestCheckerFindsStartsInAnEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newChecker()
+		c.zoneEvacuated("z1")
+		time.Sleep(emulator.EvacuationDelay)
+		c.startAnswered("w1", "z1", "a.0.0.0", 1)
+		time.Sleep(time.Millisecond)
+		c.startAnswered("w0", "z0", "a.0.0.1", 1)
+		ended := c.faultBegan("w4")
+		c.startAnswered("w4", "z1", "a.0.0.2", 1) // may have been held up
+		ended()
+		is.Equal(len(c.violations), 0)
+		c.startAnswered("w1", "z1", "a.0.0.3", 1)
+		is.Equal(len(c.violations), 1)
+		c.zoneTakenBack("z1")
+		c.startAnswered("w1", "z1", "a.0.0.4", 1)
+		is.Equal(len(c.violations), 1)
+	})
+}
--- a/standins/soak/faults.go
+++ b/standins/soak/faults.go
@@ -75,7 +75,10 @@
 		return t.disturbs("", "terminate "+h.name, noUndo)
 	case 2:
 		h.signal(syscall.SIGSTOP)
-		return t.disturbs("", "pause "+h.name, func() { h.signal(syscall.SIGCONT) })
+		return t.disturbs("", "pause "+h.name, func() {
+			h.signal(syscall.SIGCONT)
+			t.checker.hostThawed()
+		})
 	case 3:
 		h.signal(syscall.SIGHUP)
 		return t.disturbs("", "send SIGHUP to "+h.name, noUndo)
--- a/standins/soak/main.go
+++ b/standins/soak/main.go
@@ -21,6 +21,7 @@
 			&cli.IntFlag{Name: "workers", Value: 6, Usage: "emulate `N` workers"},
 			&cli.IntFlag{Name: "callers", Value: 4, Usage: "run `N` callers"},
 			&cli.StringFlag{Name: "keep", Usage: "keep settings and logs in `DIR`"},
+			&cli.BoolFlag{Name: "evacuate", Usage: "have availability zones evacuated"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
 		},
 		Action: soak,
@@ -66,7 +67,8 @@
 		}
 		res, err := run(runConfig{
 			Binary: binary, Dir: runDir, Seed: seed, Length: c.Duration("length"),
-			Hosts: c.Int("hosts"), Workers: c.Int("workers"), Callers: c.Int("callers"), Logf: logf,
+			Hosts: c.Int("hosts"), Workers: c.Int("workers"), Callers: c.Int("callers"),
+			Evacuate: c.Bool("evacuate"), Logf: logf,
 		})
 		if err != nil {
 			return err
--- a/standins/soak/run.go
+++ b/standins/soak/run.go
@@ -27,7 +27,9 @@
 	Hosts   int
 	Workers int
 	Callers int
-	Logf    func(format string, args ...any) // logs each fault
+	// Evacuate has availability zones evacuated beside the faults.
+	Evacuate bool
+	Logf     func(format string, args ...any) // logs each fault
 }
 
 // result is the result of a run.
@@ -47,10 +49,10 @@
 		Worker: func(i int) emulator.WorkerConfig {
 			id := workerName(i)
 			return emulator.WorkerConfig{
-				ID: id, Service: service, Zone: "z1", Rack: fmt.Sprintf("r%d", i/4), CPU: 8000, MemoryMB: 32000,
+				ID: id, Service: service, Zone: zoneOf(i), Rack: fmt.Sprintf("r%d", i/4), CPU: 8000, MemoryMB: 32000,
 				Duration: taskDuration,
 				Started:  func(task string, run int) { c.runStarted(id, task, run) },
-				Answered: func(task string, run int) { c.startAnswered(id, task, run) },
+				Answered: func(task string, run int) { c.startAnswered(id, zoneOf(i), task, run) },
 				Ended:    func(task string, run int, how string) { c.runEnded(id, task, run, how) },
 				Crashes: emulator.CrashConfig{
 					Deadly: isDeadly, Down: downTime, NextID: func(life int) string { return fmt.Sprintf("%s-%d", id, life) },
@@ -101,6 +103,9 @@
 		wg.Go(func() { newCaller(hosts, c, cfg.Seed, uint64(n+1)).run(ctx) })
 	}
 	wg.Go(func() { t.run(ctx) })
+	if cfg.Evacuate {
+		wg.Go(func() { t.evacuate(ctx, cfg.Seed) })
+	}
 	wg.Wait()
 	last := newCaller(hosts, c, cfg.Seed, 0)
 	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
--- a/standins/soak/soak_test.go
+++ b/standins/soak/soak_test.go
@@ -29,7 +29,7 @@
 			defer func() { <-slots }()
 			is := is.New(t)
 			res, err := run(runConfig{
-				Binary: binary, Dir: t.TempDir(), Seed: l.seed, Length: soakLength, Hosts: 3, Workers: l.workers, Callers: 4, Logf: t.Logf,
+				Binary: binary, Dir: t.TempDir(), Seed: l.seed, Length: soakLength, Hosts: 3, Workers: l.workers, Callers: 4, Evacuate: l.plan == "evacuate", Logf: t.Logf,
 			})
 			is.NoErr(err)
 			is.True(res.Jobs > 0)
@@ -44,6 +44,7 @@
 type seedLine struct {
 	seed    uint64
 	workers int
+	plan    string // "evacuate" or nothing
 }
 
 func seeds(t *testing.T) []seedLine {
@@ -58,7 +59,7 @@
 			continue
 		}
 		var l seedLine
-		if _, err := fmt.Sscan(lines.Text(), &l.seed, &l.workers); err != nil {
+		if _, err := fmt.Sscan(lines.Text(), &l.seed, &l.workers, &l.plan); err != nil {
 			t.Fatal(err)
 		}
 		all = append(all, l)
