Try only runs that may leave their step when a zone is emptied

Cause: tries were spent on tasks whose step had another one away: an emulated site of 350 workers with 702 long-running tasks in the zone needed 17.3 s until the zone was empty, one of 2,600 workers with 5,201 tasks 101.7 s (a trial on the paused clock, with workers that start and stop at once).

Change: a run counts as tried only if its step can spare it now.

--- a/dispatch/zones.go
+++ b/dispatch/zones.go
@@ -171,12 +171,18 @@
 	}
 	leaving, movable := sched.zoneMoves(now)
 	taken := map[*worker]table.Resources{} // by the moves of this round
-	for tried, t := range leaving {
+	tried := 0
+	for _, t := range leaving {
 		if movable <= 0 || tried >= maxZoneMovesTried {
 			return
 		}
+		if !t.mayLeaveStep(now) {
+			continue
+		}
+		tried++
+		t.zoneTriedAt = now
 		to := sched.zoneDestination(t, taken, now)
-		if to == nil || !t.mayLeaveStep(now) {
+		if to == nil {
 			continue
 		}
 		movable--
@@ -209,9 +215,6 @@
 		return cmp.Or(a.zoneTriedAt.Compare(b.zoneTriedAt), cmp.Compare(a.key.Job, b.key.Job),
 			cmp.Compare(a.key.Occurrence, b.key.Occurrence), cmp.Compare(a.key.Step, b.key.Step), cmp.Compare(a.key.Index, b.key.Index))
 	})
-	for _, t := range leaving[:min(len(leaving), maxZoneMovesTried)] {
-		t.zoneTriedAt = now
-	}
 	return leaving, max(1, int(maxInterrupted*float64(lasting))) - moving
 }
 
