Bound the age of zone requests from below, and count listed workers

A deployment that states a delay of 1 s would hold all starts in calm, since an idle read waits for a second; and a new leader that has not polled the workers yet could log that none is left outside the zone.

Change: the limit on the age is at least 2 s, with a test; the line that begins an evacuation counts the listed workers that stay.

Measured: the tests of zones in ./dispatch and ./platform pass.

--- a/dispatch/zones.go
+++ b/dispatch/zones.go
@@ -11,7 +11,9 @@
 // Parameters of the evacuation of availability zones.
 const (
 	// The view of the operator's requests must be fresh enough that a start that is sent now arrives in time.
-	zoneViewMargin    = 2 * orderTimeout
+	zoneViewMargin = 2 * orderTimeout
+	// A read that waits for records takes a second, so a lower limit would hold starts in calm.
+	leastZoneViewAge  = 2 * time.Second
 	zoneMoveInterval  = 200 * time.Millisecond
 	zoneMovePause     = 10 * time.Second // a task that left a zone is not moved again for so long
 	zoneShortRun      = 5 * time.Second  // a run that needs less until its end stays
@@ -40,7 +42,8 @@
 // SetZoneRequests puts the operator's requests to evacuate availability zones in force. While they are not known or too
 // old, nothing is started.
 func (sched *Scheduler) SetZoneRequests(r ZoneRequests, now time.Time) {
-	sched.holdStarts(sched.cfg.EvacuationDelay > 0 && (!r.Known || r.Age > sched.cfg.EvacuationDelay-zoneViewMargin), r)
+	maxAge := max(leastZoneViewAge, sched.cfg.EvacuationDelay-zoneViewMargin)
+	sched.holdStarts(sched.cfg.EvacuationDelay > 0 && (!r.Known || r.Age > maxAge), r)
 	if !r.Known {
 		return
 	}
@@ -94,7 +97,7 @@
 }
 
 // logZoneBegin logs an evacuation that begins, and whether the other zones have capacity for the work.
-func (sched *Scheduler) logZoneBegin(z table.ZoneID, now time.Time) {
+func (sched *Scheduler) logZoneBegin(z table.ZoneID) {
 	var capacity, used table.Resources
 	workers, tasks, others := 0, 0, 0
 	for _, w := range sched.workers {
@@ -103,7 +106,7 @@
 			workers++
 			tasks += len(w.tasks)
 			used = used.Plus(w.used)
-		case w.usable(now):
+		case w.listed && !w.zoneEvacuated && !w.info.Draining: // a new leader has not polled them yet
 			others++
 			capacity = capacity.Plus(w.info.Capacity)
 			used = used.Plus(w.used)
@@ -146,7 +149,7 @@
 	for z, e := range sched.zones {
 		if listed && !e.logged {
 			e.logged = true
-			sched.logZoneBegin(z, now)
+			sched.logZoneBegin(z)
 		}
 		if listed && e.tasks == 0 && !e.empty {
 			e.empty = true
--- a/dispatch/zones_test.go
+++ b/dispatch/zones_test.go
@@ -135,6 +135,16 @@
 	is.Equal(len(r.place()), 4)
 }
 
+// Guards against starts that are held in calm where the stated delay is shorter than a read that waits.
+func TestStartsAreNotHeldInCalmByAShortDelay(t *testing.T) {
+	is := is.New(t)
+	r := newZoneRig()
+	r.cfg.EvacuationDelay = time.Second
+	r.SetZoneRequests(ZoneRequests{Known: true, Age: 1500 * time.Millisecond}, r.now)
+	r.submit("j", step(4))
+	is.Equal(len(r.place()), 4)
+}
+
 // Guards against work thrown away and gaps in service: short runs end where they are, and of a long-running step one
 // task at a time moves.
 func TestEvacuatedZoneIsDrainedGently(t *testing.T) {
