--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,12 +23,17 @@
 // Decide places waiting tasks; they are started once their records are in the log.
 func (sched *Scheduler) Decide(now time.Time) {
 	sched.supervise(now)
+	sched.moveFromZones(now)
 	sched.consolidate(now)
 	sched.scarcity = sched.capacityScarcity(now)
 	sched.decidedAt = now
 	sched.giveUpSuspects(now)
 	sched.countIsolations(now)
+	if sched.startsHeld {
+		return
+	}
 	var rejected []rejectedNeed
+	sched.roomWanted = false
 	placed := sched.placeLongestWaiting(now)
 	sched.awaitingApproval = nil
 	for _, g := range sched.waitingGroups(now) {
@@ -48,6 +53,7 @@
 		}
 		if !all && need.plain && sched.waitsForRoom(g, now) {
 			rejected = append(rejected, need)
+			sched.roomWanted = true
 		}
 	}
 }
