Test the daemon as a process against a crowd of clients

One body is bounded, all together are not, and a host with the memory of the smallest machine ends under a few hundred unfinished ones; no test showed it.

No check depends on time. test.sh runs it by itself. Crowd and bounds are fixed here, before any change to the product.

--- /dev/null
+++ b/crowd/doc.go
@@ -0,0 +1,2 @@
+// Package crowd tests the daemon as a process against clients that keep to no limit.
+package crowd
--- a/standins/site/process.go
+++ b/standins/site/process.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(sig syscall.Signal) error {
 	return p.cmd.Process.Signal(sig)
--- a/test.sh
+++ b/test.sh
@@ -10,7 +10,9 @@
 
 # The race detector runs on the packages in which goroutines share state.
 race=$(go list ./... | grep -E '/(journal|peer|share|route|claim|entry|provider|burn|ledger|dispatch|intake|fleet|platform|standby|maintenance)$' || true)
-rest=$(go list ./... | grep -vxF "${race:-none}")
+# The tests of ./crowd measure processes under a crowd of clients, one at a time and apart from other load.
+crowd=$(go list ./... | grep -E '/crowd$' || true)
+rest=$(go list ./... | grep -vxF "${race:-none}" | grep -vxF "${crowd:-none}")
 # The tests of ./dispatch use no real time and take all cores, so they run before those that wait for answers.
 busy=$(grep -E '/dispatch$' <<<"$race" || true)
 race=$(grep -vxF "${busy:-none}" <<<"$race" || true)
@@ -19,6 +21,7 @@
 if [ -n "$race" ]; then go test -race -count=1 "${skip[@]}" $race; fi
 # shellcheck disable=SC2086
 go test -count=1 "${skip[@]}" $rest
+if [ -n "$crowd" ]; then go test -count=1 -p 1 -parallel 1 "${skip[@]}" "$crowd"; fi
 
 if [ -n "$red" ]; then
   printf 'known red tests, see KNOWN-RED.txt:\n'
