Read whole messages of limited size from other hosts

Change: a codec of our own, which encodes as net/rpc does, reads each message whole, at most 4 MiB (twice an append to the log), before gob sees it, and tells ingress when a call has arrived.

Measured: ./peer, ./ledger, ./standby and ./intake pass with -race.

--- a/peer/link.go
+++ b/peer/link.go
@@ -183,7 +183,7 @@
 		go func() {
 			defer func() { <-slots }()
 			defer context.AfterFunc(ctx, func() { closeAndLog(conn, logger) })()
-			srv.ServeConn(conn)
+			srv.ServeCodec(newServerCodec(conn))
 		}()
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		go func() {
-			s.rpc.ServeConn(conn)
+			s.rpc.ServeCodec(newServerCodec(conn))
 			s.remove(conn)
 		}()
 	}
