Bound what callers and hosts hold of an entry host of the users' platform

In the crowd tests a host took 124 to 2,555 MB and 819 descriptors where its machine has 96 MB and 600; a body of 87,000 empty steps alone took tens of MB.

Change: all listeners of a fleet host share one ingress gate, whose limits follow from limits.memoryMb and limits.maxFds of the settings file.

--- a/fleet/host.go
+++ b/fleet/host.go
@@ -15,6 +15,7 @@
 
 	"persimmonpick/dispatch"
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
 	"persimmonpick/intake"
 	"persimmonpick/ledger"
 	"persimmonpick/maintenance"
@@ -74,6 +75,7 @@
 	standby   *standby.Node
 	jobs      *intake.JobService
 	metrics   *metrics
+	gate      *ingress.Gate
 	process   string // unique for each process of the host
 	config    atomic.Pointer[Configuration]
 	configAge atomic.Pointer[func() time.Duration]
@@ -89,6 +91,7 @@
 	if h.cfg.Listen == nil {
 		h.cfg.Listen = net.Listen
 	}
+	h.gate = newGate(cfg.Settings, h.metrics, h.logger)
 	h.process = cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	h.view = ledger.NewView(h.logger)
 	h.reader = ledger.NewReader(ledger.ReaderConfig{
@@ -170,7 +173,7 @@
 	}
 	failed := make(chan error, len(servers)+1)
 	for i, srv := range servers {
-		l, err := h.cfg.Listen("tcp", addresses[i])
+		l, err := h.listen(addresses[i])
 		if err != nil {
 			return fault.Wrap(err, fault.Internal, "cannot listen on %s", addresses[i])
 		}
@@ -212,7 +215,7 @@
 		return fault.Wrap(err, fault.Internal, "cannot listen on %s", h.cfg.Settings.Relay)
 	}
 	go func() {
-		if err := peer.ServeLinks(ctx, l, map[string]any{
+		if err := peer.ServeLinks(ctx, h.gate.Listener(l), map[string]any{
 			ledger.RelayService: ledger.NewRelayServer(h.relayed), standby.Service: standby.NewServer(h.standby), intake.Service: intake.NewServer(h.jobs),
 		}, h.logger); err != nil {
 			failed <- err
@@ -221,13 +224,6 @@
 	return nil
 }
 
-func (h *Host) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
-	}
-}
-
 // startBackground starts the goroutines that run until ctx ends whether or not this host leads.
 func (h *Host) startBackground(ctx context.Context) {
 	go h.standby.Run(ctx)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -10,6 +10,7 @@
 
 	"persimmonpick/dispatch"
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
 )
 
 // metrics holds the Prometheus metrics of one host.
@@ -18,6 +19,7 @@
 	answers  *prometheus.HistogramVec
 	calls    *prometheus.HistogramVec
 	events   *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 
 	mu   sync.Mutex
 	last dispatch.Counts
@@ -39,7 +41,8 @@
 			Name: "persimmonpick_dispatch_total", Help: "Events of the dispatcher while this host leads.",
 		}, []string{"event"}),
 	}
-	m.registry.MustRegister(m.answers, m.calls, m.events)
+	m.refused = newRefusedCounter()
+	m.registry.MustRegister(m.answers, m.calls, m.events, m.refused)
 	return m
 }
 
@@ -47,6 +50,14 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+func newRefusedCounter() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "persimmonpick_ingress_refused_total", Help: "Clients refused or disconnected since they held too much, by reason.",
+	}, []string{"reason"})
+}
+
+func (m *metrics) countRefused(why ingress.Reason) { m.refused.WithLabelValues(string(why)).Inc() }
+
 func (m *metrics) observeAnswer(what string, k fault.Kind, took time.Duration) {
 	m.answers.WithLabelValues(what, k.String()).Observe(took.Seconds())
 }
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -21,6 +21,8 @@
 	Machines            string        // host:port of the machine service, for maintenance; empty for none
 	MaintenanceDuration time.Duration // usual time that a machine is down
 	Cores               float64       // cores available to this host; may be a fraction
+	Memory              table.Bytes   // of the machine; 0 for that of the smallest one
+	MaxFiles            int           // descriptors; 0 for those of the smallest machine
 	StopGrace           time.Duration // between the stop signal and the kill
 	MaxLease            time.Duration // longest lease of a worker
 	StatusRetention     time.Duration // how long callers can query a finished job
