Bound what clients hold of an entry host of the product's own platform

Change: callers, operators and peers share one ingress gate. New settings Limits.MaxHeld, MaxUnfinished and MinRate, checked like the others; MaxConnections counts all listeners together, and a new connection takes the place of the one that has been unfinished longest instead of waiting behind it (limitListener goes). The test that all limits are refused at zero counts the three new ones.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
 	"persimmonpick/table"
 )
 
@@ -60,13 +61,12 @@
 
 // Decode reads a JSON value of at most limit bytes from the body of r. Unknown fields and trailing data are errors.
 func Decode(r *http.Request, limit table.Bytes, v any) error {
-	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.New(fault.TooLarge, "the body is larger than %d bytes", limit)
-	}
+	data, err := ingress.ReadBody(nil, r, limit)
 	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "read the body")
+		return err
+	}
+	if err := ingress.ReserveDecoded(r, len(data)); err != nil {
+		return err
 	}
 	return DecodeBytes(data, v)
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +14,7 @@
 	"persimmonpick/answer"
 	"persimmonpick/claim"
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
 	"persimmonpick/route"
 	"persimmonpick/table"
 )
@@ -139,7 +138,7 @@
 	if !ok || kind.Class != table.LatencyCritical {
 		return fault.New(fault.NotFound, "no latency-critical kind %q is admitted", mux.Vars(r)["Kind"])
 	}
-	body, err := readBody(w, r, c.host.cfg.Limits.MaxBody)
+	body, err := ingress.ReadBody(w, r, c.host.cfg.Limits.MaxBody)
 	if err != nil {
 		return err
 	}
@@ -188,18 +187,6 @@
 	return time.Now().Add(limit), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit table.Bytes) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.New(fault.TooLarge, "the body is larger than %d bytes", limit)
-	}
-	return nil, fault.Wrap(err, fault.Invalid, "read the body")
-}
-
 // writeResponse writes a complete response. Content-Length is set, so that a caller can detect a truncated body.
 func writeResponse(w http.ResponseWriter, resp route.Response) error {
 	for name, values := range resp.Header {
--- a/entry/host.go
+++ b/entry/host.go
@@ -12,6 +12,7 @@
 	"persimmonpick/burn"
 	"persimmonpick/claim"
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
 	"persimmonpick/journal"
 	"persimmonpick/peer"
 	"persimmonpick/provider"
@@ -51,6 +52,7 @@
 	burnCounts *burn.SnapshotStore
 	recorder   *burn.Recorder
 	metrics    *metrics
+	gate       *ingress.Gate
 	reports    reportBuffer
 
 	listeners     listeners
@@ -67,6 +69,7 @@
 		incarnation: table.Incarnation(string(s.Seat) + "-" + rand.Text()[:16]),
 		superseded:  make(chan struct{}),
 	}
+	h.gate = newGate(s, h.metrics, cfg.Logger)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.writer = journal.NewWriter(journal.WriterConfig{
 		Log: cfg.Platform.Log, Incarnation: h.incarnation, Delay: s.Timing.BatchDelay.D(), Logger: cfg.Logger,
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -15,6 +15,7 @@
 
 	"persimmonpick/answer"
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
 	"persimmonpick/journal"
 	"persimmonpick/table"
 )
@@ -55,10 +56,13 @@
 const defaultAttempts = 3
 
 func (c *callerAPI) submitJob(w http.ResponseWriter, r *http.Request, team table.TeamID) error {
-	body, err := readBody(w, r, c.host.cfg.Limits.MaxBody)
+	body, err := ingress.ReadBody(w, r, c.host.cfg.Limits.MaxBody)
 	if err != nil {
 		return err
 	}
+	if err := ingress.ReserveDecoded(r, len(body)); err != nil {
+		return err
+	}
 	var req JobRequest
 	if err := answer.DecodeBytes(body, &req); err != nil {
 		return err
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -14,6 +14,7 @@
 	requests    *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
 	errors      *prometheus.CounterVec
+	refused     *prometheus.CounterVec
 	applied     prometheus.Gauge
 	unplaceable prometheus.Gauge
 }
@@ -34,6 +35,9 @@
 		errors: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonpick_errors_total", Help: "Requests answered with an error, by its code.",
 		}, []string{"code"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonpick_ingress_refused_total", Help: "Clients refused or disconnected since they held too much, by reason.",
+		}, []string{"reason"}),
 		applied: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonpick_applied_offset", Help: "Last offset of the log that was folded.",
 		}),
@@ -42,7 +46,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.inFlight, m.requests, m.latency, m.errors, m.applied, m.unplaceable,
+		m.inFlight, m.requests, m.latency, m.errors, m.refused, m.applied, m.unplaceable,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
--- a/entry/run.go
+++ b/entry/run.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	h.listeners.peersServer, err = peer.Serve(h.listeners.peers, peersTLS, peer.Handlers{
+	h.listeners.peersServer, err = peer.Serve(h.gate.Listener(h.listeners.peers), peersTLS, peer.Handlers{
 		Heartbeat: h.group.HandleHeartbeat, Snapshot: h.handleSnapshot, Burn: h.handleBurn, Reports: h.handleReports,
 		Borrow: h.shares.HandleBorrow, Return: h.shares.HandleReturn, Recall: h.shares.HandleRecall,
 	}, h.log)
@@ -118,7 +118,8 @@
 		return err
 	}
 	s.TLSConfig = conf
-	ln = limitListener(ln, h.cfg.Limits.MaxConnections)
+	h.gate.Attach(s)
+	ln = h.gate.Listener(ln)
 	h.wg.Go(func() {
 		var err error
 		if conf != nil {
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -6,7 +6,7 @@
 	"persimmonpick/table"
 )
 
-// Limits of settings. The last three are factors of other settings.
+// Limits of settings. The last four are factors of other settings.
 const (
 	minLeaseTerm    = time.Second // a shorter lease expires during an ordinary pause of a process
 	minKeyRetention = time.Minute
@@ -17,13 +17,14 @@
 	keyRetentionRequests = 10
 	leaseClockBounds     = 3
 	leaseReportPeriods   = 2
+	heldBodies           = 8 // cost of a body that is decoded, see package ingress
 )
 
 func (l Limits) check(f *faults) {
 	sizes := []struct {
 		name  string
 		value table.Bytes
-	}{{"MaxBody", l.MaxBody}, {"MaxAnswer", l.MaxAnswer}, {"MaxHeader", l.MaxHeader}}
+	}{{"MaxBody", l.MaxBody}, {"MaxAnswer", l.MaxAnswer}, {"MaxHeader", l.MaxHeader}, {"MaxHeld", l.MaxHeld}, {"MinRate", l.MinRate}}
 	for _, size := range sizes {
 		checkPositive("Limits."+size.name, int64(size.value), f)
 	}
@@ -32,6 +33,7 @@
 		value int
 	}{
 		{"MaxConnections", l.MaxConnections},
+		{"MaxUnfinished", l.MaxUnfinished},
 		{"MaxInFlight", l.MaxInFlight},
 		{"MaxQueue", l.MaxQueue},
 		{"MaxTasksPerJob", l.MaxTasksPerJob},
@@ -39,6 +41,9 @@
 	for _, count := range counts {
 		checkPositive("Limits."+count.name, int64(count.value), f)
 	}
+	if l.MaxHeld < heldBodies*l.MaxBody {
+		f.add("Limits.MaxHeld", "must be at least %d times Limits.MaxBody, which a body may cost", heldBodies)
+	}
 }
 
 func checkPositive(path string, value int64, f *faults) {
--- a/settings/default.go
+++ b/settings/default.go
@@ -8,6 +8,7 @@
 		LogLevel: "info",
 		Limits: Limits{
 			MaxBody: 1 << 20, MaxAnswer: 4 << 20, MaxHeader: 16 << 10,
+			MaxHeld: 16 << 20, MinRate: 16 << 10, MaxUnfinished: 1024,
 			MaxConnections: 4096, MaxInFlight: 1024, MaxQueue: 256, MaxTasksPerJob: 1000,
 		},
 		Timing: Timing{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,9 +30,12 @@
 	MaxBody        table.Bytes // largest request body
 	MaxAnswer      table.Bytes // largest response of a backend server
 	MaxHeader      table.Bytes
-	MaxConnections int
-	MaxInFlight    int // requests served at once
-	MaxQueue       int // requests that may wait for a slot, per service
+	MaxHeld        table.Bytes // of all requests that are not answered, by their cost in memory
+	MinRate        table.Bytes // per second, of a request that arrives for longer than MaxRequestTime
+	MaxConnections int         // of callers, operators and peers together
+	MaxUnfinished  int         // connections whose request has not arrived whole
+	MaxInFlight    int         // requests served at once
+	MaxQueue       int         // requests that may wait for a slot, per service
 	MaxTasksPerJob int
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -99,7 +99,7 @@
 	is.NoErr(err)
 	s.Timing, s.Limits = Timing{}, Limits{}
 	text := s.Check().Error()
-	is.Equal(strings.Count(text, "must be above 0;"), 24) // 17 times and 7 limits
+	is.Equal(strings.Count(text, "must be above 0;"), 27) // 17 times and 10 limits
 }
 
 // FuzzParse guards against panics on any input, and against accepted settings that violate assumptions of the fence.
