End connections whose client does not take its answer

A connection that serves never gives way; a client that sends requests and reads no answer would hold its place for good on the users' platform, whose servers have no write timeout.

Change: a write has to finish within the gate's Grace where the server has no write timeout. A second unit test covers that a charge waits for what gave way.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -29,6 +29,8 @@
 	gate *Gate
 	once sync.Once
 
+	boundWrites bool // the server has no time limit for answers
+
 	bodyWhole bool // of the present request; for the goroutine that serves it
 
 	// gate.mu guards what follows.
@@ -50,6 +52,16 @@
 	return n, err
 }
 
+// Write writes p. It fails if the client does not take it, since a connection does not give way before its answer.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.boundWrites {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.gate.cfg.Limits.Grace)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
 // arrived counts n bytes and reports whether they may be kept.
 func (c *Conn) arrived(n table.Bytes) bool {
 	g := c.gate
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -172,6 +173,43 @@
 	})
 }
 
+func TestAnswerThatIsNotTakenEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newTestGate(roomy)
+		server, client := net.Pipe()
+		defer client.Close()
+		c := &Conn{Conn: server, gate: g, boundWrites: true}
+		is.True(g.admit(c))
+		c.pause()
+		_, err := c.Write([]byte("answer"))
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		is.NoErr(c.Close())
+	})
+}
+
+// A charge waits until what gave way has let go.
+func TestChargeWaitsForWhatGaveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newTestGate(roomy)
+		large, recent := connect(g), connect(g)
+		letGo := make(chan struct{})
+		large.Conn.(*testConn).ended = func() { <-letGo; large.end() }
+		is.NoErr(read(large, 450))
+		time.Sleep(time.Millisecond)
+		done := make(chan error, 1)
+		go func() { done <- read(recent, 100) }()
+		synctest.Wait()
+		is.Equal(len(done), 0)
+		is.Equal(g.Usage().Held, table.Bytes(900))
+		close(letGo)
+		is.NoErr(<-done)
+		is.Equal(g.Usage().Held, table.Bytes(200))
+		is.NoErr(recent.Close())
+	})
+}
+
 // post returns a request on a connection of g, with a body of n bytes of which all are sent but for missing.
 func post(c *Conn, n, missing int, announced bool) *http.Request {
 	r := httptest.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader(strings.Repeat("x", n-missing)), &unfinished{missing}))
--- a/ingress/http.go
+++ b/ingress/http.go
@@ -31,7 +31,11 @@
 		}
 	})
 	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return newContext(ctx, ConnOf(conn))
+		c := ConnOf(conn)
+		if c != nil {
+			c.boundWrites = s.WriteTimeout == 0
+		}
+		return newContext(ctx, c)
 	}
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		if state == http.StateIdle {
