--- a/test.sh
+++ b/test.sh
@@ -9,7 +9,7 @@
 [ -n "$red" ] && skip=(-skip "^($red)\$")
 
 # The race detector runs on the packages in which goroutines share state.
-race=$(go list ./... | grep -E '/(journal|peer|share|route|claim|entry|provider|burn|ledger|dispatch|intake|fleet|platform|standby|maintenance)$' || true)
+race=$(go list ./... | grep -E '/(journal|peer|share|route|claim|entry|provider|burn|ledger|dispatch|intake|fleet|platform|standby|maintenance|ingress)$' || true)
 # The tests of ./crowd measure processes under a crowd of clients, one at a time and apart from other load.
 crowd=$(go list ./... | grep -E '/crowd$' || true)
 rest=$(go list ./... | grep -vxF "${race:-none}" | grep -vxF "${crowd:-none}")
