--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -41,17 +41,30 @@
 	got     table.Bytes // arrived of the request
 	since   time.Time   // when phase began
 	sweeps  int         // while arriving
+	calls   int         // of a host, at work
 }
 
 // Read reads and charges what is not part of an HTTP body.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.arrived(table.Bytes(n)) {
-		return 0, errRefused
+		n, err = 0, errRefused
+	}
+	if err != nil {
+		c.letGo()
 	}
 	return n, err
 }
 
+// letGo gives back what the connection holds if it gave way. Its server may close it only after calls at work.
+func (c *Conn) letGo() {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.leaving {
+		c.gate.release(c)
+	}
+}
+
 // Write writes p. It fails if the client does not take it, since a connection does not give way before its answer.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.boundWrites {
@@ -143,6 +156,27 @@
 	c.since, c.inBody, c.bodyWhole = time.Now(), false, false
 }
 
+// CallArrived notes that a call of a host has arrived whole. A connection with calls at work is not idle.
+func (c *Conn) CallArrived() {
+	if c == nil {
+		return
+	}
+	c.Answered()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.calls++
+}
+
+// CallAnswered notes that a call of a host is answered.
+func (c *Conn) CallAnswered() {
+	if c == nil {
+		return
+	}
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.calls--
+}
+
 // stopReading makes further reads fail, so that the server closes the connection after its answer, and gives back what
 // was read.
 func (c *Conn) stopReading(why Reason) {
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -100,10 +100,6 @@
 			return
 		}
 	}
-	if !g.sweeping {
-		g.sweeping = true
-		time.AfterFunc(sweepInterval, g.sweep)
-	}
 }
 
 // charge takes n bytes for c; unfinished requests give way if there are too many, and c waits until they have. It
@@ -136,6 +132,10 @@
 	}
 	if p == arriving {
 		g.arriving++
+		if !g.sweeping {
+			g.sweeping = true
+			time.AfterFunc(sweepInterval, g.sweep)
+		}
 	}
 	c.phase = p
 }
@@ -171,7 +171,7 @@
 func (g *Gate) longestIdle() *Conn {
 	var first *Conn
 	for c := range g.conns {
-		if c.phase == answered && (first == nil || c.since.Before(first.since)) {
+		if c.phase == answered && c.calls == 0 && (first == nil || c.since.Before(first.since)) {
 			first = c
 		}
 	}
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -278,3 +278,52 @@
 	is.True(smallest.Connections <= (4100-200)/2)
 	is.Equal(LimitsOf(1<<30, 600).Connections, 200)
 }
+
+// Guards against an unfinished request that is never ended, since its header had arrived whole at the sweep before.
+func TestBodyThatStandsStillAfterItsHeaderIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, refused := newTestGate(roomy)
+		c := connect(g)
+		is.NoErr(read(c, 1))
+		c.pause()
+		time.Sleep(3 * sweepInterval)
+		c.resume()
+		time.Sleep(roomy.Grace + 3*sweepInterval)
+		is.True(!isOpen(c))
+		is.Equal(refused[Slow], 1)
+	})
+}
+
+// Guards against a connection of a host that gives way to a new one while a call of it is at work.
+func TestConnectionWithACallAtWorkDoesNotGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := roomy
+		l.Connections = 2
+		g, _ := newTestGate(l)
+		a, b := connect(g), connect(g)
+		a.CallArrived()
+		time.Sleep(time.Second)
+		b.CallArrived()
+		b.CallAnswered()
+		is.True(connect(g) != nil)
+		is.True(isOpen(a))
+		is.True(!isOpen(b))
+	})
+}
+
+// Guards against all clients waiting for a connection that gave way and cannot be closed before a call of it ends.
+func TestConnectionThatGaveWayHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newTestGate(roomy)
+		host := connect(g)
+		host.Conn.(*testConn).ended = func() {} // its server waits for a call
+		is.NoErr(read(host, 400))
+		time.Sleep(time.Second)
+		other := connect(g)
+		go func() { _ = read(host, 1) }() // notices that the connection has ended
+		is.NoErr(read(other, 200))
+	})
+}
--- a/ingress/http.go
+++ b/ingress/http.go
@@ -17,6 +17,8 @@
 	if s.MaxHeaderBytes == 0 {
 		s.MaxHeaderBytes = int(g.cfg.Limits.Header)
 	}
+	s.Protocols = new(http.Protocols) // a Conn has one request at a time
+	s.Protocols.SetHTTP1(true)
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -32,12 +32,13 @@
 
 // ReadRequestBody implements rpc.ServerCodec. The arguments have arrived whole when it returns.
 func (c *serverCodec) ReadRequestBody(args any) error {
-	defer c.client.Answered()
+	defer c.client.CallArrived()
 	return c.dec.Decode(args)
 }
 
 // WriteResponse implements rpc.ServerCodec.
 func (c *serverCodec) WriteResponse(r *rpc.Response, reply any) error {
+	defer c.client.CallAnswered()
 	err := c.enc.Encode(r)
 	if err == nil {
 		err = c.enc.Encode(reply)
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -18,6 +18,7 @@
 	leaseClockBounds     = 3
 	leaseReportPeriods   = 2
 	heldBodies           = 8 // cost of a body that is decoded, see package ingress
+	heldHeaders          = 4 // cost of a header and of what is read beyond it
 )
 
 func (l Limits) check(f *faults) {
@@ -41,8 +42,8 @@
 	for _, count := range counts {
 		checkPositive("Limits."+count.name, int64(count.value), f)
 	}
-	if l.MaxHeld < heldBodies*l.MaxBody {
-		f.add("Limits.MaxHeld", "must be at least %d times Limits.MaxBody, which a body may cost", heldBodies)
+	if l.MaxHeld < heldBodies*l.MaxBody+heldHeaders*l.MaxHeader {
+		f.add("Limits.MaxHeld", "must be at least %d times Limits.MaxBody and %d times Limits.MaxHeader, which a request may cost", heldBodies, heldHeaders)
 	}
 }
 
