--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"persimmonpick/table"
@@ -69,8 +70,8 @@
 // contactAnew has w polled as by a new leader.
 func (sched *Scheduler) contactAnew(w *worker, now time.Time) {
 	w.acknowledged, w.ackDueSince, w.answeredToken = 0, time.Time{}, 0
-	if end := sched.lateOrdersEnd(w); w.clock < clearClock && end.After(w.leaseUntil) {
-		w.leaseUntil = end // answered starts may be of either incarnation
+	if end := sched.lateOrdersEnd(w); w.mayRunUnknown() && end.After(w.leaseUntil) {
+		w.leaseUntil = end
 	}
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
 	w.raiseToken()
@@ -79,6 +80,19 @@
 	w.pollUrgently(now)
 }
 
+// mayRunUnknown reports whether a later incarnation of w than the one polled last may run one of its tasks.
+func (w *worker) mayRunUnknown() bool {
+	if w.clock < clearClock {
+		return true // answered starts may be of either incarnation
+	}
+	for _, t := range w.tasks {
+		if t.phase == starting {
+			return true
+		}
+	}
+	return false
+}
+
 // firstContact applies the first reply of an incarnation of w under a token of this leader.
 func (sched *Scheduler) firstContact(w *worker, l PollReply, now time.Time) {
 	own := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm))
@@ -97,6 +111,23 @@
 	sched.cfg.Log.Debug("worker contacted", "Worker", w.info.ID, "Born", l.Incarnation, "Clock", l.Clock, "LeaseLeft", w.leaseUntil.Sub(now).Round(time.Millisecond))
 }
 
+// notCarriedOut has the next start of t, whose start w has not carried out, go to w again if it can, but not twice in a row: if
+// the next incarnation of w carries the first one out, the other run has ended with this one.
+func (t *task) notCarriedOut(w *worker, now time.Time) {
+	if t.unansweredBy == w.info.ID {
+		t.unansweredBy = ""
+		return
+	}
+	t.unansweredBy, t.unansweredUntil = w.info.ID, now.Add(lateOrderLimit)
+}
+
+// lostBefore reports whether the run of t that w holds has ended with an earlier incarnation while another run of t has
+// ended as done, by a reply to a poll that was sent at the given time.
+func (w *worker) lostBefore(t *task, e TaskResult, l PollReply, sent time.Time) bool {
+	return t != nil && t.worker == w && t.phase == running && e.Cause == EndDone && e.Run != t.run && sent.After(t.startResolvedAt) &&
+		!slices.ContainsFunc(l.Running, func(r RunningTask) bool { return r.Task == e.Task && r.Run == t.run })
+}
+
 // startedByAnother notes that o was answered by a later incarnation than the one that it is for.
 func (sched *Scheduler) startedByAnother(w *worker, o StartOrder, now time.Time) {
 	sched.cfg.Log.Info("start order answered by another incarnation", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker)
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -8,6 +8,7 @@
 
 	"persimmonpick/fault"
 	"persimmonpick/table"
+	"persimmonpick/workload"
 )
 
 // rebornRig returns a rig whose workers grant leases up to maxLease, with a task that runs on a, which has restarted
@@ -385,3 +386,54 @@
 	r.now = r.now.Add(20 * time.Millisecond)
 	is.Equal(len(r.StopOrders(r.now)), 1) // 700 ms otherwise
 }
+
+// Guards against a third run of a task that the next incarnation has done under a start of the one before.
+func TestResultOfAStartCarriedOutByTheNextIncarnationCounts(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	first := r.place()[0]
+	r.StartDone(first, StartUnknown, r.now)
+	r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000}) // not there
+	is.Equal(len(r.placeAndStart()), 1)
+	r.restart("a", 2)
+	is.True(r.answerAs("a", 2, PollReply{Clock: 900, Ended: []TaskResult{{Number: 1, Task: first.Task, Run: first.Run}}}))
+	is.Equal(r.jobs["j"].state, workload.Completed)
+	is.Equal(len(r.place()), 0)
+}
+
+// Guards against a run elsewhere while the next incarnation may carry out the unanswered start.
+func TestUnansweredStartIsRepeatedOnTheSameWorkerOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a", "b", "c")
+	r.submit("j", step(1))
+	o := r.place()[0]
+	r.StartDone(o, StartUnknown, r.now)
+	r.answerPolls(map[string]PollReply{string(o.Worker): {}})
+	again := r.place()
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Worker, o.Worker)
+	r.StartDone(again[0], StartUnknown, r.now)
+	r.answerPolls(map[string]PollReply{string(o.Worker): {}})
+	is.Equal(len(r.place()), 1)
+	is.Equal(r.task(o.Task).unansweredBy, table.WorkerID(""))
+}
+
+// Guards against a run that starts elsewhere while the next incarnation, which has answered its start, is cut off and
+// gone from the list.
+func TestRunOfAnIncarnationThatIsGoneBeforeItsContactIsKept(t *testing.T) {
+	is := is.New(t)
+	const longest = 10 * time.Second
+	r := newRig()
+	r.cfg.MaxLease = longest
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	o := r.place()[0]
+	r.StartDone(o, o.Outcome(Started, 150), r.now)
+	r.restart("a", 2)
+	r.RemoveWorker("a", r.now)
+	r.SetWorker(r.workerInfo("b"), r.now)
+	is.True(r.startsElsewhereAfter() >= longest)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -55,6 +55,8 @@
 	notBefore       time.Time
 	lastFailedOn    table.WorkerID
 	refusedBy       table.WorkerID // refused the last start order; empty once a run has started
+	unansweredBy    table.WorkerID // the worker that has not carried out its last start, until unansweredUntil
+	unansweredUntil time.Time
 	destination     table.WorkerID // of a move by consolidate; empty once it is placed
 	moves           int            // times it was moved by supervise
 	stalls          int            // times it was moved since its run made no progress
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -136,7 +136,7 @@
 			continue // as placeLongestWaiting left it
 		}
 		var w *worker
-		if t.failures > 0 || t.crashes > 0 || t.refusedBy != "" {
+		if t.failures > 0 || t.crashes > 0 || t.refusedBy != "" || t.unansweredBy != "" {
 			w = sched.choose(t, now) // its own failures, crashes and refusals count
 		} else {
 			if places == nil {
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -109,6 +109,9 @@
 	for _, e := range l.Ended {
 		if e.Number > w.appliedResult {
 			w.appliedResult = e.Number
+			if t := sched.task(e.Task); w.lostBefore(t, e, l, sent) {
+				sched.loseRun(t, now, "another run is done")
+			}
 			sched.applyResult(w, e, now)
 			sched.awaitRecord(w, e)
 		}
@@ -172,6 +175,7 @@
 		if t.phase == starting && (t.startUnknown && o.Token > t.token) {
 			sched.startUnanswered(t, now)
 			sched.cfg.Log.Info("unanswered start did not take effect", "Task", key.String(), "Run", t.run, "Worker", w.info.ID)
+			t.notCarriedOut(w, now)
 			sched.requeue(t, now, 0)
 			sched.breakGang(t, "member not started")
 			continue
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -27,6 +27,7 @@
 const (
 	weightQuarantine = 20.0
 	weightRefused    = 50.0 // the worker that refused the task last
+	weightUnanswered = 15.0 // prefers the worker that left the start unanswered, whose next incarnation may carry it out
 )
 
 // score rates a place for t; lower is better.
@@ -73,6 +74,9 @@
 	if t.refusedBy == w.info.ID {
 		s += weightRefused
 	}
+	if t.unansweredBy == w.info.ID && now.Before(t.unansweredUntil) {
+		s -= weightUnanswered
+	}
 	if w.quarantined(now) {
 		s += weightQuarantine + float64(w.quarantinedUntil.Sub(now))/float64(longestQuarantine)
 	}
