--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -195,7 +195,7 @@
 	}
 }
 
-// Guards against limits that a single client inside the pages' limits meets: a body of the largest size, sent in pieces.
+// Guards against limits that a single client inside the pages' limits meets: a body of the largest size, in pieces.
 func TestLargestBodyInCalm(t *testing.T) {
 	d := newDaemon(t)
 	const job = `{"taskSpec":"p","steps":[{"count":1,"cpu":1000,"memMb":256,"estimateMs":100}]}`
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -58,8 +58,10 @@
 	destination     table.WorkerID // of a move by consolidate or out of a zone; empty once it is placed
 	zoneMovedAt     time.Time      // when it last left an availability zone that was evacuated
 	zoneTriedAt     time.Time      // when a move out of its zone was last considered
-	moves           int            // times it was moved by supervise
-	stalls          int            // times it was moved since its run made no progress
+	unansweredBy    table.WorkerID // the worker that has not carried out its last start, until unansweredUntil
+	unansweredUntil time.Time
+	moves           int // times it was moved by supervise
+	stalls          int // times it was moved since its run made no progress
 	stall           taskStall
 	wasRunning      bool
 	throttled       bool      // the run was throttled at some time
--- a/dispatch/zones.go
+++ b/dispatch/zones.go
@@ -91,7 +91,7 @@
 	}
 	for _, t := range w.tasks {
 		if t.phase == running && t.stopReason == whyZone {
-			t.stopReason, t.destination, t.zoneMovedAt = "", "", time.Time{}
+			t.withdrawZoneMove()
 		}
 	}
 }
@@ -133,8 +133,8 @@
 	return n
 }
 
-// countZoneTasks counts the tasks that are left in the zones, and logs evacuations that begin and zones that have become
-// empty. It logs nothing before the worker list was read.
+// countZoneTasks counts the tasks that are left in the zones, and logs evacuations that begin and zones that have
+// become empty. It logs nothing before the worker list was read.
 func (sched *Scheduler) countZoneTasks(now time.Time) {
 	listed := false
 	for _, e := range sched.zones {
@@ -169,11 +169,10 @@
 	}
 	sched.zoneMovesAt = now
 	sched.countZoneTasks(now)
-	if sched.scarcity >= 1 || sched.roomWanted {
-		return // where they are, the runs take no room from work that waits
+	leaving, movable, taken := sched.zoneMoves(now)
+	if sched.startsHeld || sched.scarcity >= 1 || sched.roomWanted {
+		return // where they are, the runs go on and take no room from work that waits
 	}
-	leaving, movable := sched.zoneMoves(now)
-	taken := map[*worker]table.Resources{} // by the moves of this round
 	tried := 0
 	for _, t := range leaving {
 		if movable <= 0 || tried >= maxZoneMovesTried {
@@ -199,16 +198,25 @@
 	}
 }
 
-// zoneMoves returns the runs to move, those that wait longest for their turn first, and how many may be moved now.
-func (sched *Scheduler) zoneMoves(now time.Time) ([]*task, int) {
+// zoneMoves returns the runs to move, those that wait longest for their turn first, how many may be moved now, and what
+// the runs that are being stopped will take elsewhere. It withdraws moves that were not carried out because of a
+// disruption budget.
+func (sched *Scheduler) zoneMoves(now time.Time) ([]*task, int, map[*worker]table.Resources) {
 	var leaving []*task
+	taken := map[*worker]table.Resources{}
 	lasting, moving := 0, 0
 	for _, w := range sched.workers {
 		lasting += w.longRunning
 		for _, t := range w.tasks {
+			if t.stopReason == whyZone && t.phase == running {
+				t.withdrawZoneMove()
+			}
 			switch {
 			case t.stopReason == whyZone:
 				moving++
+				if to := sched.workers[t.destination]; to != nil {
+					taken[to] = taken[to].Plus(t.group.need())
+				}
 			case w.zoneEvacuated && t.leavesZone(now):
 				leaving = append(leaving, t)
 			}
@@ -218,9 +226,11 @@
 		return cmp.Or(a.zoneTriedAt.Compare(b.zoneTriedAt), cmp.Compare(a.key.Job, b.key.Job),
 			cmp.Compare(a.key.Occurrence, b.key.Occurrence), cmp.Compare(a.key.Step, b.key.Step), cmp.Compare(a.key.Index, b.key.Index))
 	})
-	return leaving, max(1, int(maxInterrupted*float64(lasting))) - moving
+	return leaving, max(1, int(maxInterrupted*float64(lasting))) - moving, taken
 }
 
+func (t *task) withdrawZoneMove() { t.stopReason, t.destination, t.zoneMovedAt = "", "", time.Time{} }
+
 // leavesZone reports whether t, which runs in a zone that is evacuated, is better moved than left to end.
 func (t *task) leavesZone(now time.Time) bool {
 	s := t.group.step
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -103,8 +103,8 @@
 	return c.phase != closed && c.gate.charge(c, n)
 }
 
-// pause notes that a request stops arriving: it has arrived whole, or is at work before its body is read. Its connection
-// does not give way to others.
+// pause notes that a request stops arriving: it has arrived whole, or is at work before its body is read. Its
+// connection does not give way to others.
 func (c *Conn) pause() {
 	if c == nil {
 		return
--- a/ingress/http.go
+++ b/ingress/http.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// ReadBody reads the body of r whole. It fails as soon as the body is known to be over limit, or finds no room, and then
-// has the connection closed after the answer with the rest unread. w is that of the server, or nil.
+// ReadBody reads the body of r whole. It fails as soon as the body is known to be over limit, or finds no room, and
+// then has the connection closed after the answer with the rest unread. w is that of the server, or nil.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit table.Bytes) ([]byte, error) {
 	c := connOf(r.Context())
 	if r.ContentLength > int64(limit) {
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -85,7 +85,7 @@
 	if fault.Of(err) == fault.NotFound {
 		f.cfg.Logger.Warn("read position no longer retained, loading a snapshot", "Topic", f.cfg.Topic, "From", *next)
 		*loaded = false
-		return 0, false, nil
+		return 0, true, nil
 	}
 	if err != nil {
 		return 0, false, err
