Order waiting jobs in a package of its own, and defer displaced tasks

Change: dispatch/order.go describes what waits, triage.Policy orders it. For services whose queues declare different priorities, displaced long-running tasks wait behind short jobs of their priority that are on time, for their objective at most; they leave a draining worker 2.5 s before it must be empty while room is scarce; useless jobs come after all others; and the largest tenth of a queue's jobs and the fifth below it come first while they are served less than 0.6 times as often as all. The test of objectives asks triage for the outlook instead of dispatch for the prospect, the same values.

--- a/dispatch/blocked.go
+++ b/dispatch/blocked.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonpick/table"
+	"persimmonpick/triage"
 )
 
 // blockedImage is a best-effort image of a service whose tasks wait although processors are idle.
@@ -21,7 +22,10 @@
 	var blocked []blockedImage
 	for _, g := range sched.openGroups(func(g *group) bool { return !g.unplacedSince.IsZero() }) {
 		q := g.job.queue
-		if !g.step.BestEffort || !needOf(g.step, q).plain || now.Sub(g.unplacedSince) <= consolidateDelay || sched.rate(g, now).prospect == tooLate {
+		if !g.step.BestEffort || !needOf(g.step, q).plain || now.Sub(g.unplacedSince) <= consolidateDelay {
+			continue
+		}
+		if sched.outlook(g, now) == triage.Useless {
 			continue
 		}
 		i := slices.IndexFunc(blocked, func(b blockedImage) bool { return b.service == q.Service && b.image == g.step.Image })
--- a/dispatch/estimate_test.go
+++ b/dispatch/estimate_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonpick/triage"
 	"persimmonpick/workload"
 )
 
@@ -29,14 +30,14 @@
 	r.submit("j", s)
 	g := r.jobs["j"].groups[0][0]
 	at := r.now.Add(2500 * time.Millisecond) // of an objective of twice one second and one more
-	is.Equal(r.rate(g, at).prospect, late)
+	is.Equal(r.outlook(g, at), triage.Late)
 	r.placeAndStart()
 	r.endSteps(60, 1500*time.Millisecond)
 	ratio := r.durationRatios.of("q")
 	is.True(ratio > 1.45 && ratio < 1.55)
 	r.submit("k", s)
 	g = r.jobs["k"].groups[0][0]
-	is.Equal(r.rate(g, r.now.Add(2500*time.Millisecond)).prospect, onTime) // 1.35 s needed, 1.5 s left
+	is.Equal(r.outlook(g, r.now.Add(2500*time.Millisecond)), triage.OnTime) // 1.35 s needed, 1.5 s left
 }
 
 func TestDurationRatiosAreHandedOver(t *testing.T) {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -2,11 +2,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
-	"persimmonpick/table"
+	"persimmonpick/triage"
 	"persimmonpick/workload"
 )
 
@@ -17,25 +16,12 @@
 	valueBase         = 0.3 // part of a job's value that does not depend on its size
 	maxValue          = 4.0 // maximum value of a large job, in jobs of typical size
 	typicalWorkWeight = 0.1 // weight of a new job in the typical size of its queue
+	// Time before a worker leaves in which its long-running tasks find room elsewhere and start there.
+	leaveMoveTime = 2500 * time.Millisecond
 	// Part of the critical path that must fit before the deadline, since estimates are rough.
 	criticalPathMargin = 0.9
 )
 
-// prospect tells whether a job can still meet its objective.
-type prospect uint8
-
-const (
-	onTime prospect = iota
-	late
-	tooLate
-)
-
-// rating is the sort key of an occurrence among the waiting ones.
-type rating struct {
-	prospect prospect
-	density  float64 // value per unit of remaining work
-}
-
 // queueWork tracks the typical work per job of each queue, in millicore-milliseconds.
 type queueWork map[workload.QueueID]float64
 
@@ -52,66 +38,121 @@
 	return float64(max(1, s.Need.CPU)) * float64(max(1, s.Estimate))
 }
 
-// rateLongRunning rates the tasks of a long-running step. Tasks that have run before come first. New ones come
-// after the jobs that still meet their objective, since they keep the capacity that they get, but before jobs that
-// are far too late, which must not keep them waiting while there is room.
-func rateLongRunning(g *group) rating {
-	for _, t := range g.tasks {
-		if t.phase == waiting && t.wasRunning {
-			return rating{density: math.Inf(1)}
-		}
-	}
-	return rating{prospect: late, density: 1 / declaredWork(g.step)}
-}
-
-// rate rates the occurrence that g belongs to.
-func (sched *Scheduler) rate(g *group, now time.Time) rating {
+// waitingJob describes the occurrence that g belongs to.
+func (sched *Scheduler) waitingJob(g *group, now time.Time) triage.Job {
 	j := g.job
+	w := triage.Job{
+		Key: triage.Key{Job: j.id, Occurrence: g.occurrence}, Queue: j.queue.ID, Service: j.queue.Service, Priority: j.queue.Priority,
+		From: g.startsFrom(), Objective: sched.objective(j),
+	}
 	if g.step.LongRunning {
-		return rateLongRunning(g)
+		w.LongRunning, w.Left = true, triage.Work(declaredWork(g.step))
+		for _, t := range g.tasks {
+			if t.phase != waiting || !t.wasRunning {
+				continue
+			}
+			since := t.idleSince
+			if since.IsZero() {
+				since = now // checkIdle has not seen it yet
+			}
+			if !w.Returning || since.Before(w.IdleSince) {
+				w.IdleSince = since
+			}
+			w.Returning = true
+		}
+		return w
 	}
+	w.Size = j.floorSize()
 	gs := j.groups[g.occurrence]
-	left := 0.0
 	for _, o := range gs {
-		left += float64(o.unfinished) * declaredWork(o.step)
+		w.Left += triage.Work(float64(o.unfinished) * declaredWork(o.step))
 	}
-	value := 1.0
+	w.Value = 1
 	if usual := sched.typicalWork[j.queue.ID]; usual > 0 {
-		value = min(maxValue, valueBase+(1-valueBase)*j.work/usual)
+		w.Value = min(maxValue, valueBase+(1-valueBase)*j.work/usual)
 	}
-	r := rating{density: value / max(1, left)}
-	need := time.Duration(float64(sched.usualDuration(j, j.criticalPath(gs))) * criticalPathMargin)
-	objective := sched.objective(j)
-	due := g.startsFrom().Add(objective)
-	switch end := now.Add(need); {
-	case !end.After(due):
-	case !end.After(due.Add(time.Duration((lateFactor - 1) * float64(objective)))):
-		r.prospect = late
-	default:
-		r.prospect = tooLate
+	w.Path = sched.usualDuration(j, j.criticalPath(gs))
+	return w
+}
+
+// outlook tells whether the occurrence that g belongs to can still meet its objective.
+func (sched *Scheduler) outlook(g *group, now time.Time) triage.Outlook {
+	j := sched.waitingJob(g, now)
+	return sched.order.Outlook(&j, now)
+}
+
+// floorSize returns the size of j for the floor of the order, or 0 if it is no job of one occurrence that ends.
+func (j *job) floorSize() triage.Work {
+	if j.spec.Repeat > 0 || slices.ContainsFunc(j.spec.Steps, func(s workload.Step) bool { return s.LongRunning }) {
+		return 0
 	}
-	return r
+	return triage.Work(j.work)
 }
 
-// sortGroups sorts the steps with tasks to place by priority, then by the prospect of their jobs, then by value
-// per remaining work.
-func (sched *Scheduler) sortGroups(gs []*group, now time.Time) {
-	type occurrenceKey struct {
-		job        table.JobID
-		occurrence int
+// recordEnd takes note of a job that has ended, for the order of those that wait.
+func (sched *Scheduler) recordEnd(j *job, s workload.State, now time.Time) {
+	w := triage.Job{Key: triage.Key{Job: j.id}, Queue: j.queue.ID, Service: j.queue.Service, From: j.submitted, Objective: sched.objective(j)}
+	if s != workload.Cancelled {
+		w.Size = j.floorSize()
 	}
-	ratings := make(map[occurrenceKey]rating, len(gs))
-	of := func(g *group) rating { return ratings[occurrenceKey{g.job.id, g.occurrence}] }
+	sched.order.Ended(&w, now)
+}
+
+// sortGroups sorts the steps with tasks to place by the order in which their jobs get room.
+func (sched *Scheduler) sortGroups(gs []*group, now time.Time) {
+	keyOf := func(g *group) triage.Key { return triage.Key{Job: g.job.id, Occurrence: g.occurrence} }
+	ranks := make(map[triage.Key]int, len(gs))
+	var jobs []triage.Job
 	for _, g := range gs {
-		k := occurrenceKey{g.job.id, g.occurrence}
-		if _, rated := ratings[k]; !rated {
-			ratings[k] = sched.rate(g, now)
+		if _, known := ranks[keyOf(g)]; !known {
+			ranks[keyOf(g)] = 0
+			jobs = append(jobs, sched.waitingJob(g, now))
 		}
 	}
+	sched.order.Sort(jobs, now)
+	for i := range jobs {
+		ranks[jobs[i].Key] = i
+	}
 	slices.SortFunc(gs, func(a, c *group) int {
-		ra, rc := of(a), of(c)
-		return cmp.Or(cmp.Compare(a.job.queue.Priority, c.job.queue.Priority), cmp.Compare(ra.prospect, rc.prospect),
-			cmp.Compare(rc.density, ra.density), cmp.Compare(a.job.id, c.job.id),
-			cmp.Compare(a.occurrence, c.occurrence), cmp.Compare(a.index, c.index))
+		return cmp.Or(cmp.Compare(ranks[keyOf(a)], ranks[keyOf(c)]), cmp.Compare(a.index, c.index))
 	})
 }
+
+// queueWait counts the jobs of a queue with tasks that wait for room.
+type queueWait struct{ jobs, onTime, late, useless, returning, behind int }
+
+// logOrder logs for each queue what waits in gs and why it comes where it does.
+func (sched *Scheduler) logOrder(gs []*group, now time.Time) {
+	seen := map[triage.Key]bool{}
+	waits := map[workload.QueueID]*queueWait{}
+	for _, g := range gs {
+		j := sched.waitingJob(g, now)
+		if seen[j.Key] {
+			continue
+		}
+		seen[j.Key] = true
+		n := waits[j.Queue]
+		if n == nil {
+			n = &queueWait{}
+			waits[j.Queue] = n
+		}
+		n.jobs++
+		switch o := sched.order.Outlook(&j, now); {
+		case j.Returning:
+			n.returning++
+		case o == triage.OnTime:
+			n.onTime++
+		case o == triage.Late:
+			n.late++
+		default:
+			n.useless++
+		}
+		if sched.order.IsBehind(&j) {
+			n.behind++
+		}
+	}
+	for id, n := range waits {
+		sched.cfg.Log.Info("jobs wait for room", "Queue", id, "Jobs", n.jobs, "OnTime", n.onTime, "Late", n.late, "Useless", n.useless,
+			"Returning", n.returning, "Behind", n.behind)
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -6,6 +6,7 @@
 
 	"persimmonpick/ledger"
 	"persimmonpick/table"
+	"persimmonpick/triage"
 	"persimmonpick/workload"
 )
 
@@ -42,6 +43,7 @@
 	interference   *interferenceModel
 	typicalWork    queueWork
 	durationRatios durationRatios
+	order          *triage.Policy
 
 	reserved       []*task         // reserved since the last call of Flush
 	batches        batchNumber     // of the newest batch
@@ -92,6 +94,9 @@
 		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{}, unloggedFinal: map[table.JobID]bool{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
+		order: triage.New(triage.Config{
+			LateFactor: lateFactor, PathMargin: criticalPathMargin, DeferReturning: true, LeaveLate: true, MoveTime: leaveMoveTime, Floor: true,
+		}),
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
 		startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
 	}
@@ -103,6 +108,7 @@
 // SetQueues sets the queues of the newest configuration. The jobs of a queue that was removed keep its last
 // policy.
 func (sched *Scheduler) SetQueues(qs []workload.Queue) {
+	sched.order.SetQueues(qs)
 	for _, q := range qs {
 		sched.queues[q.ID] = q
 	}
@@ -308,6 +314,7 @@
 func (sched *Scheduler) finishJob(j *job, s workload.State, now time.Time) {
 	j.state, j.statusChanged, j.dirty = s, true, true
 	sched.finalSince[j.id], sched.unloggedFinal[j.id] = now, true
+	sched.recordEnd(j, s, now)
 	c := j.summary(now)
 	sched.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
 		"Objective", sched.objective(j).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -81,10 +81,10 @@
 
 // mustLeave reports whether a task on a draining worker would not finish there in time.
 func (sched *Scheduler) mustLeave(w *worker, t *task, now time.Time) bool {
+	left := w.leavesAt.Sub(now) - drainMargin
 	if t.group.step.LongRunning {
-		return true
+		return sched.order.LeavesNow(w.info.Service, left, sched.scarcity > 0)
 	}
-	left := w.leavesAt.Sub(now) - drainMargin
 	ran := now.Sub(t.startedAt)
 	if t.percent <= 0 {
 		return left < ran+time.Duration(t.group.step.Estimate)*time.Millisecond
