--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -40,7 +40,9 @@
 			}
 		}
 	}
-	for _, g := range sched.waitingGroups(now) {
+	groups := sched.waitingGroups(now)
+	sched.logOrder(groups, now)
+	for _, g := range groups {
 		sched.logObstacles(g, now)
 		for _, t := range g.tasks {
 			if t.phase != waiting {
