Move tasks at once off a worker whose leaving was not seen

Cause: a leader that first lists a worker while it drains counts the time left from its own read, so it would keep long-running tasks there too long.

Change: late departures need that this leader listed the worker before it drained; the test covers both, and queues of one priority.

--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -161,3 +161,35 @@
 		is.Equal(n, 16)
 	}
 }
+
+// Guards against long-running tasks of a worker that leaves later taking the room that short jobs wait for.
+func TestLongRunningTasksLeaveLateWhileRoomIsScarce(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		bulk  int  // declared priority of a second queue
+		known bool // the leader has listed the worker before it drained
+		stay  time.Duration
+	}{{0, true, 0}, {2, false, 0}, {2, true, leavesIn - drainMargin - leaveMoveTime}} {
+		r := newRig()
+		r.SetQueues([]workload.Queue{{ID: "q", Service: "s", Stretch: 2, Allowance: 1000}, {ID: "bulk", Service: "s", Priority: c.bulk}})
+		r.addWorkers("a", "b")
+		s := step(14)
+		s.LongRunning, s.MaxPerWorker = true, 14
+		r.submit("a", s)
+		r.submit("b", s) // 28 of 32 processors
+		r.placeAndStart()
+		r.answerPolls(nil)
+		r.Decide(r.now)
+		r.workers["a"].listed = c.known
+		r.drain("a")
+		began := r.now
+		for len(r.StopOrders(r.now)) == 0 && r.now.Sub(began) < leavesIn {
+			r.answerPolls(nil)
+			r.Decide(r.now)
+		}
+		stayed := r.now.Sub(began)
+		t.Logf("stayed for %s", stayed)
+		is.True(stayed >= c.stay)
+		is.True(stayed < c.stay+500*time.Millisecond)
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -233,7 +233,7 @@
 	// An incarnation that drains is never ready again, and its lease is not extended any more.
 	info.Draining = info.Draining || w.leaseBound.covers(info.Incarnation)
 	if info.Draining && (!w.info.Draining || info.Incarnation != w.listedIncarnation) {
-		w.leavesAt = now.Add(info.LeavesIn)
+		w.leavesAt, w.leaveSeen = now.Add(info.LeavesIn), w.listed
 		sched.cfg.Log.Info("worker is draining", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
 	}
 	if !w.listed {
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -83,7 +83,7 @@
 func (sched *Scheduler) mustLeave(w *worker, t *task, now time.Time) bool {
 	left := w.leavesAt.Sub(now) - drainMargin
 	if t.group.step.LongRunning {
-		return sched.order.LeavesNow(w.info.Service, left, sched.scarcity > 0)
+		return sched.order.LeavesNow(w.info.Service, left, w.leaveSeen && sched.scarcity > 0)
 	}
 	ran := now.Sub(t.startedAt)
 	if t.percent <= 0 {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -16,6 +16,7 @@
 	handedOver        bool             // its handover record is written or scheduled
 	recorded          WorkerInfo       // in its handover record
 	leavesAt          time.Time        // when a draining worker leaves at the earliest
+	leaveSeen         bool             // this leader listed it before it drained, so that leavesAt is not too late
 	evacuating        bool             // being evacuated for the maintenance of its machine
 	evacuated         table.UnixMillis // incarnation whose evacuation has ended, at evacuatedAt
 	evacuatedAt       time.Time
