--- a/triage/doc.go
+++ b/triage/doc.go
@@ -1,3 +1,3 @@
-// Package triage decides in which order waiting jobs get room when there is too little: what waiting costs their callers
-// least comes last. It makes no calls and has no clock of its own.
+// Package triage decides in which order waiting jobs get room when there is too little, so that waiting costs callers
+// least. It makes no calls and has no clock of its own.
 package triage
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -54,8 +54,8 @@
 	// DeferReturning lets long-running tasks that lost their room wait behind urgent short jobs for up to the objective
 	// of their job, and jobs that are useless behind all others.
 	DeferReturning bool
-	// LeaveLate keeps long-running tasks on a worker that leaves until MoveTime before its end while room is scarce, since
-	// the room that they take elsewhere is missing to short jobs.
+	// LeaveLate keeps long-running tasks on a worker that leaves until MoveTime before its end while room is scarce,
+	// since short jobs lack the room that they take elsewhere.
 	LeaveLate bool
 	MoveTime  time.Duration
 	Floor     bool // no size of job of a queue is starved
@@ -71,7 +71,7 @@
 // New returns a Policy.
 func New(cfg Config) *Policy { return &Policy{cfg: cfg, byQueue: map[workload.QueueID]*sizes{}} }
 
-// SetQueues sets the queues of the newest configuration. DeferReturning, LeaveLate and Floor take effect for the services
+// SetQueues sets the queues of the newest configuration. DeferReturning, LeaveLate and Floor take effect for services
 // whose queues declare different priorities.
 func (p *Policy) SetQueues(qs []workload.Queue) {
 	p.active = map[table.ServiceID]bool{}
@@ -103,7 +103,8 @@
 	slices.SortFunc(jobs, func(a, b Job) int {
 		ra, rb := ratings[a.Key], ratings[b.Key]
 		return cmp.Or(cmp.Compare(boolRank(ra.useless), boolRank(rb.useless)), cmp.Compare(ra.priority, rb.priority),
-			cmp.Compare(ra.outlook, rb.outlook), cmp.Compare(boolRank(rb.behind), boolRank(ra.behind)), cmp.Compare(rb.density, ra.density),
+			cmp.Compare(ra.outlook, rb.outlook), cmp.Compare(boolRank(rb.behind), boolRank(ra.behind)),
+			cmp.Compare(rb.density, ra.density),
 			cmp.Compare(a.Key.Job, b.Key.Job), cmp.Compare(a.Key.Occurrence, b.Key.Occurrence))
 	})
 }
@@ -125,8 +126,8 @@
 }
 
 // Outlook returns the outlook of j if its tasks get room now. Long-running jobs come after the short ones that are on
-// time, since they keep the room that they get, and before those that are useless. What has had room before comes first,
-// so that its caller is not interrupted for long.
+// time, since they keep the room that they get, and before those that are useless. Tasks that have had room before come
+// first, so that their callers are not interrupted for long.
 func (p *Policy) Outlook(j *Job, now time.Time) Outlook {
 	if j.LongRunning {
 		if j.Returning && (!p.defers(j) || now.Sub(j.IdleSince) >= j.Objective) {
--- a/triage/triage_test.go
+++ b/triage/triage_test.go
@@ -31,7 +31,7 @@
 	since             time.Duration
 	tasks, unfinished int
 	took              time.Duration // 0 until it is done
-	gone              time.Duration // of a long-running job: when all its tasks had room, less since
+	gone              time.Duration // of a long-running job, until all its tasks have room again
 }
 
 func newShop(places int, cfg Config) *shop {
