--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -6,6 +6,7 @@
 
 	"persimmonpick/ledger"
 	"persimmonpick/table"
+	"persimmonpick/triage"
 	"persimmonpick/workload"
 )
 
@@ -46,6 +47,7 @@
 	interference   *interferenceModel
 	typicalWork    queueWork
 	durationRatios durationRatios
+	order          *triage.Policy
 
 	reserved       []*task         // reserved since the last call of Flush
 	batches        batchNumber     // of the newest batch
@@ -102,6 +104,9 @@
 		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{}, unloggedFinal: map[table.JobID]bool{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
+		order: triage.New(triage.Config{
+			LateFactor: lateFactor, PathMargin: criticalPathMargin, DeferReturning: true, LeaveLate: true, MoveTime: leaveMoveTime, Floor: true,
+		}),
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
 		zones: map[table.ZoneID]*zoneEvacuation{}, startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
 	}
@@ -113,6 +118,7 @@
 // SetQueues sets the queues of the newest configuration. The jobs of a queue that was removed keep its last
 // policy.
 func (sched *Scheduler) SetQueues(qs []workload.Queue) {
+	sched.order.SetQueues(qs)
 	for _, q := range qs {
 		sched.queues[q.ID] = q
 	}
@@ -231,7 +237,7 @@
 	// An incarnation that drains is never ready again, and its lease is not extended any more.
 	info.Draining = info.Draining || w.leaseBound.covers(info.Incarnation)
 	if info.Draining && (!w.info.Draining || info.Incarnation != w.listedIncarnation) {
-		w.leavesAt = now.Add(info.LeavesIn)
+		w.leavesAt, w.leaveSeen = now.Add(info.LeavesIn), w.listed
 		sched.cfg.Log.Info("worker is draining", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
 	}
 	if !w.listed {
@@ -296,6 +302,7 @@
 func (sched *Scheduler) finishJob(j *job, s workload.State, now time.Time) {
 	j.state, j.statusChanged, j.dirty = s, true, true
 	sched.finalSince[j.id], sched.unloggedFinal[j.id] = now, true
+	sched.recordEnd(j, s, now)
 	c := j.summary(now)
 	sched.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
 		"Objective", sched.objective(j).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
