--- a/cmd/persimmonpickd/fleet.go
+++ b/cmd/persimmonpickd/fleet.go
@@ -22,6 +22,7 @@
 		Name: "fleet", Usage: "run an entry host on the users' platform",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", EnvVars: []string{platform.SettingsVariable}, Usage: "read the platform's settings from `FILE`"},
+			&cli.BoolFlag{Name: "defer-displaced", Usage: "let long-running tasks that lose their room wait behind urgent short jobs"},
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "log messages of `LEVEL` and above"},
 		},
 		Action: runFleet,
@@ -46,12 +47,16 @@
 		log.Error("cannot start", "Error", err)
 		return err
 	}
+	s.DeferDisplaced = c.Bool("defer-displaced")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	host := platform.NewHost(s, log)
 	go lines.Report(log, ctx.Done())
-	go platform.WatchSettings(ctx, path, hup, host.Reloaded, log)
+	go platform.WatchSettings(ctx, path, hup, func(reloaded fleet.Settings) {
+		reloaded.DeferDisplaced = s.DeferDisplaced
+		host.Reloaded(reloaded)
+	}, log)
 	return host.Run(ctx)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -54,6 +54,7 @@
 	stopReason      string
 	notBefore       time.Time
 	lastFailedOn    table.WorkerID
+	displacedAt     time.Time      // when this leader took it off a worker, while it is to last
 	refusedBy       table.WorkerID // refused the last start order; empty once a run has started
 	destination     table.WorkerID // of a move by consolidate or out of a zone; empty once it is placed
 	zoneMovedAt     time.Time      // when it last left an availability zone that was evacuated
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -16,6 +16,8 @@
 	valueBase         = 0.3 // part of a job's value that does not depend on its size
 	maxValue          = 4.0 // maximum value of a large job, in jobs of typical size
 	typicalWorkWeight = 0.1 // weight of a new job in the typical size of its queue
+	// A lasting task may be away for 6 s and more; this leaves time to notice it and to start it.
+	longestDeferral = 2500 * time.Millisecond
 	// Time before a worker leaves in which its long-running tasks find room elsewhere and start there.
 	leaveMoveTime = 2500 * time.Millisecond
 	// Part of the critical path that must fit before the deadline, since estimates are rough.
@@ -51,12 +53,8 @@
 			if t.phase != waiting || !t.wasRunning {
 				continue
 			}
-			since := t.idleSince
-			if since.IsZero() {
-				since = now // checkIdle has not seen it yet
-			}
-			if !w.Returning || since.Before(w.IdleSince) {
-				w.IdleSince = since
+			if !w.Returning || t.displacedAt.Before(w.IdleSince) {
+				w.IdleSince = t.displacedAt
 			}
 			w.Returning = true
 		}
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -166,11 +166,14 @@
 func TestLongRunningTasksLeaveLateWhileRoomIsScarce(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
+		on    bool
 		bulk  int  // declared priority of a second queue
 		known bool // the leader has listed the worker before it drained
 		stay  time.Duration
-	}{{0, true, 0}, {2, false, 0}, {2, true, leavesIn - drainMargin - leaveMoveTime}} {
+	}{{false, 2, true, 0}, {true, 0, true, 0}, {true, 2, false, 0}, {true, 2, true, leavesIn - drainMargin - leaveMoveTime}} {
 		r := newRig()
+		r.cfg.DeferDisplaced = c.on
+		r.Scheduler = NewScheduler(r.cfg)
 		r.SetQueues([]workload.Queue{{ID: "q", Service: "s", Stretch: 2, Allowance: 1000}, {ID: "bulk", Service: "s", Priority: c.bulk}})
 		r.addWorkers("a", "b")
 		s := step(14)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -16,6 +16,7 @@
 	LeaseTerm       time.Duration // of worker leases
 	MaxLease        time.Duration // longest lease that a worker grants; at least LeaseTerm
 	StatusRetention time.Duration // how long the status of a final job is kept
+	DeferDisplaced  bool          // long-running tasks that lose their room wait behind urgent short jobs
 	RemoteFactor    float64       // how many times longer a task runs when its data is in another rack
 	// HandoverReadAt returns when a handover record was first read; nil means when it is restored.
 	HandoverReadAt func(name string) time.Time
@@ -105,7 +106,8 @@
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
 		order: triage.New(triage.Config{
-			LateFactor: lateFactor, PathMargin: criticalPathMargin, DeferReturning: true, LeaveLate: true, MoveTime: leaveMoveTime, Floor: true,
+			LateFactor: lateFactor, PathMargin: criticalPathMargin, MaxDeferral: longestDeferral, MoveTime: leaveMoveTime,
+			DeferReturning: cfg.DeferDisplaced, LeaveLate: cfg.DeferDisplaced, Floor: cfg.DeferDisplaced,
 		}),
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
 		zones: map[table.ZoneID]*zoneEvacuation{}, startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
@@ -239,6 +241,8 @@
 	if info.Draining && (!w.info.Draining || info.Incarnation != w.listedIncarnation) {
 		w.leavesAt, w.leaveSeen = now.Add(info.LeavesIn), w.listed
 		sched.cfg.Log.Info("worker is draining", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
+	} else if at := now.Add(info.LeavesIn); info.Draining && info.LeavesIn > 0 && at.Before(w.leavesAt) {
+		w.leavesAt = at // the first entry was read late
 	}
 	if !w.listed {
 		sched.cfg.Log.Info("worker listed", "Worker", info.ID, "Labels", info.Labels, "CPU", info.Capacity.CPU, "Memory", info.Capacity.Memory, "Rack", info.Rack, "Zone", info.Zone)
@@ -294,6 +298,9 @@
 		wait += sched.pauseAfterCrash(t)
 	}
 	t.worker.release(t)
+	if t.group.step.LongRunning {
+		t.displacedAt = now
+	}
 	t.notBefore = now.Add(wait)
 	t.group.job.dirty = true
 }
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -266,7 +266,7 @@
 func (h *Host) lead(ctx context.Context, w *ledger.Writer) {
 	s := h.cfg.Settings
 	d := dispatch.NewDispatcher(dispatch.DispatcherConfig{
-		Scheduler: dispatch.Config{LeaseTerm: s.lease(), MaxLease: s.MaxLease, StatusRetention: s.statusRetention(), RemoteFactor: max(1, s.RemoteFactor), EvacuationDelay: s.EvacuationDelay},
+		Scheduler: dispatch.Config{LeaseTerm: s.lease(), MaxLease: s.MaxLease, DeferDisplaced: s.DeferDisplaced, StatusRetention: s.statusRetention(), RemoteFactor: max(1, s.RemoteFactor), EvacuationDelay: s.EvacuationDelay},
 		Writer:    w, View: h.view, Workers: h.cfg.Workers, Queues: h.queues, FollowWorkers: h.cfg.FollowWorkers,
 		ZoneRequests: h.zoneRequests, ReportZones: h.metrics.setZoneTasks,
 		ReportCounts: h.metrics.addCounts, ObserveCall: h.metrics.observeWorkerCall, Log: h.logger,
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -25,6 +25,7 @@
 	MaxFiles            int           // descriptors; 0 for those of the smallest machine
 	StopGrace           time.Duration // between the stop signal and the kill
 	MaxLease            time.Duration // longest lease of a worker
+	DeferDisplaced      bool          // long-running tasks that lose their room wait behind urgent short jobs
 	StatusRetention     time.Duration // how long callers can query a finished job
 	EvacuationDelay     time.Duration // within which a zone evacuation takes effect; 0 if none is stated
 	RemoteFactor        float64       // run time of a task with remote data, relative to local data
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -34,7 +34,7 @@
 	// Of a long-running job, which keeps the room that it gets.
 	LongRunning bool
 	Returning   bool      // a task that waits was running before
-	IdleSince   time.Time // since when the first of these has waited
+	IdleSince   time.Time // since when the first of these has waited; 0 if it is not to wait any longer
 }
 
 // Outlook tells whether a job can still meet its objective.
@@ -54,6 +54,7 @@
 	// DeferReturning lets long-running tasks that lost their room wait behind urgent short jobs for up to the objective
 	// of their job, and jobs that are useless behind all others.
 	DeferReturning bool
+	MaxDeferral    time.Duration // of such a task, whatever the objective
 	// LeaveLate keeps long-running tasks on a worker that leaves until MoveTime before its end while room is scarce,
 	// since short jobs lack the room that they take elsewhere.
 	LeaveLate bool
@@ -113,7 +114,7 @@
 	r := rating{priority: j.Priority, density: j.Value / max(1, float64(j.Left)), outlook: p.Outlook(j, now)}
 	if j.LongRunning {
 		r.density = 1 / max(1, float64(j.Left))
-		if j.Returning && r.outlook == OnTime {
+		if j.Returning {
 			r.density = math.Inf(1)
 		}
 	}
@@ -130,7 +131,7 @@
 // first, so that their callers are not interrupted for long.
 func (p *Policy) Outlook(j *Job, now time.Time) Outlook {
 	if j.LongRunning {
-		if j.Returning && (!p.defers(j) || now.Sub(j.IdleSince) >= j.Objective) {
+		if j.Returning && (!p.defers(j) || now.Sub(j.IdleSince) >= min(j.Objective, p.cfg.MaxDeferral)) {
 			return OnTime
 		}
 		return Late
--- a/triage/triage_test.go
+++ b/triage/triage_test.go
@@ -35,7 +35,7 @@
 }
 
 func newShop(places int, cfg Config) *shop {
-	cfg.LateFactor, cfg.PathMargin = 3, 0.9
+	cfg.LateFactor, cfg.PathMargin, cfg.MaxDeferral = 3, 0.9, 2500*time.Millisecond
 	p := New(cfg)
 	p.SetQueues([]workload.Queue{{ID: "urgent"}, {ID: "bulk", Priority: 2}})
 	return &shop{policy: p, start: time.Unix(1_000_000, 0), free: places, running: map[time.Duration][]*order{}}
@@ -187,3 +187,23 @@
 	is.True(p.LeavesNow("s", 2*time.Second, true))
 	is.True(p.LeavesNow("s", 3*time.Second, false))
 }
+
+// Guards against displaced long-running tasks that come after newcomers and late jobs, and that wait for too long.
+func TestDisplacedTasksComeBeforeNewcomersAndNotTooLate(t *testing.T) {
+	is := is.New(t)
+	p := New(Config{LateFactor: 3, PathMargin: 0.9, DeferReturning: true, MaxDeferral: 2500 * time.Millisecond})
+	p.SetQueues([]workload.Queue{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Priority: 2}})
+	now := time.Unix(1_000_000, 0)
+	jobs := []Job{
+		{Key: Key{Job: "new"}, Service: "s", From: now, Objective: 4 * time.Second, Left: 5, LongRunning: true},
+		{
+			Key: Key{Job: "displaced"}, Service: "s", IdleSince: now.Add(-time.Second), Objective: 12 * time.Second, Left: 6,
+			LongRunning: true, Returning: true,
+		},
+		{Key: Key{Job: "late"}, Queue: "a", Service: "s", From: now.Add(-2 * time.Second), Objective: time.Second, Value: 4, Left: 6},
+	}
+	p.Sort(jobs, now)
+	is.Equal(jobs[0].Key.Job, table.JobID("displaced"))
+	is.Equal(p.Outlook(&jobs[0], now), Late)
+	is.Equal(p.Outlook(&jobs[0], now.Add(1500*time.Millisecond)), OnTime)
+}
