--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -54,12 +54,15 @@
 	stopReason      string
 	notBefore       time.Time
 	lastFailedOn    table.WorkerID
+	displacedAt     time.Time      // when this leader took it off a worker, while it is to last
 	refusedBy       table.WorkerID // refused the last start order; empty once a run has started
+	destination     table.WorkerID // of a move by consolidate or out of a zone; empty once it is placed
+	zoneMovedAt     time.Time      // when it last left an availability zone that was evacuated
+	zoneTriedAt     time.Time      // when a move out of its zone was last considered
 	unansweredBy    table.WorkerID // the worker that has not carried out its last start, until unansweredUntil
 	unansweredUntil time.Time
-	destination     table.WorkerID // of a move by consolidate; empty once it is placed
-	moves           int            // times it was moved by supervise
-	stalls          int            // times it was moved since its run made no progress
+	moves           int // times it was moved by supervise
+	stalls          int // times it was moved since its run made no progress
 	stall           taskStall
 	wasRunning      bool
 	throttled       bool      // the run was throttled at some time
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -6,6 +6,7 @@
 
 	"persimmonpick/ledger"
 	"persimmonpick/table"
+	"persimmonpick/triage"
 	"persimmonpick/workload"
 )
 
@@ -15,12 +16,16 @@
 	LeaseTerm       time.Duration // of worker leases
 	MaxLease        time.Duration // longest lease that a worker grants; at least LeaseTerm
 	StatusRetention time.Duration // how long the status of a final job is kept
+	DeferDisplaced  bool          // long-running tasks that lose their room wait behind urgent short jobs
 	RemoteFactor    float64       // how many times longer a task runs when its data is in another rack
 	// HandoverReadAt returns when a handover record was first read; nil means when it is restored.
 	HandoverReadAt func(name string) time.Time
 	Log            *slog.Logger
 	// MaxRecord is the size limit of a record in the log; 0 means no limit.
 	MaxRecord table.Bytes
+	// EvacuationDelay is the time within which a request to evacuate an availability zone takes effect; 0 if the
+	// deployment states none.
+	EvacuationDelay time.Duration
 }
 
 // milliunitsPerCoreSecond converts millicores times milliseconds to core-seconds.
@@ -43,6 +48,7 @@
 	interference   *interferenceModel
 	typicalWork    queueWork
 	durationRatios durationRatios
+	order          *triage.Policy
 
 	reserved       []*task         // reserved since the last call of Flush
 	batches        batchNumber     // of the newest batch
@@ -72,6 +78,11 @@
 	scarcity       float64   // how scarce capacity is, see capacityScarcity
 	consolidatedAt time.Time // when latency-critical tasks were last considered for moves
 
+	zones       map[table.ZoneID]*zoneEvacuation
+	roomWanted  bool      // the last decision found no room for a task that fits any worker of its service
+	zoneMovesAt time.Time // when tasks were last considered for moves out of zones
+	startsHeld  bool      // the operator's requests may be unknown
+
 	superseded bool // a worker has refused an order because of the token of another leader
 
 	statusLoggedAt time.Time
@@ -94,8 +105,12 @@
 		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{}, unloggedFinal: map[table.JobID]bool{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
+		order: triage.New(triage.Config{
+			LateFactor: lateFactor, PathMargin: criticalPathMargin, MaxDeferral: longestDeferral, MoveTime: leaveMoveTime,
+			DeferReturning: cfg.DeferDisplaced, LeaveLate: cfg.DeferDisplaced, Floor: cfg.DeferDisplaced,
+		}),
 		suspects: map[*task]bool{}, crashRates: map[workload.QueueID]*crashRate{}, isolations: map[table.ServiceID]*isolation{},
-		startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
+		zones: map[table.ZoneID]*zoneEvacuation{}, startOutcomes: outcomesByService{}, crashedAt: map[table.ServiceID]time.Time{},
 	}
 }
 
@@ -105,6 +120,7 @@
 // SetQueues sets the queues of the newest configuration. The jobs of a queue that was removed keep its last
 // policy.
 func (sched *Scheduler) SetQueues(qs []workload.Queue) {
+	sched.order.SetQueues(qs)
 	for _, q := range qs {
 		sched.queues[q.ID] = q
 	}
@@ -223,8 +239,10 @@
 	// An incarnation that drains is never ready again, and its lease is not extended any more.
 	info.Draining = info.Draining || w.leaseBound.covers(info.Incarnation)
 	if info.Draining && (!w.info.Draining || info.Incarnation != w.listedIncarnation) {
-		w.leavesAt = now.Add(info.LeavesIn)
+		w.leavesAt, w.leaveSeen = now.Add(info.LeavesIn), w.listed
 		sched.cfg.Log.Info("worker is draining", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
+	} else if at := now.Add(info.LeavesIn); info.Draining && info.LeavesIn > 0 && at.Before(w.leavesAt) {
+		w.leavesAt = at // the first entry was read late
 	}
 	if !w.listed {
 		sched.cfg.Log.Info("worker listed", "Worker", info.ID, "Labels", info.Labels, "CPU", info.Capacity.CPU, "Memory", info.Capacity.Memory, "Rack", info.Rack, "Zone", info.Zone)
@@ -233,6 +251,7 @@
 		sched.pollSilentAt(info.Address, now)
 	}
 	w.info, w.listed, w.missingSince = info, true, time.Time{}
+	sched.markZone(w)
 	if w.crash == nil {
 		sched.restoreGone(w, now)
 	}
@@ -279,6 +298,9 @@
 		wait += sched.pauseAfterCrash(t)
 	}
 	t.worker.release(t)
+	if t.group.step.LongRunning {
+		t.displacedAt = now
+	}
 	t.notBefore = now.Add(wait)
 	t.group.job.dirty = true
 }
@@ -287,6 +309,7 @@
 func (sched *Scheduler) finishJob(j *job, s workload.State, now time.Time) {
 	j.state, j.statusChanged, j.dirty = s, true, true
 	sched.finalSince[j.id], sched.unloggedFinal[j.id] = now, true
+	sched.recordEnd(j, s, now)
 	c := j.summary(now)
 	sched.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
 		"Objective", sched.objective(j).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -15,11 +15,13 @@
 
 	"persimmonpick/dispatch"
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
 	"persimmonpick/intake"
 	"persimmonpick/ledger"
 	"persimmonpick/maintenance"
 	"persimmonpick/peer"
 	"persimmonpick/standby"
+	"persimmonpick/table"
 	"persimmonpick/workload"
 )
 
@@ -55,11 +57,12 @@
 	Logger         *slog.Logger
 }
 
-// OperatorCallbacks receive the operator's configuration and maintenance waves.
+// OperatorCallbacks receive the operator's configuration, maintenance waves and zone evacuations.
 type OperatorCallbacks struct {
 	Configure func(Configuration)
 	ConfigAge func(func() time.Duration) // sets the function that returns the age of the last confirmed configuration
 	Wave      func(maintenance.Wave)
+	Zones     func([]table.ZoneID) // all availability zones to evacuate, after each change; also if there are none
 }
 
 // Host is an entry host: it accepts jobs, answers queries and, while elected, schedules tasks.
@@ -74,9 +77,11 @@
 	standby   *standby.Node
 	jobs      *intake.JobService
 	metrics   *metrics
+	gate      *ingress.Gate
 	process   string // unique for each process of the host
 	config    atomic.Pointer[Configuration]
 	configAge atomic.Pointer[func() time.Duration]
+	zones     atomic.Pointer[[]table.ZoneID] // to evacuate; nil until they are known
 	stopping  atomic.Bool
 
 	mu    sync.Mutex
@@ -89,6 +94,7 @@
 	if h.cfg.Listen == nil {
 		h.cfg.Listen = net.Listen
 	}
+	h.gate = newGate(cfg.Settings, h.metrics, h.logger)
 	h.process = cfg.Settings.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	h.view = ledger.NewView(h.logger)
 	h.reader = ledger.NewReader(ledger.ReaderConfig{
@@ -170,7 +176,7 @@
 	}
 	failed := make(chan error, len(servers)+1)
 	for i, srv := range servers {
-		l, err := h.cfg.Listen("tcp", addresses[i])
+		l, err := h.listen(addresses[i])
 		if err != nil {
 			return fault.Wrap(err, fault.Internal, "cannot listen on %s", addresses[i])
 		}
@@ -212,7 +218,7 @@
 		return fault.Wrap(err, fault.Internal, "cannot listen on %s", h.cfg.Settings.Relay)
 	}
 	go func() {
-		if err := peer.ServeLinks(ctx, l, map[string]any{
+		if err := peer.ServeLinks(ctx, h.gate.Listener(l), map[string]any{
 			ledger.RelayService: ledger.NewRelayServer(h.relayed), standby.Service: standby.NewServer(h.standby), intake.Service: intake.NewServer(h.jobs),
 		}, h.logger); err != nil {
 			failed <- err
@@ -221,13 +227,6 @@
 	return nil
 }
 
-func (h *Host) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
-	}
-}
-
 // startBackground starts the goroutines that run until ctx ends whether or not this host leads.
 func (h *Host) startBackground(ctx context.Context) {
 	go h.standby.Run(ctx)
@@ -235,7 +234,7 @@
 	go h.appender.Run(ctx)
 	go h.relayed.Run(ctx)
 	go h.cfg.FollowOperator(ctx, OperatorCallbacks{
-		Configure: h.configure, ConfigAge: func(age func() time.Duration) { h.configAge.Store(&age) }, Wave: h.addWave,
+		Configure: h.configure, ConfigAge: func(age func() time.Duration) { h.configAge.Store(&age) }, Wave: h.addWave, Zones: h.setZones,
 	})
 }
 
@@ -267,8 +266,9 @@
 func (h *Host) lead(ctx context.Context, w *ledger.Writer) {
 	s := h.cfg.Settings
 	d := dispatch.NewDispatcher(dispatch.DispatcherConfig{
-		Scheduler: dispatch.Config{LeaseTerm: s.lease(), MaxLease: s.MaxLease, StatusRetention: s.statusRetention(), RemoteFactor: max(1, s.RemoteFactor)},
+		Scheduler: dispatch.Config{LeaseTerm: s.lease(), MaxLease: s.MaxLease, DeferDisplaced: s.DeferDisplaced, StatusRetention: s.statusRetention(), RemoteFactor: max(1, s.RemoteFactor), EvacuationDelay: s.EvacuationDelay},
 		Writer:    w, View: h.view, Workers: h.cfg.Workers, Queues: h.queues, FollowWorkers: h.cfg.FollowWorkers,
+		ZoneRequests: h.zoneRequests, ReportZones: h.metrics.setZoneTasks,
 		ReportCounts: h.metrics.addCounts, ObserveCall: h.metrics.observeWorkerCall, Log: h.logger,
 	})
 	if s.Machines != "" {
@@ -278,6 +278,7 @@
 		}).Run(ctx)
 	}
 	d.Run(ctx)
+	h.metrics.setZoneTasks(nil)
 }
 
 // addWave stores a maintenance wave that the operator requested.
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -10,6 +10,8 @@
 
 	"persimmonpick/dispatch"
 	"persimmonpick/fault"
+	"persimmonpick/ingress"
+	"persimmonpick/table"
 )
 
 // metrics holds the Prometheus metrics of one host.
@@ -18,6 +20,8 @@
 	answers  *prometheus.HistogramVec
 	calls    *prometheus.HistogramVec
 	events   *prometheus.CounterVec
+	zones    *prometheus.GaugeVec
+	refused  *prometheus.CounterVec
 
 	mu   sync.Mutex
 	last dispatch.Counts
@@ -38,8 +42,12 @@
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonpick_dispatch_total", Help: "Events of the dispatcher while this host leads.",
 		}, []string{"event"}),
+		zones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "persimmonpick_zone_tasks", Help: "Tasks left in an availability zone that is evacuated, while this host leads.",
+		}, []string{"zone"}),
 	}
-	m.registry.MustRegister(m.answers, m.calls, m.events)
+	m.refused = newRefusedCounter()
+	m.registry.MustRegister(m.answers, m.calls, m.events, m.zones, m.refused)
 	return m
 }
 
@@ -47,6 +55,14 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+func newRefusedCounter() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "persimmonpick_ingress_refused_total", Help: "Clients refused or disconnected since they held too much, by reason.",
+	}, []string{"reason"})
+}
+
+func (m *metrics) countRefused(why ingress.Reason) { m.refused.WithLabelValues(string(why)).Inc() }
+
 func (m *metrics) observeAnswer(what string, k fault.Kind, took time.Duration) {
 	m.answers.WithLabelValues(what, k.String()).Observe(took.Seconds())
 }
@@ -55,6 +71,14 @@
 	m.calls.WithLabelValues(what).Observe(took.Seconds())
 }
 
+// setZoneTasks sets the number of tasks that are left in each availability zone that is evacuated.
+func (m *metrics) setZoneTasks(left map[table.ZoneID]int) {
+	m.zones.Reset()
+	for z, n := range left {
+		m.zones.WithLabelValues(string(z)).Set(float64(n))
+	}
+}
+
 // addCounts adds the increase of c since the last call; lower counts come from a new scheduler, which starts at zero.
 func (m *metrics) addCounts(c dispatch.Counts) {
 	m.mu.Lock()
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -21,9 +21,13 @@
 	Machines            string        // host:port of the machine service, for maintenance; empty for none
 	MaintenanceDuration time.Duration // usual time that a machine is down
 	Cores               float64       // cores available to this host; may be a fraction
+	Memory              table.Bytes   // of the machine; 0 for that of the smallest one
+	MaxFiles            int           // descriptors; 0 for those of the smallest machine
 	StopGrace           time.Duration // between the stop signal and the kill
 	MaxLease            time.Duration // longest lease of a worker
+	DeferDisplaced      bool          // long-running tasks that lose their room wait behind urgent short jobs
 	StatusRetention     time.Duration // how long callers can query a finished job
+	EvacuationDelay     time.Duration // within which a zone evacuation takes effect; 0 if none is stated
 	RemoteFactor        float64       // run time of a task with remote data, relative to local data
 }
 
@@ -49,7 +53,7 @@
 			return fault.New(fault.Invalid, "setting %s is missing", name)
 		}
 	}
-	if s.StopGrace < 0 || s.MaxLease < 0 || s.StatusRetention < 0 || s.Cores < 0 {
+	if s.StopGrace < 0 || s.MaxLease < 0 || s.StatusRetention < 0 || s.EvacuationDelay < 0 || s.Cores < 0 {
 		return fault.New(fault.Invalid, "a setting is negative")
 	}
 	return nil
--- a/settings/bounds.go
+++ b/settings/bounds.go
@@ -6,7 +6,7 @@
 	"persimmonpick/table"
 )
 
-// Limits of settings. The last three are factors of other settings.
+// Limits of settings. The last four are factors of other settings.
 const (
 	minLeaseTerm    = time.Second // a shorter lease expires during an ordinary pause of a process
 	minKeyRetention = time.Minute
@@ -17,13 +17,15 @@
 	keyRetentionRequests = 10
 	leaseClockBounds     = 3
 	leaseReportPeriods   = 2
+	heldBodies           = 8 // cost of a body that is decoded, see package ingress
+	heldHeaders          = 4 // cost of a header and of what is read beyond it
 )
 
 func (l Limits) check(f *faults) {
 	sizes := []struct {
 		name  string
 		value table.Bytes
-	}{{"MaxBody", l.MaxBody}, {"MaxAnswer", l.MaxAnswer}, {"MaxHeader", l.MaxHeader}}
+	}{{"MaxBody", l.MaxBody}, {"MaxAnswer", l.MaxAnswer}, {"MaxHeader", l.MaxHeader}, {"MaxHeld", l.MaxHeld}, {"MinRate", l.MinRate}}
 	for _, size := range sizes {
 		checkPositive("Limits."+size.name, int64(size.value), f)
 	}
@@ -32,6 +34,7 @@
 		value int
 	}{
 		{"MaxConnections", l.MaxConnections},
+		{"MaxUnfinished", l.MaxUnfinished},
 		{"MaxInFlight", l.MaxInFlight},
 		{"MaxQueue", l.MaxQueue},
 		{"MaxTasksPerJob", l.MaxTasksPerJob},
@@ -39,6 +42,9 @@
 	for _, count := range counts {
 		checkPositive("Limits."+count.name, int64(count.value), f)
 	}
+	if l.MaxHeld < heldBodies*l.MaxBody+heldHeaders*l.MaxHeader {
+		f.add("Limits.MaxHeld", "must be at least %d times Limits.MaxBody and %d times Limits.MaxHeader, which a request may cost", heldBodies, heldHeaders)
+	}
 }
 
 func checkPositive(path string, value int64, f *faults) {
