--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -19,8 +19,8 @@
 	return maxLeaseDuration(max(sched.cfg.LeaseTerm, sched.cfg.MaxLease))
 }
 
-// leaseOfOthers returns how long a lease may last by orders for earlier incarnations that an incarnation has carried out
-// whose clock reads c, and that carries out no more of them.
+// leaseOfOthers returns how long the lease of an incarnation whose clock reads c may last by orders for earlier
+// incarnations, of which it carries out no more.
 func (sched *Scheduler) leaseOfOthers(c WorkerClock) time.Duration {
 	// Such orders were sent before a leader knew of its start.
 	latest := supersededExtension + lateOrderLimit
@@ -111,8 +111,8 @@
 	sched.cfg.Log.Debug("worker contacted", "Worker", w.info.ID, "Born", l.Incarnation, "Clock", l.Clock, "LeaseLeft", w.leaseUntil.Sub(now).Round(time.Millisecond))
 }
 
-// notCarriedOut has the next start of t, whose start w has not carried out, go to w again if it can, but not twice in a row: if
-// the next incarnation of w carries the first one out, the other run has ended with this one.
+// notCarriedOut has the next start of t, whose start w has not carried out, go to w again if it can, but not twice in a
+// row: if the next incarnation of w carries the first one out, the other run has ended with this one.
 func (t *task) notCarriedOut(w *worker, now time.Time) {
 	if t.unansweredBy == w.info.ID {
 		t.unansweredBy = ""
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// Guards against a take-over that does not count with the longest lease of an incarnation that was known only just before.
+// Guards against a take-over that does not count with the longest lease of an incarnation that was known just before.
 func TestNextLeaderWaitsForTheLongestLeaseOfAnIncarnationJustKnown(t *testing.T) {
 	const longest = 10 * time.Second
 	for _, c := range []struct {
@@ -270,7 +270,7 @@
 	t.Fatal("the second end is not acknowledged within 10 s")
 }
 
-// Guards against a start that is never resolved since its worker lists so many results that wait for an acknowledgement.
+// Guards against a start that is never resolved since its worker lists so many results to acknowledge.
 func TestUnansweredStartDoesNotHoldUpAFullPageOfResults(t *testing.T) {
 	is := is.New(t)
 	r := newRig()
@@ -339,7 +339,8 @@
 	}
 }
 
-// Guards against a run that a worker which has left the list carries out late, after it is back. Red, see KNOWN-RED.txt.
+// Guards against a start that a worker which has left the list carries out late, once it is back. Red, see
+// KNOWN-RED.txt.
 func TestUnansweredStartAtAWorkerThatIsGoneWaitsForLateOrders(t *testing.T) {
 	is := is.New(t)
 	r := newRig()
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -41,7 +41,7 @@
 }
 
 // waitingJob describes the occurrence that g belongs to.
-func (sched *Scheduler) waitingJob(g *group, now time.Time) triage.Job {
+func (sched *Scheduler) waitingJob(g *group) triage.Job {
 	j := g.job
 	w := triage.Job{
 		Key: triage.Key{Job: j.id, Occurrence: g.occurrence}, Queue: j.queue.ID, Service: j.queue.Service, Priority: j.queue.Priority,
@@ -75,7 +75,7 @@
 
 // outlook tells whether the occurrence that g belongs to can still meet its objective.
 func (sched *Scheduler) outlook(g *group, now time.Time) triage.Outlook {
-	j := sched.waitingJob(g, now)
+	j := sched.waitingJob(g)
 	return sched.order.Outlook(&j, now)
 }
 
@@ -104,7 +104,7 @@
 	for _, g := range gs {
 		if _, known := ranks[keyOf(g)]; !known {
 			ranks[keyOf(g)] = 0
-			jobs = append(jobs, sched.waitingJob(g, now))
+			jobs = append(jobs, sched.waitingJob(g))
 		}
 	}
 	sched.order.Sort(jobs, now)
@@ -124,7 +124,7 @@
 	seen := map[triage.Key]bool{}
 	waits := map[workload.QueueID]*queueWait{}
 	for _, g := range gs {
-		j := sched.waitingJob(g, now)
+		j := sched.waitingJob(g)
 		if seen[j.Key] {
 			continue
 		}
--- a/triage/triage_test.go
+++ b/triage/triage_test.go
@@ -90,7 +90,7 @@
 	return &order{tasks: tasks, Job: Job{Objective: 1500 * time.Millisecond, Path: taskTime, Value: min(4, 0.3+0.7*float64(tasks)/10)}}
 }
 
-// burst plays a burst of urgent short jobs during which a long-running job loses most of the room, and returns the share
+// burst plays a burst of urgent short jobs in which a long-running job loses most of the room, and returns the share
 // of the short jobs on time and how long the long-running one is gone.
 func burst(cfg Config) (onTime float64, gone time.Duration) {
 	s := newShop(100, cfg)
