Remove what the last reading found twice, and wrap long comments

Two methods were called recordEnd.

Change: each stands once (ingress.Refusals, emulator.JobBody and FreePorts, orderedRig, unansweredRig, lastingInZone); acknowledgeIn and startOnItsWay; recordJobEnd; comments wrapped.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -52,9 +52,8 @@
 
 // manySteps returns a body of n bytes with as many steps as fit.
 func manySteps(n int) string {
-	const start, end = `{"taskSpec":"p","steps":[{}`, `]}`
-	s := start + strings.Repeat(`,{}`, (n-len(start)-len(end))/3)
-	return s + strings.Repeat(" ", n-len(s)-len(end)) + end
+	left := n - len(emulator.JobBody("{}"))
+	return emulator.JobBody("{}" + strings.Repeat(",{}", left/3) + strings.Repeat(" ", left%3))
 }
 
 // crowds are the kinds of crowd against the callers' listener.
@@ -198,7 +197,7 @@
 // Guards against limits that a single client inside the pages' limits meets: a body of the largest size, in pieces.
 func TestLargestBodyInCalm(t *testing.T) {
 	d := newDaemon(t)
-	const job = `{"taskSpec":"p","steps":[{"count":1,"cpu":1000,"memMb":256,"estimateMs":100}]}`
+	job := emulator.JobBody(emulator.SmallStep)
 	body := job + strings.Repeat(" ", legalBody-len(job))
 	c, err := net.Dial("tcp", d.callers)
 	d.is.NoErr(err)
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -77,7 +77,8 @@
 	d.site.Configure(3, "s")
 	t.Cleanup(d.site.Close)
 	ip := fmt.Sprintf("127.9.%d.1", os.Getpid()%250)
-	ports := freePorts(t, ip, 4)
+	ports, err := emulator.FreePorts(ip, 4)
+	d.is.NoErr(err)
 	d.writeSettings(emulator.NodeFile(emulator.HostConfig{
 		Name: "h0", IP: ip, Log: d.site.LogAddr, Callers: ports[0], Readiness: ports[1], Metrics: ports[2], Relay: ports[3],
 		Machines: d.site.MachinesAddr,
@@ -97,19 +98,6 @@
 	return d
 }
 
-func freePorts(t *testing.T, ip string, n int) []int {
-	ports := make([]int, n)
-	for i := range ports {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		ports[i] = l.Addr().(*net.TCPAddr).Port
-	}
-	return ports
-}
-
 // writeSettings writes the settings file with the limits of the tests' machine.
 func (d *daemon) writeSettings(node []byte) {
 	var v map[string]any
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -13,15 +13,30 @@
 
 // rebornRig returns a rig whose workers grant leases up to maxLease, with a task that runs on a, which has restarted
 // just before and been contacted since.
-func rebornRig(maxLease time.Duration) (*rig, StartOrder) {
+func rebornRig(maxLease time.Duration) *rig {
 	r := newRig()
 	r.cfg.MaxLease = maxLease
 	r.addWorkers("a")
 	r.restart("a", 2)
 	r.answerAs("a", 2, PollReply{Clock: 200})
 	r.submit("j", step(1))
-	o := r.placeAndStart()[0]
-	r.SetWorker(r.workerInfo("b"), r.now)
+	r.placeAndStart()
+	return r
+}
+
+// orderedRig returns a rig with the order of the first start of a task, on worker a.
+func orderedRig() (*rig, StartOrder) {
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	return r, r.place()[0]
+}
+
+// unansweredRig returns a rig whose worker a has not carried out the first start of a task.
+func unansweredRig() (*rig, StartOrder) {
+	r, o := orderedRig()
+	r.StartDone(o, StartUnknown, r.now)
+	r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000})
 	return r, o
 }
 
@@ -47,29 +62,11 @@
 	return polled
 }
 
-// startsElsewhereAfter returns how long r takes to start a task anew while worker a does not answer.
-func (r *rig) startsElsewhereAfter() time.Duration {
-	for began := r.now; r.now.Sub(began) < time.Minute; r.now = r.now.Add(50 * time.Millisecond) {
-		for _, o := range r.PollOrders(r.now, true) {
-			if o.Worker == "a" {
-				r.PollDone(o, r.now, PollReply{}, fault.New(fault.OutcomeUnknown, "silent"), r.now)
-				continue
-			}
-			r.PollDone(o, r.now, r.listRunning(o.Worker), nil, r.now)
-		}
-		if len(r.placeAndStart()) > 0 {
-			return r.now.Sub(began)
-		}
-	}
-	return time.Minute
-}
-
 // Guards against two runs at once after an order for an earlier incarnation has extended the lease of the next one.
 func TestRunOfAWorkerThatRestartedIsKeptForTheLongestLease(t *testing.T) {
 	is := is.New(t)
 	const longest = 10 * time.Second
-	r, _ := rebornRig(longest)
-	took := r.startsElsewhereAfter()
+	took := restartAfter(rebornRig(longest))
 	is.True(took >= longest)
 	is.True(took < maxLeaseDuration(longest)+time.Second)
 }
@@ -90,8 +87,7 @@
 		next := nextLeader(log, 2, readAt, readAt.Add(silentTakeover))
 		next.cfg.MaxLease = longest
 		is.True(next.answerAs("a", 1, PollReply{Clock: c.clock, Running: []RunningTask{{Task: key("j", 0, 0), Run: 1, Percent: 100}}}))
-		next.SetWorker(next.workerInfo("b"), next.now)
-		took := next.startsElsewhereAfter()
+		took := restartAfter(next)
 		is.True(took >= c.least)
 		is.True(took < c.most+time.Second)
 	}
@@ -128,23 +124,16 @@
 func TestStartAnsweredByTheNextIncarnationIsNotTakenForARunOfTheOneBefore(t *testing.T) {
 	is := is.New(t)
 	const longest = 10 * time.Second
-	r := newRig()
+	r, o := orderedRig()
 	r.cfg.MaxLease = longest
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	o := r.place()[0]
 	r.now = r.now.Add(300 * time.Millisecond)
 	r.StartDone(o, o.Outcome(Started, 150), r.now)
-	r.SetWorker(r.workerInfo("b"), r.now)
-	is.True(r.startsElsewhereAfter() >= longest)
+	is.True(restartAfter(r) >= longest)
 }
 
 func TestRunStartedByTheNextIncarnationIsAdoptedOnceItIsContacted(t *testing.T) {
 	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	o := r.place()[0]
+	r, o := orderedRig()
 	r.StartDone(o, o.Outcome(Started, 150), r.now)
 	is.True(r.answerAs("a", 2, PollReply{Clock: 300, Running: []RunningTask{{Task: o.Task, Run: o.Run}}}))
 	is.Equal(r.task(o.Task).phase, running)
@@ -170,8 +159,7 @@
 	r.submit("j", step(1))
 	r.placeAndStart()
 	r.restart("a", 2)
-	r.SetWorker(r.workerInfo("b"), r.now)
-	took := r.startsElsewhereAfter()
+	took := restartAfter(r)
 	is.True(took < maxLeaseDuration(testTerm)+time.Second)
 }
 
@@ -299,12 +287,7 @@
 // Guards against a run that starts elsewhere while its worker lists an earlier run of the same task.
 func TestTaskDoesNotStartElsewhereWhileTheNextIncarnationRunsAnEarlierStart(t *testing.T) {
 	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	first := r.place()[0]
-	r.StartDone(first, StartUnknown, r.now)
-	r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000}) // not there
+	r, first := unansweredRig()
 	second := r.placeAndStart()
 	is.Equal(len(second), 1)
 	is.Equal(second[0].Run, first.Run+1)
@@ -325,12 +308,7 @@
 // Red, see KNOWN-RED.txt.
 func TestStartThatOneIncarnationHasNotCarriedOutMayBeCarriedOutByTheNext(t *testing.T) {
 	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	o := r.place()[0]
-	r.StartDone(o, StartUnknown, r.now)
-	r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000}) // not there
+	r, o := unansweredRig()
 	r.workers["a"].quarantine(r.now, "test")
 	r.SetWorker(r.workerInfo("b"), r.now)
 	r.answerAs("b", 1, PollReply{Clock: 100_000})
@@ -343,14 +321,10 @@
 // KNOWN-RED.txt.
 func TestUnansweredStartAtAWorkerThatIsGoneWaitsForLateOrders(t *testing.T) {
 	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	o := r.place()[0]
+	r, o := orderedRig()
 	r.StartDone(o, StartUnknown, r.now)
 	r.RemoveWorker("a", r.now)
-	r.SetWorker(r.workerInfo("b"), r.now)
-	is.True(r.startsElsewhereAfter() >= lateOrderLimit-time.Second)
+	is.True(restartAfter(r) >= lateOrderLimit-time.Second)
 }
 
 // Guards against a start of an earlier leader that a silent worker carries out late. Red, see KNOWN-RED.txt.
@@ -358,8 +332,7 @@
 	is := is.New(t)
 	log, readAt := runAtLeaving(false)
 	next := nextLeader(log, 2, readAt, readAt.Add(500*time.Millisecond))
-	next.SetWorker(next.workerInfo("b"), next.now)
-	next.startsElsewhereAfter()
+	restartAfter(next)
 	is.True(next.now.Sub(readAt) >= lateOrderLimit+testTerm)
 }
 
@@ -391,12 +364,7 @@
 // Guards against a third run of a task that the next incarnation has done under a start of the one before.
 func TestResultOfAStartCarriedOutByTheNextIncarnationCounts(t *testing.T) {
 	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	first := r.place()[0]
-	r.StartDone(first, StartUnknown, r.now)
-	r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000}) // not there
+	r, first := unansweredRig()
 	is.Equal(len(r.placeAndStart()), 1)
 	r.restart("a", 2)
 	is.True(r.answerAs("a", 2, PollReply{Clock: 900, Ended: []TaskResult{{Number: 1, Task: first.Task, Run: first.Run}}}))
@@ -427,14 +395,10 @@
 func TestRunOfAnIncarnationThatIsGoneBeforeItsContactIsKept(t *testing.T) {
 	is := is.New(t)
 	const longest = 10 * time.Second
-	r := newRig()
+	r, o := orderedRig()
 	r.cfg.MaxLease = longest
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	o := r.place()[0]
 	r.StartDone(o, o.Outcome(Started, 150), r.now)
 	r.restart("a", 2)
 	r.RemoveWorker("a", r.now)
-	r.SetWorker(r.workerInfo("b"), r.now)
-	is.True(r.startsElsewhereAfter() >= longest)
+	is.True(restartAfter(r) >= longest)
 }
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -21,7 +21,7 @@
 	pollRetryDelay    = 150 * time.Millisecond // after a failed poll; doubled up to pollRetryMaxDelay
 	pollRetryMaxDelay = 1200 * time.Millisecond
 	pollGrace         = 900 * time.Millisecond  // allowed for the answer beyond the wait
-	longestAckWait    = time.Second             // results that wait for longer are acknowledged before the next start
+	longestAckWait    = time.Second             // results that wait longer come before the next start
 	orderTimeout      = 500 * time.Millisecond  // of start, stop and throttle calls; many times the usual latency
 	maxPollAge        = 3500 * time.Millisecond // a worker whose last answer is older gets no new tasks
 
@@ -41,7 +41,7 @@
 
 	// A worker that is missing from the worker list for less is kept, since an outage of the store may be the reason.
 	missingGrace = 2500 * time.Millisecond
-	// An order without an answer may be carried out seconds later, by a later incarnation too; after this time it is not.
+	// An order without an answer may be carried out seconds later, by a later incarnation too, but not after this time.
 	lateOrderLimit = 13 * time.Second
 	// A worker that still answers so long after its evacuation has ended stays.
 	evacuatedGrace = 2 * time.Second
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -87,8 +87,8 @@
 	return triage.Work(j.work)
 }
 
-// recordEnd takes note of a job that has ended, for the order of those that wait.
-func (sched *Scheduler) recordEnd(j *job, s workload.State, now time.Time) {
+// recordJobEnd takes note of a job that has ended, for the order of those that wait.
+func (sched *Scheduler) recordJobEnd(j *job, s workload.State, now time.Time) {
 	w := triage.Job{Key: triage.Key{Job: j.id}, Queue: j.queue.ID, Service: j.queue.Service, From: j.submitted, Objective: sched.objective(j)}
 	if s != workload.Cancelled {
 		w.Size = j.floorSize()
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -29,9 +29,7 @@
 
 func (sched *Scheduler) pollOrder(w *worker, now time.Time, extend bool) PollOrder {
 	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, leastClock: w.leastClock(now)}
-	if w.mayAcknowledge(now) {
-		o.Acked, w.ackSent = w.loggedResult, true
-	}
+	w.acknowledgeIn(&o, now)
 	// Whether a silent worker received an extension is unknown, so another request would delay the time from which
 	// its tasks can safely start elsewhere.
 	if extend && w.missedPolls == 0 {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -309,7 +309,7 @@
 func (sched *Scheduler) finishJob(j *job, s workload.State, now time.Time) {
 	j.state, j.statusChanged, j.dirty = s, true, true
 	sched.finalSince[j.id], sched.unloggedFinal[j.id] = now, true
-	sched.recordEnd(j, s, now)
+	sched.recordJobEnd(j, s, now)
 	c := j.summary(now)
 	sched.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
 		"Objective", sched.objective(j).Round(time.Millisecond), "Waited", c.waited.Round(time.Millisecond),
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -27,7 +27,7 @@
 const (
 	weightQuarantine = 20.0
 	weightRefused    = 50.0 // the worker that refused the task last
-	weightUnanswered = 15.0 // prefers the worker that left the start unanswered, whose next incarnation may carry it out
+	weightUnanswered = 15.0 // prefers the worker that has not answered the start, see notCarriedOut
 )
 
 // score rates a place for t; lower is better.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -156,23 +156,27 @@
 	w.ackSent = false
 }
 
-// mayAcknowledge reports whether the next poll may acknowledge results. Each incarnation numbers its results anew. If
-// the next one carried out such a poll after a start under the same token, it would drop the result of that run unread.
-// So no start is on its way when the poll is sent, and later ones get a newer token until it is answered.
-func (w *worker) mayAcknowledge(now time.Time) bool {
-	if w.missedPolls > 0 || w.ackSent || w.loggedResult == 0 {
-		return false
+// acknowledgeIn lets o, the next poll of w, acknowledge results. Each incarnation numbers its results anew. If the next
+// one carried out such a poll after a start under the same token, it would drop the result of that run unread. So no
+// start is on its way when the poll is sent, and later ones get a newer token until it is answered.
+func (w *worker) acknowledgeIn(o *PollOrder, now time.Time) {
+	switch {
+	case w.missedPolls > 0 || w.ackSent || w.loggedResult == 0:
+	case !w.startOnItsWay():
+		o.Acked, w.ackSent, w.ackDueSince = w.loggedResult, true, time.Time{}
+	case w.ackDueSince.IsZero() && w.loggedResult > w.acknowledged:
+		w.ackDueSince = now
 	}
+}
+
+// startOnItsWay reports whether w may yet carry out a start, in this incarnation or the next one.
+func (w *worker) startOnItsWay() bool {
 	for _, t := range w.tasks {
 		if t.phase == reserved || t.phase == starting && !(t.startUnknown && w.answeredToken > t.token) {
-			if w.ackDueSince.IsZero() && w.loggedResult > w.acknowledged {
-				w.ackDueSince = now
-			}
-			return false
+			return true
 		}
 	}
-	w.ackDueSince = time.Time{}
-	return true
+	return false
 }
 
 // awaitsAcknowledgement reports whether results have waited so long that w gets no starts before a poll acknowledges
--- a/dispatch/zonemoves_test.go
+++ b/dispatch/zonemoves_test.go
@@ -12,14 +12,7 @@
 // Guards against runs that are stopped while nothing can be started elsewhere.
 func TestNoRunLeavesAZoneWhileStartsAreHeld(t *testing.T) {
 	is := is.New(t)
-	r := newZoneRig()
-	r.evacuate("zb")
-	lasting := step(4)
-	lasting.LongRunning = true
-	r.submit("lasting", lasting)
-	r.placeAndStart()
-	r.settle()
-	r.evacuate("za")
+	r := lastingInZone(4, 0)
 	r.SetZoneRequests(ZoneRequests{Known: true, Age: r.cfg.EvacuationDelay, Zones: []table.ZoneID{"za"}}, r.now)
 	is.Equal(r.stopped(), 0)
 }
@@ -64,14 +57,7 @@
 // Guards against a move that waits for its step's budget and is carried out when its place is gone.
 func TestMoveThatWasNotCarriedOutIsConsideredAgain(t *testing.T) {
 	is := is.New(t)
-	r := newZoneRig()
-	r.evacuate("zb")
-	lasting := step(3)
-	lasting.LongRunning, lasting.MaxUnavailable = true, 1
-	r.submit("lasting", lasting)
-	r.placeAndStart()
-	r.settle()
-	r.evacuate("za")
+	r := lastingInZone(3, 1)
 	r.now = r.now.Add(zoneMoveInterval)
 	r.moveFromZones(r.now) // chosen
 	var chosen, other *task
--- a/dispatch/zones_test.go
+++ b/dispatch/zones_test.go
@@ -24,6 +24,20 @@
 	return r
 }
 
+// lastingInZone returns a rig with n tasks of one long-running step at work in zone za, which is then evacuated while
+// zone zb is open. So many of them may be away at the same time.
+func lastingInZone(n, maxUnavailable int) *rig {
+	r := newZoneRig()
+	r.evacuate("zb")
+	lasting := step(n)
+	lasting.LongRunning, lasting.MaxUnavailable = true, maxUnavailable
+	r.submit("lasting", lasting)
+	r.placeAndStart()
+	r.settle()
+	r.evacuate("za")
+	return r
+}
+
 func (r *rig) evacuate(zs ...table.ZoneID) {
 	r.SetZoneRequests(ZoneRequests{Known: true, Zones: zs}, r.now)
 }
@@ -196,14 +210,7 @@
 // Guards against runs that move into room that waiting work needs.
 func TestRunsStayWhileWorkWaitsForRoom(t *testing.T) {
 	is := is.New(t)
-	r := newZoneRig()
-	r.evacuate("zb")
-	lasting := step(2)
-	lasting.LongRunning = true
-	r.submit("lasting", lasting)
-	r.placeAndStart()
-	r.settle()
-	r.evacuate("za")
+	r := lastingInZone(2, 0)
 	r.zoneMovesAt = r.now // so that the next decision on places comes first
 	large := step(3)
 	large.Need.CPU = 10000
@@ -222,14 +229,7 @@
 // Guards against moves that go on, and a zone that stays closed, once the request is withdrawn halfway.
 func TestWithdrawnEvacuationStopsMoves(t *testing.T) {
 	is := is.New(t)
-	r := newZoneRig()
-	r.evacuate("zb")
-	lasting := step(4)
-	lasting.LongRunning = true
-	r.submit("lasting", lasting)
-	r.placeAndStart()
-	r.settle()
-	r.evacuate("za")
+	r := lastingInZone(4, 0)
 	is.Equal(r.stopped(), 1)
 	r.placeAndStart()
 	r.settle()
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -15,6 +15,6 @@
 			Held: l.MaxHeld, Connections: l.MaxConnections, Unfinished: l.MaxUnfinished, Header: l.MaxHeader,
 			Rate: l.MinRate, Grace: s.Timing.MaxRequestTime.D() + headerTimeout,
 		},
-		Refused: func(why ingress.Reason) { m.refused.WithLabelValues(string(why)).Inc() }, Logger: logger,
+		Refused: m.refused.Count, Logger: logger,
 	})
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"persimmonpick/ingress"
 	"persimmonpick/route"
 )
 
@@ -14,7 +15,7 @@
 	requests    *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
 	errors      *prometheus.CounterVec
-	refused     *prometheus.CounterVec
+	refused     ingress.Refusals
 	applied     prometheus.Gauge
 	unplaceable prometheus.Gauge
 }
@@ -35,9 +36,7 @@
 		errors: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonpick_errors_total", Help: "Requests answered with an error, by its code.",
 		}, []string{"code"}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "persimmonpick_ingress_refused_total", Help: "Clients refused or disconnected since they held too much, by reason.",
-		}, []string{"reason"}),
+		refused: ingress.NewRefusals(),
 		applied: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonpick_applied_offset", Help: "Last offset of the log that was folded.",
 		}),
--- a/fleet/ingress.go
+++ b/fleet/ingress.go
@@ -21,7 +21,7 @@
 		debug.SetMemoryLimit(int64(memoryTarget * float64(s.Memory)))
 	}
 	return ingress.New(ingress.Config{
-		Limits: ingress.LimitsOf(s.Memory, s.MaxFiles), Refused: m.countRefused, Logger: logger,
+		Limits: ingress.LimitsOf(s.Memory, s.MaxFiles), Refused: m.refused.Count, Logger: logger,
 	})
 }
 
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -21,7 +21,7 @@
 	calls    *prometheus.HistogramVec
 	events   *prometheus.CounterVec
 	zones    *prometheus.GaugeVec
-	refused  *prometheus.CounterVec
+	refused  ingress.Refusals
 
 	mu   sync.Mutex
 	last dispatch.Counts
@@ -46,7 +46,7 @@
 			Name: "persimmonpick_zone_tasks", Help: "Tasks left in an availability zone that is evacuated, while this host leads.",
 		}, []string{"zone"}),
 	}
-	m.refused = newRefusedCounter()
+	m.refused = ingress.NewRefusals()
 	m.registry.MustRegister(m.answers, m.calls, m.events, m.zones, m.refused)
 	return m
 }
@@ -55,14 +55,6 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func newRefusedCounter() *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "persimmonpick_ingress_refused_total", Help: "Clients refused or disconnected since they held too much, by reason.",
-	}, []string{"reason"})
-}
-
-func (m *metrics) countRefused(why ingress.Reason) { m.refused.WithLabelValues(string(why)).Inc() }
-
 func (m *metrics) observeAnswer(what string, k fault.Kind, took time.Duration) {
 	m.answers.WithLabelValues(what, k.String()).Observe(took.Seconds())
 }
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -22,7 +22,7 @@
 	m.observeWorkerCall("Look", time.Millisecond)
 	m.addCounts(dispatch.Counts{Starts: 2})
 	m.setZoneTasks(map[table.ZoneID]int{"a": 2})
-	m.refused.WithLabelValues(string(ingress.Slow)).Inc()
+	m.refused.Count(ingress.Slow)
 	families, err := m.registry.Gather()
 	is.NoErr(err)
 	page, err := os.ReadFile("../docs/platform.md")
--- a/triage/floor.go
+++ b/triage/floor.go
@@ -4,8 +4,8 @@
 
 // Parameters of the floor.
 const (
-	// Jobs of a size that are served this many times less often than all jobs of the queue come first. Above a half, since
-	// those that are helped must still be finished.
+	// Jobs of a size that are served this many times less often than all jobs of the queue come first. Above a half,
+	// since those that are helped must still be finished.
 	floorShare    = 0.6
 	sizesKept     = 100  // recent jobs of a queue by which sizes are told apart
 	minSizes      = 20   // fewer do not tell what is large
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -51,12 +51,12 @@
 type Config struct {
 	LateFactor float64 // a job that takes this many times its objective is useless
 	PathMargin float64 // part of the critical path that must fit before the deadline, since estimates are rough
-	// DeferReturning lets long-running tasks that lost their room wait behind urgent short jobs for up to the objective
-	// of their job, and jobs that are useless behind all others.
+	// DeferReturning lets long-running tasks that lost their room wait behind urgent short jobs for up to the
+	// objective of their job, and jobs that are useless behind all others.
 	DeferReturning bool
 	MaxDeferral    time.Duration // of such a task, whatever the objective
-	// LeaveLate keeps long-running tasks on a worker that leaves until MoveTime before its end while room is scarce,
-	// since short jobs lack the room that they take elsewhere.
+	// LeaveLate keeps long-running tasks on a worker that leaves until MoveTime before its end while room is
+	// scarce, since short jobs lack the room that they take elsewhere.
 	LeaveLate bool
 	MoveTime  time.Duration
 	Floor     bool // no size of job of a queue is starved
