--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -108,7 +108,7 @@
 	w.contacted, w.contactedAt = true, now
 	w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
 	sched.recordWorkerChange(w)
-	sched.cfg.Log.Debug("worker contacted", "Worker", w.info.ID, "Born", l.Incarnation, "Clock", l.Clock, "LeaseLeft", w.leaseUntil.Sub(now).Round(time.Millisecond))
+	sched.cfg.Log.Info("worker contacted", "Worker", w.info.ID, "Born", l.Incarnation, "Clock", l.Clock, "Token", w.token, "LeaseLeft", w.leaseUntil.Sub(now).Round(time.Millisecond))
 }
 
 // notCarriedOut has the next start of t, whose start w has not carried out, go to w again if it can, but not twice in a
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -287,7 +287,12 @@
 // loseRun requeues a task whose run was lost: it can no longer be running, and no result was reported.
 func (sched *Scheduler) loseRun(t *task, now time.Time, why string) {
 	sched.counts.Lost++
-	sched.cfg.Log.Info("run lost", "Task", t.key.String(), "Run", t.run, "Worker", t.worker.info.ID, "Why", why)
+	w, contacted := t.worker, time.Time{}
+	if w.contacted {
+		contacted = w.contactedAt
+	}
+	sched.cfg.Log.Info("run lost", "Task", t.key.String(), "Run", t.run, "Worker", w.info.ID, "Why", why, "Born", w.info.Incarnation, "Token", t.token,
+		"Ordered", table.FormatAgeAt(now, t.orderedAt), "Contacted", table.FormatAgeAt(now, contacted), "LeaseSent", table.FormatAgeAt(now, w.leaseSentAt))
 	sched.requeue(t, now, 0)
 }
 
