--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -76,7 +76,8 @@
 	}
 	w.handedOver, w.recorded = true, w.info
 	if n.Incarnation != 0 {
-		w.leaseUntil = sched.recordedLeaseEnd(sched.handoverReadAt(id, now), now)
+		w.knownSince = sched.handoverReadAt(id, now)
+		w.leaseUntil = sched.recordedLeaseEnd(w.knownSince, now)
 	}
 	if n.LeaseEnd != 0 && n.Incarnation != 0 {
 		sched.restoreLeaseBound(w, leaseBound{n.Incarnation, n.LeaseEnd, n.LeaseEndsIn}, now)
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -8,8 +8,8 @@
 )
 
 // An order names its worker by ID, which all incarnations of the worker share, so an order that is carried out late
-// may reach a later incarnation than it is meant for. That one grants a lease up to its limit, whatever the order
-// says, as the time in the order is far ahead on its clock. An order under a newer token keeps such orders off.
+// may reach a later incarnation than it is meant for. That one may grant a lease up to its limit, whatever the order
+// says, as its clock may read anything. An order under a newer token keeps such orders off.
 
 // clearClock is a reading that the next incarnation does not reach while answers to orders for this one come in.
 const clearClock = WorkerClock(lateOrderLimit / time.Millisecond)
@@ -19,13 +19,14 @@
 	return maxLeaseDuration(max(sched.cfg.LeaseTerm, sched.cfg.MaxLease))
 }
 
-// leaseOfOthers returns how long the lease of an incarnation whose clock reads c may last by orders for earlier
-// incarnations, of which it carries out no more.
-func (sched *Scheduler) leaseOfOthers(c WorkerClock) time.Duration {
-	// Such orders were sent before a leader knew of its start.
-	latest := supersededExtension + lateOrderLimit
-	since := max(0, time.Duration(c)*time.Millisecond-latest)
-	return max(0, sched.longestLease()-since)
+// leaseOfOthersEnd returns when the lease of the present incarnation of w has ended as far as orders for earlier ones
+// have extended it, of which it carries out no more from now on.
+func (sched *Scheduler) leaseOfOthersEnd(w *worker, now time.Time) time.Time {
+	last := now
+	if end := w.knownSince.Add(supersededExtension + lateOrderLimit); !w.restarted && end.Before(now) {
+		last = end
+	}
+	return last.Add(sched.longestLease())
 }
 
 // inheritedLeaseEnd returns when a lease has ended that an earlier leader may have extended until it noticed that a
@@ -73,6 +74,7 @@
 	if end := sched.lateOrdersEnd(w); w.mayRunUnknown() && end.After(w.leaseUntil) {
 		w.leaseUntil = end
 	}
+	w.restarted = true
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
 	w.raiseToken()
 	w.pollSentAt = now
@@ -95,15 +97,21 @@
 
 // firstContact applies the first reply of an incarnation of w under a token of this leader.
 func (sched *Scheduler) firstContact(w *worker, l PollReply, now time.Time) {
-	own := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm))
-	if own.Before(w.leaseUntil) || l.Incarnation > w.info.Incarnation {
+	later := l.Incarnation > w.info.Incarnation
+	if later && w.info.Incarnation != 0 {
+		sched.workerCrashed(w, crashRestarted, now)
+		w.restarted = true
+	}
+	own, before := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)), w.leaseUntil
+	if own.Before(before) || later {
 		w.leaseUntil = own
 	}
-	if other := now.Add(sched.leaseOfOthers(l.Clock)); other.After(w.leaseUntil) && !w.leaseBound.covers(l.Incarnation) {
-		w.leaseUntil = other
+	other := sched.leaseOfOthersEnd(w, now)
+	if w.leaseBound.covers(l.Incarnation) && before.Before(other) {
+		other = before // no leader extends it further
 	}
-	if w.info.Incarnation != 0 && l.Incarnation > w.info.Incarnation {
-		sched.workerCrashed(w, crashRestarted, now)
+	if other.After(w.leaseUntil) {
+		w.leaseUntil = other
 	}
 	w.contacted, w.contactedAt = true, now
 	w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -12,18 +12,25 @@
 )
 
 // rebornRig returns a rig whose workers grant leases up to maxLease, with a task that runs on a, which has restarted
-// just before and been contacted since.
-func rebornRig(maxLease time.Duration) *rig {
+// just before and been contacted since, when its clock read c.
+func rebornRig(maxLease time.Duration, c WorkerClock) *rig {
 	r := newRig()
 	r.cfg.MaxLease = maxLease
 	r.addWorkers("a")
 	r.restart("a", 2)
-	r.answerAs("a", 2, PollReply{Clock: 200})
+	r.answerAs("a", 2, PollReply{Clock: c})
 	r.submit("j", step(1))
 	r.placeAndStart()
 	return r
 }
 
+// clocksOfNext returns readings of the clock of the next incarnation of a worker: just started, as that of the one
+// before, and far above it.
+func clocksOfNext(r *rig) []WorkerClock {
+	c := WorkerClock(r.now.UnixMilli())
+	return []WorkerClock{150, c, c + 10, 2 * c}
+}
+
 // orderedRig returns a rig with the order of the first start of a task, on worker a.
 func orderedRig() (*rig, StartOrder) {
 	r := newRig()
@@ -64,11 +71,13 @@
 
 // Guards against two runs at once after an order for an earlier incarnation has extended the lease of the next one.
 func TestRunOfAWorkerThatRestartedIsKeptForTheLongestLease(t *testing.T) {
-	is := is.New(t)
 	const longest = 10 * time.Second
-	took := restartAfter(rebornRig(longest))
-	is.True(took >= longest)
-	is.True(took < maxLeaseDuration(longest)+time.Second)
+	for _, c := range clocksOfNext(newRig()) {
+		is := is.New(t)
+		took := restartAfter(rebornRig(longest, c))
+		is.True(took >= longest)
+		is.True(took < maxLeaseDuration(longest)+time.Second)
+	}
 }
 
 // Guards against two runs at once after an order of an earlier leader has extended the lease of the next incarnation,
@@ -76,20 +85,22 @@
 func TestRunIsKeptForTheLongestLeaseFromTheFirstContactOfALeader(t *testing.T) {
 	const longest = 10 * time.Second
 	for _, c := range []struct {
-		clock       WorkerClock
+		known       time.Duration // before the next leader leads
 		least, most time.Duration
 	}{
-		{15_000, longest, maxLeaseDuration(longest)},
-		{3_000_000, testTerm, maxLeaseDuration(testTerm)},
+		{silentTakeover, longest, maxLeaseDuration(longest)},
+		{30 * time.Second, testTerm, maxLeaseDuration(testTerm)},
 	} {
-		is := is.New(t)
-		log, readAt := runAtLeaving(false)
-		next := nextLeader(log, 2, readAt, readAt.Add(silentTakeover))
-		next.cfg.MaxLease = longest
-		is.True(next.answerAs("a", 1, PollReply{Clock: c.clock, Running: []RunningTask{{Task: key("j", 0, 0), Run: 1, Percent: 100}}}))
-		took := restartAfter(next)
-		is.True(took >= c.least)
-		is.True(took < c.most+time.Second)
+		for _, clock := range clocksOfNext(newRig()) {
+			is := is.New(t)
+			log, readAt := runAtLeaving(false)
+			next := nextLeader(log, 2, readAt, readAt.Add(c.known))
+			next.cfg.MaxLease = longest
+			is.True(next.answerAs("a", 1, PollReply{Clock: clock, Running: []RunningTask{{Task: key("j", 0, 0), Run: 1, Percent: 100}}}))
+			took := restartAfter(next)
+			is.True(took >= c.least)
+			is.True(took < c.most+time.Second)
+		}
 	}
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -209,7 +209,7 @@
 	w := sched.workers[id]
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id}, sched.firstToken())
-		w.leaseUntil = sched.inheritedLeaseEnd(now)
+		w.leaseUntil, w.knownSince = sched.inheritedLeaseEnd(now), sched.ledSince
 		sched.workers[id] = w
 	}
 	return w
@@ -232,6 +232,7 @@
 	}
 	if info.Incarnation > w.info.Incarnation && !w.contacted {
 		w.pollSentAt = now
+		w.restarted = w.restarted || w.info.Incarnation != 0
 		if w.leaseBound.incarnation != 0 {
 			w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -34,6 +34,8 @@
 	token       FenceToken
 	contacted   bool // this leader has polled this incarnation, first at contactedAt
 	contactedAt time.Time
+	restarted   bool      // this leader has known an earlier incarnation
+	knownSince  time.Time // from when only superseded leaders have sent orders for earlier incarnations
 	heardAt     time.Time
 	aliveAt     time.Time // when the newest start that it confirmed was sent
 	silentAt    time.Time // when it first missed a call, while missedPolls is not 0
