--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -63,7 +63,7 @@
 	}
 	var causes []*task
 	for _, t := range w.tasks {
-		if t.mayCrash() && !t.crashCounted && (why != crashSilent || !sched.heldByUnansweredStart(t, now)) && (!leaves || t.suspect()) && c.cause(t) == nil {
+		if t.mayCrash() && !t.crashCounted && (why != crashSilent || !sched.heldForLateOrders(t, now)) && (!leaves || t.suspect()) && c.cause(t) == nil {
 			causes = append(causes, t)
 		}
 	}
@@ -291,6 +291,7 @@
 // runListed applies to t that its worker lists its run.
 func (sched *Scheduler) runListed(w *worker, t *task, r RunningTask) {
 	sched.crashRefuted(t)
+	t.seen = true
 	if t.started == startNotKnown {
 		t.started = startListed
 		t.group.job.dirty = t.group.job.dirty || t.crashes > 0
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -11,9 +11,6 @@
 // may reach a later incarnation than it is meant for. That one may grant a lease up to its limit, whatever the order
 // says, as its clock may read anything. An order under a newer token keeps such orders off.
 
-// clearClock is a reading that the next incarnation does not reach while answers to orders for this one come in.
-const clearClock = WorkerClock(lateOrderLimit / time.Millisecond)
-
 // longestLease returns how long a lease may last on this host's clock that an order for another incarnation extends.
 func (sched *Scheduler) longestLease() time.Duration {
 	return maxLeaseDuration(max(sched.cfg.LeaseTerm, sched.cfg.MaxLease))
@@ -45,8 +42,8 @@
 	return own
 }
 
-// lateOrdersEnd returns when the lease of an incarnation of w has ended that no leader has polled, but that may have
-// carried out orders for earlier incarnations.
+// lateOrdersEnd returns when the lease of an incarnation of w has ended that this leader has not polled, but that may
+// have carried out orders for earlier incarnations.
 func (sched *Scheduler) lateOrdersEnd(w *worker) time.Time {
 	sent := sched.ledSince.Add(supersededExtension)
 	if w.leaseSentAt.After(sent) {
@@ -71,9 +68,6 @@
 // contactAnew has w polled as by a new leader.
 func (sched *Scheduler) contactAnew(w *worker, now time.Time) {
 	w.acknowledged, w.ackDueSince, w.answeredToken = 0, time.Time{}, 0
-	if end := sched.lateOrdersEnd(w); w.mayRunUnknown() && end.After(w.leaseUntil) {
-		w.leaseUntil = end
-	}
 	w.restarted = true
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
 	w.raiseToken()
@@ -82,17 +76,14 @@
 	w.pollUrgently(now)
 }
 
-// mayRunUnknown reports whether a later incarnation of w than the one polled last may run one of its tasks.
-func (w *worker) mayRunUnknown() bool {
-	if w.clock < clearClock {
-		return true // answered starts may be of either incarnation
-	}
-	for _, t := range w.tasks {
-		if t.phase == starting {
-			return true
-		}
-	}
-	return false
+// restartUnresolved reports whether w has restarted and this leader has not polled its present incarnation.
+func (w *worker) restartUnresolved() bool { return w.restarted && !w.contacted }
+
+// heldForLateOrders reports whether a run of t may be at work though the lease that this leader knows of has ended: a
+// later incarnation of its worker may carry out a start that was not answered, and may have answered one whose run no
+// list holds.
+func (sched *Scheduler) heldForLateOrders(t *task, now time.Time) bool {
+	return (t.phase == starting || t.worker.restartUnresolved() && !t.seen) && !now.After(sched.lateOrdersEnd(t.worker))
 }
 
 // firstContact applies the first reply of an incarnation of w under a token of this leader.
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -169,11 +169,30 @@
 	r.addWorkers("a")
 	r.submit("j", step(1))
 	r.placeAndStart()
+	r.answerPolls(nil) // the run is listed
 	r.restart("a", 2)
 	took := restartAfter(r)
 	is.True(took < maxLeaseDuration(testTerm)+time.Second)
 }
 
+// Guards against two runs at once after the next incarnation has answered a start before its birth was known.
+func TestAnsweredStartThatNoListHoldsIsKeptWhileItsWorkerHasRestarted(t *testing.T) {
+	const longest = 10 * time.Second
+	for _, listed := range []bool{true, false} { // the worker stays in the list
+		is := is.New(t)
+		r := newRig()
+		r.cfg.MaxLease = longest
+		r.addWorkers("a")
+		r.submit("j", step(1))
+		r.placeAndStart()
+		r.restart("a", 2)
+		if !listed {
+			r.RemoveWorker("a", r.now)
+		}
+		is.True(restartAfter(r) >= longest)
+	}
+}
+
 // Guards against a result that the next incarnation drops unread, since a poll for the one before acknowledged its
 // number.
 func TestAcknowledgementIsVoidWhereALaterStartRan(t *testing.T) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -83,6 +83,7 @@
 	crashCounted          bool // lastCrash is that of the run
 	started               startEvidence
 	ends                  []runEnd    // that count against it, the newest maxRunEnds
+	seen                  bool        // its worker has listed the run
 	listed                bool        // the run was listed or its start confirmed, first at listedAt
 	listedAt              WorkerClock // upper bound
 	orderedAt             time.Time   // when the start was sent
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -344,7 +344,9 @@
 		}
 		sched.workerCrashed(w, crashGone, now)
 		for _, t := range w.tasks {
-			sched.loseRun(t, now, crashGone)
+			if !w.restartUnresolved() || !sched.heldForLateOrders(t, now) {
+				sched.loseRun(t, now, crashGone)
+			}
 		}
 		if len(w.tasks) == 0 && w.pollsInFlight == 0 && now.Sub(w.heardAt) > maxPollAge {
 			delete(sched.workers, id)
@@ -357,7 +359,7 @@
 		if (w.missedPolls > 0 || w.info.Address == "") && now.After(w.leaseUntil) {
 			sched.workerCrashed(w, crashSilent, now)
 			for _, t := range w.tasks {
-				if !sched.heldByUnansweredStart(t, now) {
+				if !sched.heldForLateOrders(t, now) {
 					sched.loseRun(t, now, crashSilent)
 				}
 			}
@@ -377,12 +379,6 @@
 	sched.logStatus(now)
 }
 
-// heldByUnansweredStart reports whether a run of t may be at work once the lease has ended, since its start order was
-// not answered and another incarnation of its worker may carry it out.
-func (sched *Scheduler) heldByUnansweredStart(t *task, now time.Time) bool {
-	return t.phase == starting && !now.After(sched.lateOrdersEnd(t.worker))
-}
-
 // openDueOccurrences creates the tasks of the occurrences that are due.
 func (sched *Scheduler) openDueOccurrences(j *job, now time.Time) {
 	for j.spec.Repeat > 0 && !j.state.Final() && j.nextOccurrence < j.spec.Repeat && j.mayOpen() && !now.Before(j.spec.Due(j.nextOccurrence)) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -121,7 +121,7 @@
 	t.observed = runProgress{}
 	t.tailLatency, t.cpuUsage, t.throttlePending, t.throttled = 0, 0, false, false
 	t.crashCounted, t.listed, t.proven, t.confirmedAt, t.started = false, false, false, time.Time{}, startNotKnown
-	t.shareUnknown = false
+	t.shareUnknown, t.seen = false, false
 }
 
 // charge adds what t uses to the totals of w, or subtracts it if sign is -1.
