--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -73,6 +73,9 @@
 	w.raiseToken()
 	w.pollSentAt = now
 	w.failStreak, w.stall = 0, workerStall{}
+	for _, t := range w.tasks {
+		t.listed = false // listedAt is a time on the clock of the earlier incarnation
+	}
 	w.pollUrgently(now)
 }
 
@@ -90,7 +93,7 @@
 func (sched *Scheduler) firstContact(w *worker, l PollReply, now time.Time) {
 	later := l.Incarnation > w.info.Incarnation
 	if later && w.info.Incarnation != 0 {
-		sched.workerCrashed(w, crashRestarted, now)
+		sched.workerCrashed(w, crashRestarted, now) // before its clock is replaced
 		w.restarted = true
 	}
 	own, before := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)), w.leaseUntil
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -391,6 +391,24 @@
 	is.Equal(len(r.StopOrders(r.now)), 1) // 700 ms otherwise
 }
 
+// Guards against a crash that counts as one long after the start, since the age of the run is taken across two clocks.
+func TestAgeOfARunIsNotTakenAcrossTheClocksOfTwoIncarnations(t *testing.T) {
+	for _, c := range clocksOfNext(newRig()) {
+		is := is.New(t)
+		r := newRig()
+		r.addWorkers("a")
+		r.submit("j", step(2))
+		orders := r.place()
+		is.Equal(len(orders), 2)
+		r.StartDone(orders[0], Started, r.now)
+		r.StartDone(orders[1], AnsweredByAnother, r.now)
+		is.True(r.answerAs("a", 2, PollReply{Clock: c}))
+		crash := r.workers["a"].crash
+		is.True(crash.cause(r.task(orders[0].Task)) != nil)
+		is.True(crash.cause(r.task(orders[0].Task)).age < settledAge)
+	}
+}
+
 // Guards against a third run of a task that the next incarnation has done under a start of the one before.
 func TestResultOfAStartCarriedOutByTheNextIncarnationCounts(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -96,10 +96,10 @@
 	}
 	w.missedPolls, w.heardAt, w.pollSentAt = 0, now, sent
 	w.answeredToken = max(w.answeredToken, o.Token)
-	w.clock, w.clockAt = l.Clock, now
 	if !w.contacted {
 		sched.firstContact(w, l, now)
 	}
+	w.clock, w.clockAt = l.Clock, now
 	w.answersAgain()
 	if !w.urgent {
 		w.nextPollAt = now.Add(max(pollPause, pollPausePerWorker*time.Duration(len(sched.workers))))
