--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -133,13 +133,26 @@
 
 // Guards against two runs at once after the next incarnation has answered a start before it is known.
 func TestStartAnsweredByTheNextIncarnationIsNotTakenForARunOfTheOneBefore(t *testing.T) {
-	is := is.New(t)
 	const longest = 10 * time.Second
+	for _, far := range []WorkerClock{-100_000, 100_000} {
+		is := is.New(t)
+		r, o := orderedRig()
+		r.cfg.MaxLease = longest
+		r.now = r.now.Add(300 * time.Millisecond)
+		r.StartDone(o, o.Outcome(Started, WorkerClock(r.now.UnixMilli())+far), r.now)
+		is.True(restartAfter(r) >= longest)
+	}
+}
+
+// Guards against answers of a sound worker that count as those of another incarnation.
+func TestClockWithinItsRangeMayBeOfTheSameIncarnation(t *testing.T) {
+	is := is.New(t)
 	r, o := orderedRig()
-	r.cfg.MaxLease = longest
-	r.now = r.now.Add(300 * time.Millisecond)
-	r.StartDone(o, o.Outcome(Started, 150), r.now)
-	is.True(restartAfter(r) >= longest)
+	sent := WorkerClock(r.now.UnixMilli())
+	for _, c := range []WorkerClock{sent, sent + WorkerClock(orderTimeout/time.Millisecond)} {
+		is.Equal(o.Outcome(Started, c), Started)
+	}
+	is.Equal(StartOrder{}.Outcome(Started, 1), Started) // not known
 }
 
 func TestRunStartedByTheNextIncarnationIsAdoptedOnceItIsContacted(t *testing.T) {
@@ -152,14 +165,16 @@
 	is.Equal(len(r.place()), 0)
 }
 
-func TestClockThatWentBackShowsARestartWhereNoBirthIsStated(t *testing.T) {
-	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	token := r.workers["a"].token
-	r.answerAs("a", 0, PollReply{Clock: 150})
-	is.True(!r.workers["a"].contacted)
-	is.True(r.workers["a"].token > token)
+func TestClockOutOfItsRangeShowsARestartWhereNoBirthIsStated(t *testing.T) {
+	for _, far := range []WorkerClock{-100_000, 100_000} {
+		is := is.New(t)
+		r := newRig()
+		r.addWorkers("a")
+		token := r.workers["a"].token
+		r.answerAs("a", 0, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + far})
+		is.True(!r.workers["a"].contacted)
+		is.True(r.workers["a"].token > token)
+	}
 }
 
 func TestRunOfAnIncarnationThatHasEndedWaitsForItsOwnLeaseOnly(t *testing.T) {
@@ -331,7 +346,7 @@
 // Guards against a refusal by another worker at the address that is taken for an answer of the next incarnation.
 func TestAnswerOfAnotherWorkerAtTheAddressIsARefusal(t *testing.T) {
 	is := is.New(t)
-	is.Equal(StartOrder{LeastClock: 100_000}.Outcome(RefusedIncarnation, 150), RefusedIncarnation)
+	is.Equal(StartOrder{Clock: ClockRange{100_000, 110_000}}.Outcome(RefusedIncarnation, 150), RefusedIncarnation)
 }
 
 // Guards against a start on another worker after the next incarnation of the first one has carried the start out late.
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -28,7 +28,7 @@
 }
 
 func (sched *Scheduler) pollOrder(w *worker, now time.Time, extend bool) PollOrder {
-	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token, leastClock: w.leastClock(now)}
+	o := PollOrder{Worker: w.info.ID, Address: w.info.Address, Token: w.token}
 	w.acknowledgeIn(&o, now)
 	// Whether a silent worker received an extension is unknown, so another request would delay the time from which
 	// its tasks can safely start elsewhere.
@@ -44,6 +44,7 @@
 	default:
 		o.Wait = pollWaitRunning
 	}
+	o.clock = w.clockRange(now, o.Wait+pollGrace)
 	if w.firstPollAt.IsZero() {
 		w.firstPollAt = now
 	}
@@ -85,8 +86,8 @@
 		sched.workerRestarted(w, l.Incarnation, now)
 		return
 	}
-	if l.Incarnation == 0 && w.contacted && l.Clock < o.leastClock {
-		sched.cfg.Log.Info("worker's clock went back", "Worker", w.info.ID, "Clock", l.Clock, "Least", o.leastClock)
+	if l.Incarnation == 0 && w.contacted && o.clock.Excludes(l.Clock) {
+		sched.cfg.Log.Info("worker's clock is of another incarnation", "Worker", w.info.ID, "Clock", l.Clock, "Least", o.clock.Least, "Most", o.clock.Most)
 		sched.contactAnew(w, now)
 		return
 	}
--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -14,6 +14,13 @@
 // WorkerClock is a time on the monotonic clock of one incarnation of a worker, in milliseconds.
 type WorkerClock int64
 
+// ClockRange is what the clock of one incarnation of a worker may read until an order to it is answered; the zero value
+// means that this is not known.
+type ClockRange struct{ Least, Most WorkerClock }
+
+// Excludes reports whether c is a reading of another incarnation; a reading within the range may be of either.
+func (r ClockRange) Excludes(c WorkerClock) bool { return r.Most != 0 && (c < r.Least || c > r.Most) }
+
 // ResultNumber numbers the ended runs of one incarnation of a worker, from 1.
 type ResultNumber int64
 
@@ -42,14 +49,14 @@
 	Ticket     string      // from the approval service, if the queue needs approval
 	LeaseUntil WorkerClock // lease of all runs on the worker
 	Token      FenceToken
-	LeastClock WorkerClock // of a reply by the incarnation that the order is for; 0 if not known
+	Clock      ClockRange // of a reply by the incarnation that the order is for
 
 	incarnation table.UnixMillis // that the order is for
 }
 
 // Outcome returns the outcome of o, which a worker has answered with the given result at the given time on its clock.
 func (o StartOrder) Outcome(res StartResult, clock WorkerClock) StartResult {
-	if clock < o.LeastClock && res != RefusedIncarnation {
+	if o.Clock.Excludes(clock) && res != RefusedIncarnation {
 		return AnsweredByAnother
 	}
 	return res
@@ -83,7 +90,7 @@
 	LeaseUntil WorkerClock   // 0 leaves the lease as it is
 	Wait       time.Duration // how long the worker waits for a run to end before it answers
 
-	leastClock WorkerClock // of a reply by the incarnation that the order is for; 0 if not known
+	clock ClockRange // of a reply by the incarnation that the order is for
 }
 
 // StartResult is the outcome of a StartOrder.
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -161,7 +161,7 @@
 		orders = append(orders, StartOrder{
 			Worker: w.info.ID, Address: w.info.Address, Task: t.key, Run: t.run, Payload: t.group.job.spec.Payload,
 			Checkpoint: t.checkpoint, Ticket: t.group.ticket(w), LeaseUntil: w.leaseUntilFor(now, sched.cfg.LeaseTerm), Token: w.token,
-			LeastClock: w.leastClock(now), incarnation: w.info.Incarnation,
+			Clock: w.clockRange(now, orderTimeout), incarnation: w.info.Incarnation,
 		})
 	}
 	return orders
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -209,12 +209,15 @@
 	return w.clock + WorkerClock(ahead/time.Millisecond)
 }
 
-// leastClock returns the least that the clock of the present incarnation of w reads now, or 0 if that is not known.
-func (w *worker) leastClock(now time.Time) WorkerClock {
+// clockRange returns what the clock of the present incarnation of w may read in a reply that comes within the given time.
+func (w *worker) clockRange(now time.Time, within time.Duration) ClockRange {
 	if w.clockAt.IsZero() {
-		return 0
+		return ClockRange{}
+	}
+	return ClockRange{
+		Least: w.clock + WorkerClock(float64(now.Sub(w.clockAt)/time.Millisecond)*(1-clockDrift)),
+		Most:  w.clock + WorkerClock((now.Sub(w.pollSentAt)+within+leaseSlack)/time.Millisecond),
 	}
-	return w.clock + WorkerClock(float64(now.Sub(w.clockAt)/time.Millisecond)*(1-clockDrift))
 }
 
 // maxLeaseDuration returns how long a lease of the given term may last on this host's clock.
