--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -28,7 +28,7 @@
 
 	maxLoggedTasks = 4 // keys in the log line on a crash
 
-	// Of the incarnations that were gone and may answer again, so many are kept for so long.
+	// Of the workers that were dropped and may be back, so many are kept for so long.
 	maxGone  = 1000
 	goneTime = 5 * time.Minute
 )
@@ -163,18 +163,21 @@
 	return slices.ContainsFunc(tasks, func(t *task) bool { return t.started == startRecorded })
 }
 
-// goneWorker is the crash that is kept of an incarnation that was gone, in case it answers again.
+// goneWorker is what is kept of a worker that was dropped, in case it is back.
 type goneWorker struct {
 	id    table.WorkerID
 	at    time.Time
-	crash *crash
+	token FenceToken // newest one of the orders to it
+	crash *crash     // counted since the incarnation was gone; nil if none was
 }
 
-// keepGone keeps the crash that was counted since w, which is dropped, was gone.
+// keepGone keeps what is needed of w, which is dropped, if it is back.
 func (sched *Scheduler) keepGone(w *worker, now time.Time) {
+	g := goneWorker{id: w.info.ID, at: now, token: w.token}
 	if c := w.currentCrash(); c != nil && c.gone && c.incarnation != 0 {
-		sched.gone = append(sched.gone, goneWorker{w.info.ID, now, c})
+		g.crash = c
 	}
+	sched.gone = append(sched.gone, g)
 	for len(sched.gone) > 0 && (len(sched.gone) > maxGone || now.Sub(sched.gone[0].at) > goneTime) {
 		sched.gone = sched.gone[1:]
 	}
@@ -183,7 +186,7 @@
 // restoreGone gives w, which is back, the crash that is kept of its incarnation.
 func (sched *Scheduler) restoreGone(w *worker, now time.Time) {
 	for i, g := range sched.gone {
-		if g.id == w.info.ID && g.crash.incarnation == w.info.Incarnation {
+		if g.id == w.info.ID && g.crash != nil && g.crash.incarnation == w.info.Incarnation {
 			if now.Sub(g.at) <= goneTime {
 				w.crash = g.crash
 			}
@@ -193,6 +196,16 @@
 	}
 }
 
+// outdoTokens gives w, which may have been dropped before, a token that is newer than those of its orders then, and
+// counts with another incarnation.
+func (sched *Scheduler) outdoTokens(w *worker) {
+	for _, g := range sched.gone {
+		if g.id == w.info.ID {
+			w.token, w.restarted = max(w.token, g.token+1), true
+		}
+	}
+}
+
 // answersAgain takes back the crash that was counted while w was silent or gone, since its incarnation has not ended.
 func (w *worker) answersAgain() {
 	c := w.currentCrash()
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -381,6 +381,33 @@
 	is.True(next.now.Sub(readAt) >= lateOrderLimit+testTerm)
 }
 
+// Guards against late orders to a worker that was dropped, which its next incarnation takes under an equal token, and
+// against a refusal by the same incarnation that looks like one for another leader.
+func TestWorkerThatIsBackAfterItWasDroppedGetsNewerTokens(t *testing.T) {
+	for _, born := range []int64{1, 2} {
+		is := is.New(t)
+		const longest = 10 * time.Second
+		r := newRig()
+		r.cfg.MaxLease = longest
+		r.addWorkers("a", "b")
+		r.workers["a"].raiseToken()
+		r.answerPolls(nil)
+		token := r.workers["a"].token
+		r.RemoveWorker("a", r.now)
+		for began := r.now; r.workers["a"] != nil; r.now = r.now.Add(100 * time.Millisecond) {
+			is.True(r.now.Sub(began) < lateOrderLimit)
+			for _, o := range r.PollOrders(r.now, true) {
+				r.PollDone(o, r.now, r.listRunning(o.Worker), nil, r.now)
+			}
+			r.Tick(r.now)
+		}
+		r.restart("a", born)
+		is.True(r.workers["a"].token > token)
+		is.True(r.answerAs("a", born, PollReply{Clock: 150}))
+		is.True(r.workers["a"].leaseUntil.Sub(r.now) >= longest)
+	}
+}
+
 // Guards against a stop that waits for its repetition after a newer order has overtaken it.
 func TestStopThatANewerOrderHasOvertakenIsRepeatedAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -210,6 +210,7 @@
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id}, sched.firstToken())
 		w.leaseUntil, w.knownSince = sched.inheritedLeaseEnd(now), sched.ledSince
+		sched.outdoTokens(w)
 		sched.workers[id] = w
 	}
 	return w
