--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -52,6 +52,12 @@
 	return sent.Add(lateOrderLimit + sched.longestLease())
 }
 
+// isAnother reports whether i is another incarnation of w than the one that is known. Births are times of day, which may
+// be set back, so they do not tell which is the later one; the order of calls does.
+func (w *worker) isAnother(i table.UnixMillis) bool {
+	return i != 0 && w.info.Incarnation != 0 && i != w.info.Incarnation
+}
+
 // workerRestarted resets what is known of w, so that it is polled under a higher token as by a new leader. The new
 // incarnation may have answered starts already, and unanswered starts may still reach it, so only a list of its
 // runs under a higher token tells which of these were lost.
@@ -91,13 +97,13 @@
 
 // firstContact applies the first reply of an incarnation of w under a token of this leader.
 func (sched *Scheduler) firstContact(w *worker, l PollReply, now time.Time) {
-	later := l.Incarnation > w.info.Incarnation
-	if later && w.info.Incarnation != 0 {
+	later := w.isAnother(l.Incarnation)
+	if later {
 		sched.workerCrashed(w, crashRestarted, now) // before its clock is replaced
 		w.restarted = true
 	}
 	own, before := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)), w.leaseUntil
-	if own.Before(before) || later {
+	if own.Before(before) || later || w.info.Incarnation == 0 {
 		w.leaseUntil = own
 	}
 	other := sched.leaseOfOthersEnd(w, now)
@@ -108,7 +114,9 @@
 		w.leaseUntil = other
 	}
 	w.contacted, w.contactedAt = true, now
-	w.info.Incarnation = max(w.info.Incarnation, l.Incarnation)
+	if l.Incarnation != 0 {
+		w.info.Incarnation = l.Incarnation
+	}
 	sched.recordWorkerChange(w)
 	sched.cfg.Log.Info("worker contacted", "Worker", w.info.ID, "Born", l.Incarnation, "Clock", l.Clock, "Token", w.token, "LeaseLeft", w.leaseUntil.Sub(now).Round(time.Millisecond))
 }
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -79,12 +79,18 @@
 	if o.Acked > 0 && o.Token == w.token {
 		w.ackSent, w.acknowledged = false, o.Acked
 	}
-	if l.Incarnation != 0 && l.Incarnation < w.info.Incarnation || sent.Before(w.pollSentAt) {
-		return // older than a reply that was applied, or from an earlier incarnation
+	if sent.Before(w.pollSentAt) {
+		return // older than a reply that was applied
 	}
-	if l.Incarnation > w.info.Incarnation && w.contacted {
-		sched.workerRestarted(w, l.Incarnation, now)
-		return
+	if w.isAnother(l.Incarnation) {
+		if sent.Before(w.heardAt) {
+			w.pollUrgently(now) // either may be the later one
+			return
+		}
+		if w.contacted {
+			sched.workerRestarted(w, l.Incarnation, now)
+			return
+		}
 	}
 	if l.Incarnation == 0 && w.contacted && o.clock.Excludes(l.Clock) {
 		sched.cfg.Log.Info("worker's clock is of another incarnation", "Worker", w.info.ID, "Clock", l.Clock, "Least", o.clock.Least, "Most", o.clock.Most)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -222,7 +222,11 @@
 func (sched *Scheduler) SetWorker(info WorkerInfo, now time.Time) {
 	w := sched.ensureWorker(info.ID, now)
 	if w.info.Incarnation != 0 && info.Incarnation < w.info.Incarnation {
-		return // entry of an earlier incarnation
+		w.pollUrgently(now) // the entry is older, or the time of day was set back
+		if w.listed {
+			return
+		}
+		info.Incarnation = w.info.Incarnation
 	}
 	switch {
 	case info.Incarnation <= w.info.Incarnation:
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -259,17 +259,16 @@
 	info := r.workerInfo("a")
 	info.Incarnation = 2
 	r.SetWorker(info, r.now)
-	r.addWorkers("b")
-	is.Equal(len(r.placeAndStart()), 0) // the runs of the new incarnation are unknown before it is polled
+	r.SetWorker(r.workerInfo("b"), r.now)
 	r.now = r.now.Add(pollPause)
+	polls := map[table.WorkerID]PollOrder{}
 	for _, o := range r.PollOrders(r.now, true) {
-		if o.Worker != "a" {
-			r.PollDone(o, r.now, r.listRunning(o.Worker), nil, r.now)
-			continue
-		}
-		is.True(o.Token > r.firstToken())
-		r.PollDone(o, r.now, PollReply{Incarnation: 2, Running: []RunningTask{{Task: key("j", 0, 1), Run: 1}}}, nil, r.now)
+		polls[o.Worker] = o
 	}
+	r.PollDone(polls["b"], r.now, r.listRunning("b"), nil, r.now)
+	is.Equal(len(r.placeAndStart()), 0) // the runs of the new incarnation are unknown before it is polled
+	is.True(polls["a"].Token > r.firstToken())
+	r.PollDone(polls["a"], r.now, PollReply{Incarnation: 2, Running: []RunningTask{{Task: key("j", 0, 1), Run: 1}}}, nil, r.now)
 	again := r.placeAndStart()
 	is.Equal(len(again), 1) // the other one ended with the old incarnation
 	is.Equal(again[0].Task, key("j", 0, 0))
