--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -31,6 +31,8 @@
 	// worker has reached at most LeaseEndsIn after this record was written.
 	LeaseEnd    WorkerClock  `cbor:"8,keyasint,omitempty"`
 	LeaseEndsIn table.Millis `cbor:"9,keyasint,omitempty"`
+	// No leader has polled the incarnation, so it may carry out orders to earlier ones.
+	NotPolled bool `cbor:"10,keyasint,omitempty"`
 }
 
 // leaseBound bounds the lease of one incarnation of a leaving worker.
@@ -74,10 +76,10 @@
 		ID: id, Service: n.Service, Address: n.Address, Zone: n.Zone, Rack: n.Rack, Labels: n.Labels,
 		Capacity: n.Capacity, Incarnation: n.Incarnation,
 	}
-	w.handedOver, w.recorded = true, w.info
+	w.handedOver, w.recorded, w.contactRecorded = true, w.info, !n.NotPolled
 	if n.Incarnation != 0 {
 		w.knownSince = sched.handoverReadAt(id, now)
-		w.leaseUntil = sched.recordedLeaseEnd(w.knownSince, now)
+		w.leaseUntil = sched.recordedLeaseEnd(w.knownSince, !n.NotPolled, now)
 	}
 	if n.LeaseEnd != 0 && n.Incarnation != 0 {
 		sched.restoreLeaseBound(w, leaseBound{n.Incarnation, n.LeaseEnd, n.LeaseEndsIn}, now)
@@ -149,6 +151,7 @@
 		i := w.info
 		n := workerHandover{
 			Service: i.Service, Address: i.Address, Rack: i.Rack, Labels: i.Labels, Capacity: i.Capacity, Incarnation: i.Incarnation, Zone: i.Zone,
+			NotPolled: !w.contacted,
 		}
 		if w.leaseBound.covers(i.Incarnation) {
 			n.LeaseEnd, n.LeaseEndsIn = w.leaseBound.end, w.leaseBound.endsIn
@@ -165,13 +168,13 @@
 }
 
 // recordWorkerChange schedules a handover record for w unless it has one with the same address, incarnation, capacity,
-// service and rack.
+// service and rack, and with the contact.
 func (sched *Scheduler) recordWorkerChange(w *worker) {
 	r := w.recorded
 	if w.handedOver && r.Address == w.info.Address && r.Incarnation == w.info.Incarnation && r.Capacity == w.info.Capacity &&
-		r.Service == w.info.Service && r.Rack == w.info.Rack {
+		r.Service == w.info.Service && r.Rack == w.info.Rack && (w.contactRecorded || !w.contacted) {
 		return
 	}
-	w.handedOver, w.recorded = true, w.info
+	w.handedOver, w.recorded, w.contactRecorded = true, w.info, w.contacted
 	sched.changedWorkers = append(sched.changedWorkers, w)
 }
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -32,11 +32,15 @@
 	return now.Add(supersededExtension + sched.longestLease())
 }
 
-// recordedLeaseEnd is inheritedLeaseEnd for an incarnation that earlier leaders have known since the given time, so
-// that orders for the ones before it have been void for about as long.
-func (sched *Scheduler) recordedLeaseEnd(since, now time.Time) time.Time {
+// recordedLeaseEnd is inheritedLeaseEnd for an incarnation that earlier leaders have known since the given time. Orders
+// for the ones before it are void since it was contacted, or once they are too late.
+func (sched *Scheduler) recordedLeaseEnd(since time.Time, contacted bool, now time.Time) time.Time {
 	own := now.Add(supersededExtension + maxLeaseDuration(sched.cfg.LeaseTerm))
-	if other := sched.inheritedLeaseEnd(since); other.After(own) {
+	other := sched.inheritedLeaseEnd(since)
+	if !contacted {
+		other = other.Add(lateOrderLimit)
+	}
+	if other.After(own) {
 		return other
 	}
 	return own
@@ -67,8 +71,8 @@
 		sched.workerCrashed(w, crashRestarted, now)
 	}
 	w.info.Incarnation = incarnation
-	sched.recordWorkerChange(w)
 	sched.contactAnew(w, now)
+	sched.recordWorkerChange(w)
 }
 
 // contactAnew has w polled as by a new leader.
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"persimmonpick/fault"
+	"persimmonpick/ledger"
 	"persimmonpick/table"
 	"persimmonpick/workload"
 )
@@ -131,6 +132,35 @@
 	}
 }
 
+// Guards against a take-over that does not count with late orders to an incarnation that no leader had polled.
+func TestNextLeaderWaitsForLateOrdersToAnIncarnationThatWasNotPolled(t *testing.T) {
+	const longest = 10 * time.Second
+	for _, c := range []struct {
+		polled      bool
+		least, most time.Duration
+	}{
+		{true, supersededExtension + longest, supersededExtension + maxLeaseDuration(longest)},
+		{false, lateOrderLimit + longest, supersededExtension + lateOrderLimit + maxLeaseDuration(longest)},
+	} {
+		is := is.New(t)
+		var log []ledger.Record
+		r := newRig()
+		r.addWorkers("a")
+		r.restart("a", 2)
+		r.flushRecords(&log)
+		if c.polled {
+			is.True(r.answerAs("a", 2, PollReply{Clock: 150}))
+			r.flushRecords(&log)
+		}
+		next := newRig()
+		next.now, next.cfg.MaxLease = r.now, longest
+		next.RestoreHandover(map[string][]byte{log[0].Key[1:]: log[0].Value}, next.now)
+		left := next.workers["a"].leaseUntil.Sub(next.now)
+		is.True(left >= c.least)
+		is.True(left < c.most+time.Second)
+	}
+}
+
 // Guards against two runs at once after the next incarnation has answered a start before it is known.
 func TestStartAnsweredByTheNextIncarnationIsNotTakenForARunOfTheOneBefore(t *testing.T) {
 	const longest = 10 * time.Second
