--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -402,6 +402,16 @@
 	is.True(restartAfter(r) >= lateOrderLimit-time.Second)
 }
 
+// Guards against a start that an incarnation has answered which is cut off before it is listed. Red, see KNOWN-RED.txt.
+func TestStartAnsweredByAnIncarnationThatIsNeverListedIsKept(t *testing.T) {
+	is := is.New(t)
+	const longest = 10 * time.Second
+	r, o := orderedRig()
+	r.cfg.MaxLease = longest
+	r.StartDone(o, Started, r.now)
+	is.True(restartAfter(r) >= longest)
+}
+
 // Guards against a start of an earlier leader that a silent worker carries out late. Red, see KNOWN-RED.txt.
 func TestStartOfAnEarlierLeaderIsCarriedOutLateAtASilentWorker(t *testing.T) {
 	is := is.New(t)
