--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -393,3 +393,24 @@
 		is.Equal(p.notified, []bool{false, true})
 	})
 }
+
+// Guards against tasks of a step with a disruption budget that are ended on the worker that came up during an evacuation.
+func TestWorkerThatCameUpDuringTheEvacuationIsEvacuatedToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakePlatform(1, 1)
+		time.AfterFunc(700*time.Millisecond, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.tasks[p.worker("m0")] = Remaining{}
+			p.machines["m0"].incarnation++
+			p.tasks[p.worker("m0")] = Remaining{Tasks: 1, Blocked: true}
+		})
+		p.run(t, p.controller(1, 20*time.Second), 5*time.Second)
+		is.Equal(p.blocked, 0)
+		is.True(p.evacuating["m0-1"])
+		p.tasks["m0-1"] = Remaining{}
+		p.run(t, p.controller(2, 20*time.Second), 10*time.Second)
+		is.Equal(p.done(), 1)
+	})
+}
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -111,6 +111,9 @@
 			continue
 		}
 		s.absentSince, s.gone = time.Time{}, false
+		if s.phase == evacuating && m.Up && m.Worker != "" {
+			s.worker = m.Worker // another one if the former has ended in the meantime
+		}
 		if s.phase == down && m.Up && (m.Worker != s.worker || now.Sub(s.since) > v.usualDuration+returnMargin) {
 			s.phase, s.since = finished, now
 		}
