--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -414,3 +414,33 @@
 		is.Equal(p.done(), 1)
 	})
 }
+
+// Guards against tasks that are ended by an order of an earlier leader that is repeated once they are at work.
+func TestOrderOfAnEarlierLeaderWaitsForBlockedTasks(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprint(restarted), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newFakePlatform(1, 1)
+				p.tasks["m0-0"] = Remaining{}
+				p.lostReplies, p.lostDelay = math.MaxInt, time.Hour
+				p.run(t, p.controller(1, 20*time.Second), 400*time.Millisecond)
+				is.True(p.calls > 0)
+				p.lostReplies = 0
+				if restarted {
+					p.machines["m0"].incarnation++
+				}
+				at := p.worker("m0")
+				p.tasks[at] = Remaining{Tasks: 1, Blocked: true}
+				next := p.controller(2, 20*time.Second)
+				p.run(t, next, 5*time.Second)
+				is.Equal(p.blocked, 0)
+				is.True(p.evacuating[at])
+				p.tasks[at] = Remaining{}
+				p.run(t, next, 10*time.Second)
+				is.Equal(p.done(), 1)
+				is.Equal(p.notified[len(p.notified)-1], true)
+			})
+		})
+	}
+}
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -65,6 +65,7 @@
 	phase       phase
 	since       time.Time
 	worker      table.WorkerID // running on the machine before the maintenance
+	present     table.WorkerID // last listed on the machine while that was up
 	unconfirmed bool           // an order got no reply and may be carried out at any time
 	absentSince time.Time      // when the list was first read without the machine; zero if the last one had it
 	gone        bool           // missing from the list for absenceTime, and longer if it may be down
@@ -111,8 +112,11 @@
 			continue
 		}
 		s.absentSince, s.gone = time.Time{}, false
-		if s.phase == evacuating && m.Up && m.Worker != "" {
-			s.worker = m.Worker // another one if the former has ended in the meantime
+		if m.Up && m.Worker != "" {
+			s.present = m.Worker
+			if s.phase == evacuating {
+				s.worker = m.Worker // another one if the former has ended in the meantime
+			}
 		}
 		if s.phase == down && m.Up && (m.Worker != s.worker || now.Sub(s.since) > v.usualDuration+returnMargin) {
 			s.phase, s.since = finished, now
@@ -183,7 +187,7 @@
 	var ws []table.WorkerID
 	for _, s := range v.machineStates {
 		if !s.gone && (s.phase == evacuating || s.phase == ordered) {
-			ws = append(ws, s.worker)
+			ws = append(ws, s.present)
 		}
 	}
 	return ws
@@ -199,7 +203,8 @@
 // due returns the machines to order down next: those whose order is not confirmed, since an order of an earlier
 // leader may not have arrived, and empty ones while fewer than MaxDown machines are ordered down or down. A
 // machine that is not empty after evacuationTimeout is ordered down anyway, unless it runs a task that must not
-// be stopped; it is then deferred, so that others get their turn.
+// be stopped; it is then deferred, so that others get their turn. An order is not repeated while such a task runs
+// there, since starts may have preceded this leader's evacuation.
 func (v *waveState) due(remaining map[table.WorkerID]Remaining, now time.Time) []MachineID {
 	var ids []MachineID
 	room := v.MaxDown - v.count(ordered, down)
@@ -209,7 +214,9 @@
 		switch {
 		case s.gone, now.Before(s.notBefore):
 		case s.phase == ordered:
-			ids = append(ids, id)
+			if !remaining[s.present].Blocked {
+				ids = append(ids, id)
+			}
 		case s.phase == evacuating:
 			l, known := remaining[s.worker]
 			late := now.Sub(s.since) >= timeout
@@ -262,7 +269,7 @@
 	v.deadline, v.endReported, v.startReported = time.UnixMilli(int64(p.Until)), p.Ended, true
 	for _, o := range p.Ordered {
 		if s := v.machineStates[o.Machine]; s != nil {
-			s.phase, s.worker, s.since, s.unconfirmed = ordered, o.Worker, now, true
+			s.phase, s.worker, s.present, s.since, s.unconfirmed = ordered, o.Worker, o.Worker, now, true
 		}
 	}
 	for _, id := range p.Done {
