--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -31,7 +31,7 @@
 		}
 		l := maintenance.Remaining{Tasks: len(w.tasks)}
 		for _, t := range w.tasks {
-			l.Blocked = l.Blocked || t.group.step.MaxUnavailable > 0 && t.percent == fullPercent
+			l.Blocked = l.Blocked || t.group.step.MaxUnavailable > 0 && t.phase != reserved && t.mayBeReady()
 		}
 		left[id] = l
 	}
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -47,6 +47,54 @@
 	is.True(r.workers["a"].usable(r.now))
 }
 
+// Guards against a disruption budget that is exceeded by stops of tasks which came to work since the last report on them.
+func TestTasksThatMayHaveComeToWorkCountAgainstTheDisruptionBudget(t *testing.T) {
+	for _, percent := range []int{0, 99} {
+		is := is.New(t)
+		r := newRig()
+		r.addWorkers("a")
+		s := step(3)
+		s.LongRunning, s.MaxUnavailable = true, 1
+		r.submit("j", s)
+		is.Equal(len(r.placeAndStart()), 3)
+		at := PollReply{Running: []RunningTask{
+			{Task: key("j", 0, 0), Run: 1, Percent: 100},
+			{Task: key("j", 0, 1), Run: 1, Percent: percent},
+			{Task: key("j", 0, 2), Run: 1, Percent: percent},
+		}}
+		r.answerPolls(map[string]PollReply{"a": at})
+		is.True(r.Evacuate([]table.WorkerID{"a"}, r.now)["a"].Blocked)
+		r.Decide(r.now)
+		is.Equal(len(r.StopOrders(r.now)), 0) // two others may not be at work yet
+		for range 30 {
+			r.answerPolls(map[string]PollReply{"a": at})
+		}
+		r.Decide(r.now)
+		is.Equal(len(r.StopOrders(r.now)), 2) // they stand and so are not at work
+	}
+}
+
+// Guards against an order to take a machine down under a task that has come to work since the last report on it.
+func TestWorkerWithATaskThatMayHaveComeToWorkIsBlocked(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	s := step(1)
+	s.LongRunning, s.MaxUnavailable = true, 1
+	r.submit("j", s)
+	o := r.place()
+	is.Equal(len(o), 1)
+	is.True(r.Evacuate([]table.WorkerID{"a"}, r.now)["a"].Blocked) // the start is on its way
+	r.StartDone(o[0], Started, r.now)
+	is.True(r.Evacuate([]table.WorkerID{"a"}, r.now)["a"].Blocked)
+	next := newRig() // has not heard of the run
+	next.now = r.now
+	next.addWorkers("a")
+	next.submit("j", s)
+	next.workers["a"].assign(next.task(key("j", 0, 0)), running)
+	is.True(next.Evacuate([]table.WorkerID{"a"}, next.now)["a"].Blocked)
+}
+
 // HandOver must not report a record as written before it is in the log.
 func TestHandOverReportsAfterTheWrite(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -138,12 +138,12 @@
 	return StopOrder{Worker: w.info.ID, Address: w.info.Address, Task: key, Run: run, Token: w.token}
 }
 
-// withinDisruptionBudget reports whether the disruption budget of its step allows t to be stopped. A ready task may be
-// stopped only while fewer than MaxUnavailable other tasks of the step are not ready; the budget does not apply if
-// its worker drains or its job is final.
+// withinDisruptionBudget reports whether the disruption budget of its step allows t to be stopped. A task that may be
+// ready may be stopped only while fewer than MaxUnavailable other tasks of the step are not ready; the budget does not
+// apply if its worker drains or its job is final.
 func (t *task) withinDisruptionBudget() bool {
 	g := t.group
-	if g.step.MaxUnavailable <= 0 || t.percent != fullPercent || t.worker.info.Draining || g.job.state.Final() {
+	if g.step.MaxUnavailable <= 0 || !t.mayBeReady() || t.worker.info.Draining || g.job.state.Final() {
 		return true
 	}
 	missing := 0
@@ -154,3 +154,15 @@
 	}
 	return missing < g.step.MaxUnavailable
 }
+
+// mayBeReady reports whether t is ready, or may be since the last report on it, if there was one. A long-running task is
+// ready soon after its start unless its progress stands. The members of a gang that is broken up must end together.
+func (t *task) mayBeReady() bool {
+	if t.percent == fullPercent {
+		return true
+	}
+	if !t.group.step.LongRunning || t.group.step.Gang {
+		return false
+	}
+	return t.phase == starting || t.startedAt.IsZero() || t.worker.heardAt.Sub(t.progressedAt) <= stallTimeout
+}
