--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -289,6 +289,26 @@
 	is.Equal(len(r.placeAndStart()), 0) // nothing is added where a target is missed
 }
 
+// Guards against a throttle order that is carried out late, after its repetition or a newer one was answered.
+func TestThrottleOrderThatWasNotAnsweredIsOutdone(t *testing.T) {
+	for kind, late := range map[fault.Kind]bool{
+		fault.OutcomeUnknown: true, fault.PlatformFailed: true, fault.NotReady: false, fault.Overloaded: false,
+	} {
+		is := is.New(t)
+		r, _ := newMixedRig(is)
+		r.answerPolls(map[string]PollReply{"a": mixedReply(100*time.Millisecond, 0)})
+		first := r.ThrottleOrders(r.now)
+		is.Equal(len(first), 2)
+		for _, o := range first {
+			r.ThrottleDone(o, fault.New(kind, "no answer"), r.now)
+		}
+		again := r.ThrottleOrders(r.now)
+		is.Equal(len(again), 2)
+		is.Equal(again[0].Token > first[0].Token, late)
+		is.True(again[0].Token <= first[0].Token+1)
+	}
+}
+
 // Tails are reported in whole milliseconds; a task whose tail is at its target is served in time.
 func TestOnlyTailsAboveTheTargetThrottle(t *testing.T) {
 	for tail, orders := range map[time.Duration]int{18 * time.Millisecond: 0, 19 * time.Millisecond: 2} {
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -231,6 +231,9 @@
 	if err != nil {
 		sched.checkFence(t.worker, o.Token, fault.Of(err) == fault.Stale)
 		sched.cfg.Log.Info("throttle order not confirmed", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Error", err)
+		if t.worker.token == o.Token && mayBeCarriedOut(err) {
+			t.worker.raiseToken()
+		}
 		return
 	}
 	if t.cpuPercent == 0 || t.shareUnknown {
@@ -239,3 +242,12 @@
 	t.cpuPercent, t.shareUnknown = o.Percent, false
 	t.throttled = t.throttled || o.Percent < fullPercent
 }
+
+// mayBeCarriedOut reports whether an order that failed with err may have been carried out, or may be later.
+func mayBeCarriedOut(err error) bool {
+	switch fault.Of(err) {
+	case fault.Stale, fault.NotCurrent, fault.Overloaded, fault.NotReady:
+		return false
+	}
+	return true
+}
