--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -38,7 +38,7 @@
 	checkpoint      string
 	cpuPercent      int // share of its processors that the run may use
 	throttlePending bool
-	shareUnknown    bool // an earlier leader may have throttled the run
+	shareUnknown    bool // an earlier leader or an order without an answer may have set another share
 
 	worker          *worker    // while held
 	token           FenceToken // of the start order
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -309,6 +309,24 @@
 	}
 }
 
+// Guards against a run that keeps the share of an unanswered throttle order that is not wanted any more.
+func TestThrottleOrderThatWasNotAnsweredIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	r, _ := newMixedRig(is)
+	r.answerPolls(map[string]PollReply{"a": mixedReply(100*time.Millisecond, 0)})
+	for _, o := range r.ThrottleOrders(r.now) {
+		r.ThrottleDone(o, fault.New(fault.OutcomeUnknown, "no answer"), r.now)
+	}
+	r.workers["a"].throttles = nil // the tails are low again
+	orders := r.ThrottleOrders(r.now)
+	is.Equal(len(orders), 2)
+	for _, o := range orders {
+		is.Equal(o.Percent, fullPercent)
+		r.ThrottleDone(o, nil, r.now)
+	}
+	is.Equal(len(r.ThrottleOrders(r.now)), 0)
+}
+
 // Tails are reported in whole milliseconds; a task whose tail is at its target is served in time.
 func TestOnlyTailsAboveTheTargetThrottle(t *testing.T) {
 	for tail, orders := range map[time.Duration]int{18 * time.Millisecond: 0, 19 * time.Millisecond: 2} {
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -231,7 +231,11 @@
 	if err != nil {
 		sched.checkFence(t.worker, o.Token, fault.Of(err) == fault.Stale)
 		sched.cfg.Log.Info("throttle order not confirmed", "Task", o.Task.String(), "Run", o.Run, "Worker", o.Worker, "Error", err)
-		if t.worker.token == o.Token && mayBeCarriedOut(err) {
+		if !mayBeCarriedOut(err) {
+			return
+		}
+		t.shareUnknown = true
+		if t.worker.token == o.Token {
 			t.worker.raiseToken()
 		}
 		return
