--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -453,6 +453,42 @@
 	})
 }
 
+// Guards against a leader that extends leases by an election that it has read late, after others may have been elected.
+func TestLeaderIsNotConfirmedBeforeItHasAppended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		r, err := encode(leaderKey, Leader{Host: "a", Process: "a-1", Epoch: 1}) // a claim that was carried out late
+		is.NoErr(err)
+		is.NoErr(m.append(t.Context(), Append{Producer: leaderProducer, Epoch: 1, Records: []Record{r}}))
+		m.set(func() { m.appendErr = fault.New(fault.LogUnavailable, "down") })
+		time.Sleep(time.Minute)
+		a := startCandidate(t, m, "a")
+		time.Sleep(time.Second)
+		is.True(a.isLeading())
+		is.True(a.currentWriter().Confirmed().IsZero())
+		m.set(func() { m.appendErr = nil })
+		time.Sleep(appendRetryDelay + 10*time.Millisecond)
+		is.True(time.Since(a.currentWriter().Confirmed()) < 2*appendRetryDelay)
+		stopAll(a)
+	})
+}
+
+// Guards against a new leader without work that may not extend leases for long.
+func TestNewLeaderIsConfirmedByItsFirstHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMemoryLog()
+		a := startCandidate(t, m, "a")
+		for !a.isLeading() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(heartbeatInterval + 10*time.Millisecond)
+		is.True(!a.currentWriter().Confirmed().IsZero())
+		stopAll(a)
+	})
+}
+
 func TestLogOutageElectsNoLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -26,7 +26,7 @@
 
 	mu         sync.Mutex
 	superseded bool
-	confirmed  time.Time // send time of the last successful append
+	confirmed  time.Time // send time of the last successful append; zero before the first
 }
 
 type batch struct {
@@ -36,7 +36,7 @@
 
 func newWriter(cfg ElectorConfig, l Leader) *Writer {
 	return &Writer{
-		cfg: cfg, leader: l, batches: make(chan *batch, 1), confirmed: time.Now(),
+		cfg: cfg, leader: l, batches: make(chan *batch, 1),
 		producer: producer{log: cfg.Log, name: leaderProducer, epoch: l.Epoch, next: 1},
 	}
 }
@@ -44,7 +44,8 @@
 // Epoch returns the epoch of this leader.
 func (w *Writer) Epoch() Epoch { return w.leader.Epoch }
 
-// Confirmed returns the send time of the last successful append, at which this process was still the leader.
+// Confirmed returns the send time of the last successful append, at which this process was still the leader. It is zero
+// before the first, since the election may have been read late.
 func (w *Writer) Confirmed() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
