--- a/fleet/host.go
+++ b/fleet/host.go
@@ -274,7 +274,7 @@
 	if s.Machines != "" {
 		go maintenance.New(maintenance.Config{
 			Holder: h.process, Token: maintenance.Token(w.Epoch()), UsualDuration: s.MaintenanceDuration, Waves: h.operatorWaves, HandoverRecords: h.view.HandoverRecords(),
-			Platform: h.cfg.Machines, Scheduler: maintenance.Scheduler{Evacuate: d.Evacuate, SaveHandover: d.HandOver}, Logger: h.logger,
+			Platform: h.cfg.Machines, Scheduler: maintenance.Scheduler{Evacuate: d.Evacuate, SaveHandover: d.HandOver}, Confirmed: w.Confirmed, Logger: h.logger,
 		}).Run(ctx)
 	}
 	d.Run(ctx)
--- a/maintenance/controller.go
+++ b/maintenance/controller.go
@@ -20,6 +20,9 @@
 	roundInterval = 500 * time.Millisecond // while a wave is active; each round reads the list of machines
 	idleInterval  = 500 * time.Millisecond // between checks for a new wave
 	callTimeout   = 1500 * time.Millisecond
+	// Without a confirmation for longer nothing is ordered: others claim leadership after 1.5 s, and a platform may check
+	// no tokens. An append that succeeds takes less.
+	maxUnconfirmed = time.Second
 )
 
 // Token is the fencing token of the holder that may take machines down; the platform refuses lower tokens.
@@ -63,7 +66,9 @@
 	HandoverRecords map[string][]byte // handover data of the last leader, by name
 	Platform        Platform
 	Scheduler       Scheduler
-	Logger          *slog.Logger
+	// Confirmed returns when this host was last known to be the leader; nil means always.
+	Confirmed func() time.Time
+	Logger    *slog.Logger
 }
 
 // Controller carries out waves while this host leads.
@@ -187,6 +192,9 @@
 		return err
 	}
 	for _, id := range due {
+		if c.cfg.Confirmed != nil && time.Since(c.cfg.Confirmed()) > maxUnconfirmed {
+			return fault.New(fault.NotReady, "another host may lead, nothing is ordered")
+		}
 		if err := c.order(ctx, v, id); err != nil {
 			return err
 		}
--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -37,6 +37,8 @@
 	lostReplies int           // number of orders whose replies are lost
 	lostDelay   time.Duration // delay after which these are carried out
 	calls       int
+	unfenced    bool // orders under lower tokens are carried out
+	lowered     int  // number of these
 }
 
 type fakeMachine struct {
@@ -72,6 +74,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
+	if o.Token < p.token {
+		p.lowered++
+	}
 	if p.lostReplies > 0 {
 		p.lostReplies--
 		time.AfterFunc(p.lostDelay, func() {
@@ -89,14 +94,14 @@
 	switch {
 	case m == nil:
 		return fault.New(fault.NotFound, "gone")
-	case o.Token < p.token:
+	case o.Token < p.token && !p.unfenced:
 		return fault.New(fault.Stale, "fence")
 	case m.done:
 		return nil
 	case !m.up:
 		return fault.New(fault.Conflict, "busy")
 	}
-	p.token = o.Token
+	p.token = max(p.token, o.Token)
 	l := p.tasks[p.worker(o.Machine)]
 	p.endedTasks += l.Tasks
 	if l.Blocked {
@@ -444,3 +449,36 @@
 		})
 	}
 }
+
+// Guards against orders of a leader that the log does not confirm any more, where the platform checks no tokens.
+func TestLeaderThatIsNotConfirmedOrdersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakePlatform(2, 1)
+		p.unfenced = true
+		p.tasks["m0-0"], p.tasks["m1-0"] = Remaining{}, Remaining{}
+		p.lostReplies, p.lostDelay = math.MaxInt, time.Hour
+		first, cutOff := p.controller(1, 20*time.Second), time.Now().Add(time.Second)
+		first.cfg.Confirmed = func() time.Time {
+			if now := time.Now(); now.Before(cutOff) {
+				return now
+			}
+			return cutOff
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		go first.Run(ctx) // its order of m0 is never answered
+		time.Sleep(3 * time.Second)
+		p.mu.Lock()
+		is.True(p.calls > 0)
+		p.lostReplies = 0
+		p.mu.Unlock()
+		next := p.controller(2, 20*time.Second)
+		next.cfg.Confirmed = time.Now
+		p.run(t, next, 10*time.Second)
+		is.Equal(p.lowered, 0)
+		is.Equal(p.done(), 2)
+		cancel()
+		synctest.Wait()
+	})
+}
