--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"persimmonpick/fault"
 	"persimmonpick/maintenance"
 	"persimmonpick/table"
 )
@@ -95,6 +96,47 @@
 	is.True(next.Evacuate([]table.WorkerID{"a"}, next.now)["a"].Blocked)
 }
 
+// Guards against a disruption budget that is exceeded since a task on a silent worker counts as ready.
+func TestTaskOnASilentWorkerCountsAsMissing(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a", "b")
+	s := step(2)
+	s.LongRunning, s.MaxUnavailable, s.MaxPerWorker = true, 1, 1
+	r.submit("j", s)
+	is.Equal(len(r.placeAndStart()), 2)
+	silent := r.task(key("j", 0, 1)).worker.info.ID
+	poll := func(answers bool) {
+		r.now = r.now.Add(pollPause)
+		for _, o := range r.PollOrders(r.now, true) {
+			l := PollReply{Incarnation: 1, Clock: WorkerClock(r.now.UnixMilli())}
+			for k, t := range r.workers[o.Worker].tasks {
+				l.Running = append(l.Running, RunningTask{Task: k, Run: t.run, Percent: fullPercent})
+			}
+			var err error
+			if o.Worker == silent && !answers {
+				err = fault.New(fault.OutcomeUnknown, "no answer")
+			}
+			r.PollDone(o, r.now, l, err, r.now)
+		}
+	}
+	poll(true)
+	is.True(r.task(key("j", 0, 0)).withinDisruptionBudget())
+	is.True(r.task(key("j", 0, 0)).mayLeaveStep(r.now))
+	for range 5000 / 80 {
+		poll(false)
+	}
+	r.Evacuate([]table.WorkerID{r.task(key("j", 0, 0)).worker.info.ID}, r.now)
+	r.Decide(r.now)
+	is.Equal(len(r.StopOrders(r.now)), 0)
+	is.True(!r.task(key("j", 0, 0)).mayLeaveStep(r.now))
+	for range 20 { // polls of a silent worker are rare
+		poll(true)
+	}
+	r.Decide(r.now)
+	is.Equal(len(r.StopOrders(r.now)), 1)
+}
+
 // HandOver must not report a record as written before it is in the log.
 func TestHandOverReportsAfterTheWrite(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -148,13 +148,18 @@
 	}
 	missing := 0
 	for _, o := range g.tasks {
-		if o != t && (o.phase != running || o.percent != fullPercent) {
+		if o != t && !o.knownReady() {
 			missing++
 		}
 	}
 	return missing < g.step.MaxUnavailable
 }
 
+// knownReady reports whether t is ready by a report of its worker, which answers: one that is silent may have crashed.
+func (t *task) knownReady() bool {
+	return t.phase == running && t.percent == fullPercent && t.worker.contacted && t.worker.missedPolls == 0
+}
+
 // mayBeReady reports whether t is ready, or may be since the last report on it, if there was one. A long-running task is
 // ready soon after its start unless its progress stands. The members of a gang that is broken up must end together.
 func (t *task) mayBeReady() bool {
--- a/dispatch/zones.go
+++ b/dispatch/zones.go
@@ -266,7 +266,7 @@
 		if o == t {
 			continue
 		}
-		atWork := o.phase == running && o.percent == fullPercent
+		atWork := o.knownReady()
 		if o.stopReason != "" || !atWork && o.justLeftZone(now) {
 			return false
 		}
