Have the log of the ledger's tests number appends as the platform does

It took an append with a number ahead for the next one, and any lower number for a repetition. PROTOCOL.md: a number must follow the last one, or be that of one of the last five appends.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -36,6 +36,9 @@
 	changed   chan struct{}
 }
 
+// repeatable is the number of appends of a producer that are recognized if they are repeated.
+const repeatable = 5
+
 func newMemoryLog() *memoryLog {
 	return &memoryLog{epochs: map[string]Epoch{}, next: map[string]int64{}, changed: make(chan struct{}), latency: time.Millisecond}
 }
@@ -75,6 +78,8 @@
 		return fault.New(fault.Stale, "fenced")
 	case a.Epoch > m.epochs[a.Producer]:
 		m.epochs[a.Producer], m.next[a.Producer] = a.Epoch, a.Sequence
+	case a.Sequence > m.next[a.Producer] || a.Sequence < m.next[a.Producer]-repeatable:
+		return fault.New(fault.Stale, "seq")
 	case a.Sequence < m.next[a.Producer]:
 		return nil // duplicate
 	}
