--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -37,6 +37,8 @@
 	lostReplies int           // number of orders whose replies are lost
 	lostDelay   time.Duration // delay after which these are carried out
 	calls       int
+	unfenced    bool // orders under lower tokens are carried out
+	lowered     int  // number of these
 }
 
 type fakeMachine struct {
@@ -72,6 +74,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
+	if o.Token < p.token {
+		p.lowered++
+	}
 	if p.lostReplies > 0 {
 		p.lostReplies--
 		time.AfterFunc(p.lostDelay, func() {
@@ -89,14 +94,14 @@
 	switch {
 	case m == nil:
 		return fault.New(fault.NotFound, "gone")
-	case o.Token < p.token:
+	case o.Token < p.token && !p.unfenced:
 		return fault.New(fault.Stale, "fence")
 	case m.done:
 		return nil
 	case !m.up:
 		return fault.New(fault.Conflict, "busy")
 	}
-	p.token = o.Token
+	p.token = max(p.token, o.Token)
 	l := p.tasks[p.worker(o.Machine)]
 	p.endedTasks += l.Tasks
 	if l.Blocked {
@@ -393,3 +398,87 @@
 		is.Equal(p.notified, []bool{false, true})
 	})
 }
+
+// Guards against tasks of a step with a disruption budget that are ended on the worker that came up during an evacuation.
+func TestWorkerThatCameUpDuringTheEvacuationIsEvacuatedToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakePlatform(1, 1)
+		time.AfterFunc(700*time.Millisecond, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.tasks[p.worker("m0")] = Remaining{}
+			p.machines["m0"].incarnation++
+			p.tasks[p.worker("m0")] = Remaining{Tasks: 1, Blocked: true}
+		})
+		p.run(t, p.controller(1, 20*time.Second), 5*time.Second)
+		is.Equal(p.blocked, 0)
+		is.True(p.evacuating["m0-1"])
+		p.tasks["m0-1"] = Remaining{}
+		p.run(t, p.controller(2, 20*time.Second), 10*time.Second)
+		is.Equal(p.done(), 1)
+	})
+}
+
+// Guards against tasks that are ended by an order of an earlier leader that is repeated once they are at work.
+func TestOrderOfAnEarlierLeaderWaitsForBlockedTasks(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprint(restarted), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newFakePlatform(1, 1)
+				p.tasks["m0-0"] = Remaining{}
+				p.lostReplies, p.lostDelay = math.MaxInt, time.Hour
+				p.run(t, p.controller(1, 20*time.Second), 400*time.Millisecond)
+				is.True(p.calls > 0)
+				p.lostReplies = 0
+				if restarted {
+					p.machines["m0"].incarnation++
+				}
+				at := p.worker("m0")
+				p.tasks[at] = Remaining{Tasks: 1, Blocked: true}
+				next := p.controller(2, 20*time.Second)
+				p.run(t, next, 5*time.Second)
+				is.Equal(p.blocked, 0)
+				is.True(p.evacuating[at])
+				p.tasks[at] = Remaining{}
+				p.run(t, next, 10*time.Second)
+				is.Equal(p.done(), 1)
+				is.Equal(p.notified[len(p.notified)-1], true)
+			})
+		})
+	}
+}
+
+// Guards against orders of a leader that the log does not confirm any more, where the platform checks no tokens.
+func TestLeaderThatIsNotConfirmedOrdersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakePlatform(2, 1)
+		p.unfenced = true
+		p.tasks["m0-0"], p.tasks["m1-0"] = Remaining{}, Remaining{}
+		p.lostReplies, p.lostDelay = math.MaxInt, time.Hour
+		first, cutOff := p.controller(1, 20*time.Second), time.Now().Add(time.Second)
+		first.cfg.Confirmed = func() time.Time {
+			if now := time.Now(); now.Before(cutOff) {
+				return now
+			}
+			return cutOff
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		go first.Run(ctx) // its order of m0 is never answered
+		time.Sleep(3 * time.Second)
+		p.mu.Lock()
+		is.True(p.calls > 0)
+		p.lostReplies = 0
+		p.mu.Unlock()
+		next := p.controller(2, 20*time.Second)
+		next.cfg.Confirmed = time.Now
+		p.run(t, next, 10*time.Second)
+		is.Equal(p.lowered, 0)
+		is.Equal(p.done(), 2)
+		cancel()
+		synctest.Wait()
+	})
+}
