--- a/maintenance/controller.go
+++ b/maintenance/controller.go
@@ -36,6 +36,13 @@
 	Token   Token
 }
 
+// Notice tells the operator that a wave has started, or that it is over.
+type Notice struct {
+	Wave  WaveID
+	Over  bool
+	Token Token
+}
+
 // Platform gives access to the machines.
 //
 // Order fails with fault.Stale for a token that is too low, with fault.Conflict for a machine that is not up,
@@ -45,8 +52,9 @@
 type Platform struct {
 	Machines func(ctx context.Context) ([]Machine, error)
 	Order    func(ctx context.Context, o Order) error
-	// NotifyOperator tells the operator that a wave has started or is over.
-	NotifyOperator func(ctx context.Context, w WaveID, over bool) error
+	// NotifyOperator tells the operator that a wave has started or is over. It fails with fault.Stale for a token that is
+	// too low. A notice that was not answered does not take effect after a later one of its wave.
+	NotifyOperator func(ctx context.Context, n Notice) error
 }
 
 // Scheduler gives access to the task scheduler.
@@ -175,7 +183,7 @@
 // operator.
 func (c *Controller) advance(ctx context.Context, v *waveState, remaining map[table.WorkerID]Remaining) error {
 	if !v.startReported {
-		if err := c.cfg.Platform.NotifyOperator(ctx, v.ID, false); err != nil {
+		if err := c.cfg.Platform.NotifyOperator(ctx, Notice{Wave: v.ID, Token: c.cfg.Token}); err != nil {
 			return err
 		}
 		v.startReported = true
@@ -202,7 +210,7 @@
 	if !v.complete() {
 		return nil
 	}
-	if err := c.cfg.Platform.NotifyOperator(ctx, v.ID, true); err != nil {
+	if err := c.cfg.Platform.NotifyOperator(ctx, Notice{Wave: v.ID, Over: true, Token: c.cfg.Token}); err != nil {
 		return err
 	}
 	v.endReported = true
--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -146,10 +146,10 @@
 	return nil
 }
 
-func (p *fakePlatform) notifyOperator(_ context.Context, _ WaveID, over bool) error {
+func (p *fakePlatform) notifyOperator(_ context.Context, n Notice) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.notified = append(p.notified, over)
+	p.notified = append(p.notified, n.Over)
 	return nil
 }
 
