--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -130,7 +130,7 @@
 		w.silentAt = now
 		sched.cfg.Log.Info("worker does not answer", "Worker", w.info.ID, "Kind", fault.Of(err), "Error", err, "Tasks", len(w.tasks))
 	}
-	if fault.Of(err) == fault.NotCurrent && o.Address == w.info.Address {
+	if fault.Of(err) == fault.NotCurrent && o.Address == w.info.Address && !w.addressUncertain {
 		sched.workerReplaced(w, now)
 	}
 	if o.Acked > 0 && o.Token == w.token {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -221,13 +221,16 @@
 // SetWorker applies an entry of the worker list.
 func (sched *Scheduler) SetWorker(info WorkerInfo, now time.Time) {
 	w := sched.ensureWorker(info.ID, now)
+	listed, uncertain := info.Incarnation, false
 	if w.info.Incarnation != 0 && info.Incarnation < w.info.Incarnation {
 		w.pollUrgently(now) // the entry is older, or the time of day was set back
-		if w.listed {
+		if w.listed && (w.missedPolls == 0 || info.Address == w.info.Address) {
 			return
 		}
+		uncertain = info.Address != w.info.Address || w.addressUncertain
 		info.Incarnation = w.info.Incarnation
 	}
+	w.addressUncertain = uncertain
 	switch {
 	case info.Incarnation <= w.info.Incarnation:
 	case w.contacted:
@@ -244,7 +247,7 @@
 	}
 	// An incarnation that drains is never ready again, and its lease is not extended any more.
 	info.Draining = info.Draining || w.leaseBound.covers(info.Incarnation)
-	if info.Draining && (!w.info.Draining || info.Incarnation != w.listedIncarnation) {
+	if info.Draining && (!w.info.Draining || listed != w.listedIncarnation) {
 		w.leavesAt, w.leaveSeen = now.Add(info.LeavesIn), w.listed
 		sched.cfg.Log.Info("worker is draining", "Worker", info.ID, "LeavesIn", info.LeavesIn, "Tasks", len(w.tasks))
 	} else if at := now.Add(info.LeavesIn); info.Draining && info.LeavesIn > 0 && at.Before(w.leavesAt) {
@@ -261,7 +264,7 @@
 	if w.crash == nil {
 		sched.restoreGone(w, now)
 	}
-	w.listedIncarnation = info.Incarnation
+	w.listedIncarnation = listed
 	sched.recordWorkerChange(w)
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -15,6 +15,7 @@
 	listedIncarnation table.UnixMillis // in its newest entry of the list
 	handedOver        bool             // its handover record is written or scheduled
 	recorded          WorkerInfo       // in its handover record
+	addressUncertain  bool             // its address is from an entry with an earlier birth, so another worker may be there
 	contactRecorded   bool             // its handover record tells that the incarnation was polled
 	leavesAt          time.Time        // when a draining worker leaves at the earliest
 	leaveSeen         bool             // this leader listed it before it drained, so that leavesAt is not too late
