--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -70,6 +70,7 @@
 	if w.info.Incarnation != 0 {
 		sched.workerCrashed(w, crashRestarted, now)
 	}
+	w.forgetAges()
 	w.info.Incarnation = incarnation
 	sched.contactAnew(w, now)
 	sched.recordWorkerChange(w)
@@ -83,10 +84,14 @@
 	w.raiseToken()
 	w.pollSentAt = now
 	w.failStreak, w.stall = 0, workerStall{}
+	w.pollUrgently(now)
+}
+
+// forgetAges forgets the ages of the runs on w, which are times on the clock of an incarnation that has ended.
+func (w *worker) forgetAges() {
 	for _, t := range w.tasks {
-		t.listed = false // listedAt is a time on the clock of the earlier incarnation
+		t.listed = false
 	}
-	w.pollUrgently(now)
 }
 
 // restartUnresolved reports whether w has restarted and this leader has not polled its present incarnation.
@@ -104,6 +109,7 @@
 	later := w.isAnother(l.Incarnation)
 	if later {
 		sched.workerCrashed(w, crashRestarted, now) // before its clock is replaced
+		w.forgetAges()
 		w.restarted = true
 	}
 	own, before := now.Add(maxLeaseDuration(sched.cfg.LeaseTerm)), w.leaseUntil
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -573,3 +573,27 @@
 	r.RemoveWorker("a", r.now)
 	is.True(restartAfter(r) >= longest)
 }
+// Guards against a crash that counts against a run that had worked for long, since an answer of the next incarnation came first.
+func TestAgeOfARunIsKeptUntilTheCrashIsCounted(t *testing.T) {
+	for _, shownBy := range []string{"poll", "start"} {
+		is := is.New(t)
+		r := newRig()
+		r.addWorkers("a")
+		r.submit("j", step(1))
+		first := r.placeAndStart()
+		for range 7 {
+			r.answerPolls(nil)
+		}
+		is.True(r.workers["a"].ageOf(r.task(first[0].Task)) >= settledAge)
+		if shownBy == "start" {
+			r.submit("k", step(1))
+			r.StartDone(r.place()[0], AnsweredByAnother, r.now)
+		}
+		r.answerAs("a", 2, PollReply{Clock: 150})
+		crash := r.workers["a"].crash
+		is.True(crash != nil)
+		cause := crash.cause(r.task(first[0].Task))
+		is.True(cause != nil)
+		is.True(cause.age >= settledAge)
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -237,6 +237,7 @@
 		sched.workerRestarted(w, info.Incarnation, now)
 	case w.info.Incarnation != 0:
 		sched.workerCrashed(w, crashRestarted, now) // after the last leader heard it
+		w.forgetAges()
 	}
 	if info.Incarnation > w.info.Incarnation && !w.contacted {
 		w.pollSentAt = now
