--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -59,7 +59,7 @@
 // isAnother reports whether i is another incarnation of w than the one that is known. Births are times of day, which may
 // be set back, so they do not tell which is the later one; the order of calls does.
 func (w *worker) isAnother(i table.UnixMillis) bool {
-	return i != 0 && w.info.Incarnation != 0 && i != w.info.Incarnation
+	return i != 0 && i != w.info.Incarnation && (w.info.Incarnation != 0 || w.contacted)
 }
 
 // workerRestarted resets what is known of w, so that it is polled under a higher token as by a new leader. The new
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -597,3 +597,17 @@
 		is.True(cause.age >= settledAge)
 	}
 }
+
+// Guards against a birth that is never learnt, since the first reply did not state one.
+func TestBirthThatIsStatedLaterIsKnown(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	info := r.workerInfo("a")
+	info.Incarnation = 0
+	r.SetWorker(info, r.now)
+	r.answerAs("a", 0, PollReply{Clock: WorkerClock(r.now.UnixMilli())})
+	for range 3 {
+		r.answerAs("a", 5, PollReply{Clock: WorkerClock(r.now.UnixMilli())})
+	}
+	is.Equal(r.workers["a"].info.Incarnation, table.UnixMillis(5))
+}
