--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -151,7 +151,7 @@
 		i := w.info
 		n := workerHandover{
 			Service: i.Service, Address: i.Address, Rack: i.Rack, Labels: i.Labels, Capacity: i.Capacity, Incarnation: i.Incarnation, Zone: i.Zone,
-			NotPolled: !w.contacted,
+			NotPolled: !w.contactRecorded,
 		}
 		if w.leaseBound.covers(i.Incarnation) {
 			n.LeaseEnd, n.LeaseEndsIn = w.leaseBound.end, w.leaseBound.endsIn
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -611,3 +611,18 @@
 	}
 	is.Equal(r.workers["a"].info.Incarnation, table.UnixMillis(5))
 }
+
+// Guards against a record that says of a polled incarnation that it was not polled.
+func TestRecordTellsOfTheContactAfterTheWorkerWasContactedAnew(t *testing.T) {
+	is := is.New(t)
+	var log []ledger.Record
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(1))
+	r.contactAnew(r.workers["a"], r.now) // before its record is flushed
+	r.flushRecords(&log)
+	is.True(r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli())}))
+	r.flushRecords(&log)
+	next := nextLeader(log, 2, r.now, r.now)
+	is.True(next.workers["a"].contactRecorded)
+}
