--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -167,13 +167,13 @@
 type goneWorker struct {
 	id    table.WorkerID
 	at    time.Time
-	token FenceToken // newest one of the orders to it
-	crash *crash     // counted since the incarnation was gone; nil if none was
+	crash *crash // counted since the incarnation was gone; nil if none was
 }
 
 // keepGone keeps what is needed of w, which is dropped, if it is back.
 func (sched *Scheduler) keepGone(w *worker, now time.Time) {
-	g := goneWorker{id: w.info.ID, at: now, token: w.token}
+	sched.droppedToken = max(sched.droppedToken, w.token)
+	g := goneWorker{id: w.info.ID, at: now}
 	if c := w.currentCrash(); c != nil && c.gone && c.incarnation != 0 {
 		g.crash = c
 	}
@@ -196,14 +196,11 @@
 	}
 }
 
-// outdoTokens gives w, which may have been dropped before, a token that is newer than those of its orders then, and
-// counts with another incarnation.
-func (sched *Scheduler) outdoTokens(w *worker) {
-	for _, g := range sched.gone {
-		if g.id == w.info.ID {
-			w.token, w.restarted = max(w.token, g.token+1), true
-		}
-	}
+// outdoDropped gives w, which may have been dropped before, a token that is newer than those of its orders then, and
+// counts with late ones among these if it was.
+func (sched *Scheduler) outdoDropped(w *worker) {
+	w.token = max(w.token, sched.droppedToken+1)
+	w.restarted = slices.ContainsFunc(sched.gone, func(g goneWorker) bool { return g.id == w.info.ID })
 }
 
 // answersAgain takes back the crash that was counted while w was silent or gone, since its incarnation has not ended.
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -626,3 +626,30 @@
 	next := nextLeader(log, 2, r.now, r.now)
 	is.True(next.workers["a"].contactRecorded)
 }
+
+// Guards against a worker that was cut off for long and makes its own leader step down.
+func TestTokensOfADroppedWorkerAreOutdoneLater(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a", "b", "c")
+	r.workers["a"].raiseToken()
+	drop := func(id table.WorkerID) {
+		r.RemoveWorker(id, r.now)
+		for range 600 {
+			if r.workers[id] == nil {
+				return
+			}
+			r.now = r.now.Add(100 * time.Millisecond)
+			for _, o := range r.PollOrders(r.now, true) {
+				r.PollDone(o, r.now, r.listRunning(o.Worker), nil, r.now)
+			}
+			r.Tick(r.now)
+		}
+	}
+	token := r.workers["a"].token
+	drop("a")
+	r.now = r.now.Add(goneTime + time.Second)
+	drop("b")
+	r.SetWorker(r.workerInfo("a"), r.now)
+	is.True(r.workers["a"].token > token)
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -59,6 +59,7 @@
 	suspects         map[*task]bool // tasks with crashes, and some without by now
 	crashes          []*crash       // recent
 	gone             []goneWorker   // the oldest first
+	droppedToken     FenceToken     // newest one of the orders to workers that were dropped
 	causeless        []causelessCrash
 	crashRates       map[workload.QueueID]*crashRate
 	startOutcomes    outcomesByService
@@ -210,7 +211,7 @@
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id}, sched.firstToken())
 		w.leaseUntil, w.knownSince = sched.inheritedLeaseEnd(now), sched.ledSince
-		sched.outdoTokens(w)
+		sched.outdoDropped(w)
 		sched.workers[id] = w
 	}
 	return w
