--- a/dispatch/births_test.go
+++ b/dispatch/births_test.go
@@ -88,3 +88,70 @@
 	}
 	is.True(restartAfter(next) >= testTerm)
 }
+
+func TestClockOutOfItsRangeShowsARestartWhereNoBirthIsStated(t *testing.T) {
+	for _, far := range []WorkerClock{-100_000, 100_000} {
+		is := is.New(t)
+		r := newRig()
+		r.addWorkers("a")
+		token := r.workers["a"].token
+		r.answerAs("a", 0, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + far})
+		is.True(!r.workers["a"].contacted)
+		is.True(r.workers["a"].token > token)
+	}
+}
+
+// Guards against a worker that is never used again, and whose tasks are kept, since the time of day was set back between
+// two incarnations.
+func TestLaterIncarnationWithAnEarlierBirthIsContacted(t *testing.T) {
+	for _, shownBy := range []string{"poll", "entry"} {
+		is := is.New(t)
+		r := newRig()
+		r.addWorkers("a")
+		r.restart("a", 10)
+		r.answerAs("a", 10, PollReply{Clock: 150})
+		r.submit("j", step(1))
+		r.placeAndStart()
+		if shownBy == "entry" {
+			r.restart("a", 5)
+		}
+		for range 3 {
+			r.answerAs("a", 5, PollReply{Clock: 300})
+		}
+		is.True(r.workers["a"].contacted)
+		is.Equal(r.workers["a"].info.Incarnation, table.UnixMillis(5))
+		is.Equal(len(r.place()), 1)
+	}
+}
+
+// Guards against a worker that counts as restarted, since a reply of its earlier incarnation came last.
+func TestReplyThatAnotherHasOvertakenDoesNotShowALaterIncarnation(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.now = r.now.Add(pollPause)
+	first := r.PollOrders(r.now, true)[0]
+	sent := r.now
+	r.workers["a"].pollUrgently(r.now)
+	r.now = r.now.Add(pollPause)
+	second := r.PollOrders(r.now, true)[0]
+	r.PollDone(first, sent, PollReply{Incarnation: 1, Clock: WorkerClock(r.now.UnixMilli())}, nil, r.now.Add(20*time.Millisecond))
+	r.PollDone(second, r.now, PollReply{Incarnation: 2, Clock: 150}, nil, r.now.Add(30*time.Millisecond))
+	is.Equal(r.workers["a"].info.Incarnation, table.UnixMillis(1))
+	is.True(r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli())})) // at once, which decides
+	is.True(r.workers["a"].contacted)
+}
+
+// Guards against a birth that is never learnt, since the first reply did not state one.
+func TestBirthThatIsStatedLaterIsKnown(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	info := r.workerInfo("a")
+	info.Incarnation = 0
+	r.SetWorker(info, r.now)
+	r.answerAs("a", 0, PollReply{Clock: WorkerClock(r.now.UnixMilli())})
+	for range 3 {
+		r.answerAs("a", 5, PollReply{Clock: WorkerClock(r.now.UnixMilli())})
+	}
+	is.Equal(r.workers["a"].info.Incarnation, table.UnixMillis(5))
+}
