--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -70,8 +70,10 @@
 	if len(causes) == 0 && !ended {
 		return
 	}
-	sched.crashedAt[w.info.Service] = now
-	w.crash = c
+	if w.crash != c {
+		sched.crashedAt[w.info.Service] = now
+		w.crash = c
+	}
 	c.likely = c.likely || slices.ContainsFunc(causes, func(t *task) bool {
 		return !w.settled(t) && (t.started != startNotKnown || !sched.startOutcomes.of(c.service).areUnanswered(now))
 	})
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -183,6 +183,21 @@
 	}
 }
 
+// Guards against workers that count as calm late, since the crash of a replaced one shows again once it is dropped.
+func TestCrashThatShowsTwiceDelaysCalmOnce(t *testing.T) {
+	s, k := startSound(t, backReplaced, 2)
+	s.passUntilStarted(k, 1)
+	service := s.task(k).worker.info.Service
+	s.takeDown(s.worker(s.task(k).worker.info.ID), backReplaced)
+	for end := s.now.Add(10 * time.Second); s.crashedAt[service].IsZero() && s.now.Before(end); {
+		s.pass(20 * time.Millisecond)
+	}
+	seen := s.crashedAt[service]
+	s.is.Equal(seen, s.now)
+	s.pass(10 * time.Second)
+	s.is.Equal(s.crashedAt[service], seen)
+}
+
 // loseRack starts a sound task with the given crashes again, and takes down its worker and eight others at the same
 // moment; those of the others show 0.6 s later.
 func loseRack(t *testing.T, crashes, known int, evidence float64) (*crashSite, *task) {
