--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -21,10 +21,12 @@
 	crashPause = 500 * time.Millisecond // added before the next start for each crash after the first
 
 	// Before the next start of a task that is likely to crash its workers, if too few of its crashes are known; the
-	// pause is multiplied with each further crash.
+	// pause is multiplied with each further crash. Once so many have been counted it is the longest and does not end
+	// early.
 	firstUnknownPause   = time.Second
 	unknownPauseFactor  = 4
 	longestUnknownPause = 5 * time.Minute
+	mostUnknownCrashes  = 8
 
 	maxLoggedTasks = 4 // keys in the log line on a crash
 
@@ -267,7 +269,7 @@
 // cleared ends the row of crashes of t.
 func (t *task) cleared() {
 	t.group.job.dirty = t.group.job.dirty || t.crashes > 0
-	t.crashes, t.knownCrashes, t.evidence, t.lastCrash, t.endedEarly = 0, 0, 0, nil, false
+	t.crashes, t.knownCrashes, t.evidence, t.lastCrash = 0, 0, 0, nil
 	t.crashRow++
 	t.dropEnds(func(e runEnd) bool { return e.how != endedFailed })
 }
@@ -335,16 +337,13 @@
 	switch {
 	case sched.mustGiveUp(t):
 		return max(pause, evidenceDelay)
-	case t.started != startNotKnown:
-		t.endedEarly = false
-		return pause
-	case t.knownCrashes >= leastKnown:
+	case t.started != startNotKnown, t.knownCrashes >= leastKnown:
 		return pause
 	case t.crashes < leastCrashes || t.crashes < maxCrashes && sched.likelihood(t) < isolatedLikelihood:
 		return pause
 	}
 	// A deadly task must not start again each time that starts are answered for a while.
-	t.pauses, t.awaitsAnswers, t.endedEarly = true, !t.endedEarly, false
+	t.pauses, t.awaitsAnswers = true, t.crashes < mostUnknownCrashes
 	return max(pause, unknownPause(t.crashes))
 }
 
@@ -386,7 +385,7 @@
 		case t.crashes == 0 || t.phase == done || j.state.Final():
 			delete(sched.suspects, t)
 		case t.phase == waiting && !sched.mustGiveUp(t) && sched.pauseEndsEarly(t, now):
-			t.pauses, t.awaitsAnswers, t.endedEarly = false, false, true
+			t.pauses, t.awaitsAnswers = false, false
 			t.notBefore = now
 			sched.cfg.Log.Info("pause after unanswered starts ends early", "Task", t.key.String(), "Crashes", t.crashes, "KnownCrashes", t.knownCrashes)
 		case t.phase == waiting && sched.mustGiveUp(t) && t.othersHaveShown(now):
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -79,7 +79,6 @@
 	knownCrashes int // of these, under runs that had taken effect for sure
 	// Since too little is known of its crashes it pauses until notBefore, or until starts are answered again.
 	pauses, awaitsAnswers bool
-	endedEarly            bool // its last pause did
 	crashCounted          bool // lastCrash is that of the run
 	started               startEvidence
 	ends                  []runEnd    // that count against it, the newest maxRunEnds
@@ -328,7 +327,7 @@
 }
 
 func (t *task) known() workload.KnownCrashes {
-	k := workload.KnownCrashes{Crashes: t.knownCrashes, EndedEarly: t.endedEarly}
+	k := workload.KnownCrashes{Crashes: t.knownCrashes}
 	if t.phase.held() {
 		k.Started, k.Counted = t.started != startNotKnown, t.crashCounted
 	}
@@ -404,7 +403,6 @@
 			continue
 		}
 		t, k := g.tasks[c.Index], p.Known[i]
-		t.endedEarly = k.EndedEarly
 		switch {
 		case t.phase.held():
 			t.crashCounted = k.Counted
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -154,7 +154,7 @@
 	}
 }
 
-// Guards against a sound task that pauses on after the trouble, for longer than LOST allows. Red, see KNOWN-RED.txt.
+// Guards against a sound task that pauses on after the trouble, for longer than LOST allows.
 func TestSoundTaskStartsSoonAfterAllIsCalm(t *testing.T) {
 	for _, crashes := range []int{3, 4, 5, 6, 7} {
 		t.Run(fmt.Sprint(crashes), func(t *testing.T) {
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -262,7 +262,7 @@
 	// NotBefore is when a task that pauses may start again, by the clock of the leader; 0 unless it pauses.
 	NotBefore     table.UnixMillis
 	AwaitsAnswers bool // whether the pause may end early
-	EndedEarly    bool // whether the last pause did
+	EndedEarly    bool // whether the last pause did; read by earlier versions only
 }
 
 // Submission is the log record of an accepted job.
