--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -161,11 +161,12 @@
 }
 
 // mustGiveUp reports whether t is to be given up. Its caller acts on that, so likelihood alone is not enough: workers
-// must be known to have crashed under its runs.
+// must be known to have crashed under its runs, and unless there is no start left this leader must have seen the last
+// crash, as it does not know of others of the moment of an earlier one.
 func (sched *Scheduler) mustGiveUp(t *task) bool {
 	l := sched.likelihood(t)
 	return t.knownCrashes >= leastKnown &&
-		(t.crashes >= leastCrashes && l >= giveUpLikelihood || t.crashes >= maxCrashes && l >= isolatedLikelihood)
+		(t.crashes >= leastCrashes && l >= giveUpLikelihood && t.lastCrash != nil || t.crashes >= maxCrashes && l >= isolatedLikelihood)
 }
 
 // outlives returns how likely a task that crashes its workers works for longer than the given time before it does.
--- a/dispatch/knowncrash_test.go
+++ b/dispatch/knowncrash_test.go
@@ -232,7 +232,7 @@
 	s.checkDeadly()
 }
 
-// Guards against a next leader that fails a job while the one before still waited. Red, see KNOWN-RED.txt.
+// Guards against a next leader that fails a job while the one before still waited.
 func TestNextLeaderWaitsForOtherCrashesOfTheMoment(t *testing.T) {
 	s, x := loseRack(t, 2, 1, 8)
 	for end := s.now.Add(10 * time.Second); x.crashes < 3 && s.now.Before(end); {
@@ -243,6 +243,39 @@
 	s.checkDeadly()
 }
 
+// Guards against deadly tasks that start again with each new leader, as it has not seen their last crash.
+func TestDeadlyTaskIsGivenUpThoughTheLeaderChangesAfterEachCrash(t *testing.T) {
+	for _, way := range []string{backReplaced, backRestarted} {
+		testDeadlyThroughLeaders(t, way)
+	}
+}
+
+// Guards against the same where a new leader does not see the silent worker end. Red, see KNOWN-RED.txt.
+func TestDeadlyTaskIsGivenUpThoughTheLeaderChangesAfterEachSilence(t *testing.T) {
+	for _, way := range []string{backLate, backLater, neverBack} {
+		testDeadlyThroughLeaders(t, way)
+	}
+}
+
+func testDeadlyThroughLeaders(t *testing.T, way string) {
+	t.Run(way, func(t *testing.T) {
+		s := newCrashSite(t, way, 6)
+		s.answered = true
+		s.pass(time.Second)
+		s.submitJob("deadly", step(1))
+		k, crashes := key("deadly", 0, 0), 0
+		for end := s.now.Add(3 * time.Minute); !s.loggedState("deadly").Final() && s.now.Before(end); {
+			s.pass(20 * time.Millisecond)
+			if x := s.task(k); x != nil && x.crashes > crashes {
+				crashes = x.crashes
+				s.changeLeader()
+			}
+		}
+		s.checkDeadly()
+		t.Logf("%d starts", len(s.starts[k]))
+	})
+}
+
 // Guards against runs that count as crashed since a poll of before their incarnation was refused.
 func TestLateRefusalByAnEarlierLifeEndsNoRun(t *testing.T) {
 	for _, c := range []struct{ heard, answered bool }{{true, true}, {true, false}, {false, false}} {
