--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -229,7 +229,7 @@
 			return
 		}
 		uncertain = info.Address != w.info.Address || w.addressUncertain
-		info.Incarnation = w.info.Incarnation
+		info.Incarnation, listed = w.info.Incarnation, 0
 	}
 	w.addressUncertain = uncertain
 	switch {
