Keep a task in place while its worker runs the first of two unanswered starts

Cause, traced: run 1 goes unanswered (1.47 s late), a poll shows that the incarnation has not carried it out, run 2 goes to the same worker and is lost as that one is down. The next incarnation carries run 1 out. Its first list shows run 1, not run 2, so run 2 counts as not started and the task starts elsewhere 16 ms later, beside the run that the same list shows. If run 1 is done by then, its result is dropped, as the task is still assigned, and the task runs again.

A task now stays with its worker while that one lists any run of it, in any phase, and a done run counts where a newer token has shown that the assigned one never started. Both new tests failed before.

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -123,11 +123,14 @@
 	t.unansweredBy, t.unansweredUntil = w.info.ID, now.Add(lateOrderLimit)
 }
 
-// lostBefore reports whether the run of t that w holds has ended with an earlier incarnation while another run of t has
-// ended as done, by a reply to a poll that was sent at the given time.
-func (w *worker) lostBefore(t *task, e TaskResult, l PollReply, sent time.Time) bool {
-	return t != nil && t.worker == w && t.phase == running && e.Cause == EndDone && e.Run != t.run && sent.After(t.startResolvedAt) &&
-		!slices.ContainsFunc(l.Running, func(r RunningTask) bool { return r.Task == e.Task && r.Run == t.run })
+// lostBefore reports whether the run of t that w holds has ended with an earlier incarnation, or has never started, while
+// another run of t has ended as done, by a reply to a poll that was sent at the given time.
+func (w *worker) lostBefore(t *task, e TaskResult, o PollOrder, l PollReply, sent time.Time) bool {
+	if t == nil || t.worker != w || e.Cause != EndDone || e.Run == t.run {
+		return false
+	}
+	known := t.phase == running && sent.After(t.startResolvedAt) || t.phase == starting && t.startUnknown && o.Token > t.token
+	return known && !slices.ContainsFunc(l.Running, func(r RunningTask) bool { return r.Task == e.Task && r.Run == t.run })
 }
 
 // startedByAnother notes that o was answered by a later incarnation than the one that it is for.
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -343,6 +343,37 @@
 	is.Equal(len(r.place()), 0)
 }
 
+// unansweredAgainRig is unansweredRig where the second start was not answered either, a has restarted since, and b is
+// there too.
+func unansweredAgainRig() (*rig, StartOrder) {
+	r, first := unansweredRig()
+	r.SetWorker(r.workerInfo("b"), r.now)
+	r.answerAs("b", 1, PollReply{Clock: 100_000})
+	r.StartDone(r.place()[0], StartUnknown, r.now)
+	r.restart("a", 2)
+	return r, first
+}
+
+// Guards against a run beside the first start, which the next incarnation has carried out, unlike the second one.
+func TestTaskDoesNotStartElsewhereWhileTheFirstOfTwoUnansweredStartsRuns(t *testing.T) {
+	is := is.New(t)
+	r, first := unansweredAgainRig()
+	is.True(r.answerAs("a", 2, PollReply{Clock: 200, Running: []RunningTask{{Task: first.Task, Run: first.Run}}}))
+	is.Equal(len(r.place()), 0)
+	r.now = r.now.Add(time.Second)
+	is.True(r.answerAs("a", 2, PollReply{Clock: 1200, Ended: []TaskResult{{Number: 1, Task: first.Task, Run: first.Run, Cause: EndStopped}}}))
+	is.Equal(len(r.place()), 1)
+}
+
+// Guards against a task that runs again though the next incarnation has carried out the first start, and is done.
+func TestResultOfTheFirstOfTwoUnansweredStartsCounts(t *testing.T) {
+	is := is.New(t)
+	r, first := unansweredAgainRig()
+	is.True(r.answerAs("a", 2, PollReply{Clock: 900, Ended: []TaskResult{{Number: 1, Task: first.Task, Run: first.Run}}}))
+	is.Equal(r.jobs["j"].state, workload.Completed)
+	is.Equal(len(r.place()), 0)
+}
+
 // Guards against a refusal by another worker at the address that is taken for an answer of the next incarnation.
 func TestAnswerOfAnotherWorkerAtTheAddressIsARefusal(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -108,7 +108,7 @@
 	for _, e := range l.Ended {
 		if e.Number > w.appliedResult {
 			w.appliedResult = e.Number
-			if t := sched.task(e.Task); w.lostBefore(t, e, l, sent) {
+			if t := sched.task(e.Task); w.lostBefore(t, e, o, l, sent) {
 				sched.loseRun(t, now, "another run is done")
 			}
 			sched.applyResult(w, e, now)
@@ -168,7 +168,7 @@
 		if ok && r.Run == t.run || t.phase == reserved {
 			continue
 		}
-		if ok && t.phase != starting {
+		if ok {
 			continue // another run of it is at work here, which is stopped first
 		}
 		if t.phase == starting && (t.startUnknown && o.Token > t.token) {
