--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -521,6 +521,23 @@
 	is.Equal(len(r.place()), 0)
 }
 
+// Guards against a start that is sent after the result of the run that the next incarnation has carried out late.
+func TestResultOfALateStartEndsAReservedOne(t *testing.T) {
+	is := is.New(t)
+	r, first := unansweredRig()
+	r.workers["a"].quarantine(r.now, "test")
+	r.SetWorker(r.workerInfo("b"), r.now)
+	r.answerAs("b", 1, PollReply{Clock: 100_000})
+	r.Decide(r.now)
+	f := r.Flush(r.now)
+	is.Equal(len(f.intents), 1)
+	r.restart("a", 2)
+	is.True(r.answerAs("a", 2, PollReply{Clock: 900, Ended: []TaskResult{{Number: 1, Task: first.Task, Run: first.Run}}}))
+	is.Equal(len(r.Flushed(f, r.now, true)), 0)
+	is.Equal(r.jobs["j"].state, workload.Completed)
+	is.Equal(len(r.place()), 0)
+}
+
 // Guards against a run elsewhere while the next incarnation may carry out the unanswered start.
 func TestUnansweredStartIsRepeatedOnTheSameWorkerOnce(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -75,13 +75,13 @@
 }
 
 // applyUnassignedResult applies the result of a run that is no longer assigned to the worker that reports it. Only
-// successful runs count, and only if the task is not running again.
+// successful runs count, and only if the task has not been started again; its next start may be reserved.
 func (sched *Scheduler) applyUnassignedResult(t *task, e TaskResult, now time.Time) {
 	if e.Cause != EndDone {
 		return
 	}
 	sched.cfg.Log.Info("unassigned run ended", "Task", e.Task.String(), "Run", e.Run, "Phase", t.phase)
-	if t.worker == nil {
+	if t.worker == nil || t.phase == reserved && !t.group.step.Gang {
 		sched.runDone(t, now)
 	}
 }
