--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,7 +36,7 @@
 	token       FenceToken
 	contacted   bool // this leader has polled this incarnation, first at contactedAt
 	contactedAt time.Time
-	restarted   bool      // this leader has known an earlier incarnation
+	restarted   bool      // an earlier incarnation may have got orders of this leader
 	knownSince  time.Time // from when only superseded leaders have sent orders for earlier incarnations
 	heardAt     time.Time
 	aliveAt     time.Time // when the newest start that it confirmed was sent
