--- a/dispatch/births_test.go
+++ b/dispatch/births_test.go
@@ -31,7 +31,7 @@
 	is.True(!next.workers["a"].info.Draining)
 }
 
-// Guards against a worker that is never reached again, since its next incarnation has an earlier birth and another address.
+// Guards against a worker that is not reached again, as its next incarnation has an earlier birth and another address.
 func TestLaterIncarnationWithAnEarlierBirthIsReachedAtItsAddress(t *testing.T) {
 	is := is.New(t)
 	r := newRig()
@@ -101,8 +101,7 @@
 	}
 }
 
-// Guards against a worker that is never used again, and whose tasks are kept, since the time of day was set back between
-// two incarnations.
+// Guards against a worker that is not used again, and whose tasks are kept, as the time of day was set back meanwhile.
 func TestLaterIncarnationWithAnEarlierBirthIsContacted(t *testing.T) {
 	for _, shownBy := range []string{"poll", "entry"} {
 		is := is.New(t)
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -48,7 +48,7 @@
 	is.True(r.workers["a"].usable(r.now))
 }
 
-// Guards against a disruption budget that is exceeded by stops of tasks which came to work since the last report on them.
+// Guards against a disruption budget that is exceeded by stops of tasks which came to work since their last report.
 func TestTasksThatMayHaveComeToWorkCountAgainstTheDisruptionBudget(t *testing.T) {
 	for _, percent := range []int{0, 99} {
 		is := is.New(t)
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -56,8 +56,8 @@
 	return sent.Add(lateOrderLimit + sched.longestLease())
 }
 
-// isAnother reports whether i is another incarnation of w than the one that is known. Births are times of day, which may
-// be set back, so they do not tell which is the later one; the order of calls does.
+// isAnother reports whether i is another incarnation of w than the one that is known. Births are times of day, which
+// may be set back, so they do not tell which is the later one; the order of calls does.
 func (w *worker) isAnother(i table.UnixMillis) bool {
 	return i != 0 && i != w.info.Incarnation && (w.info.Incarnation != 0 || w.contacted)
 }
@@ -141,8 +141,8 @@
 	t.unansweredBy, t.unansweredUntil = w.info.ID, now.Add(lateOrderLimit)
 }
 
-// lostBefore reports whether the run of t that w holds has ended with an earlier incarnation, or has never started, while
-// another run of t has ended as done, by a reply to a poll that was sent at the given time.
+// lostBefore reports whether the run of t that w holds has ended with an earlier incarnation, or has never started,
+// while another run of t has ended as done, by a reply to a poll that was sent at the given time.
 func (w *worker) lostBefore(t *task, e TaskResult, o PollOrder, l PollReply, sent time.Time) bool {
 	if t == nil || t.worker != w || e.Cause != EndDone || e.Run == t.run {
 		return false
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -569,7 +569,7 @@
 	is.True(restartAfter(r) >= longest)
 }
 
-// Guards against a crash that counts against a run that had worked for long, since an answer of the next incarnation came first.
+// Guards against a crash that counts against a run which had worked for long, as the next incarnation answered first.
 func TestAgeOfARunIsKeptUntilTheCrashIsCounted(t *testing.T) {
 	for _, shownBy := range []string{"poll", "start"} {
 		is := is.New(t)
--- a/dispatch/supervise.go
+++ b/dispatch/supervise.go
@@ -160,8 +160,8 @@
 	return t.phase == running && t.percent == fullPercent && t.worker.contacted && t.worker.missedPolls == 0
 }
 
-// mayBeReady reports whether t is ready, or may be since the last report on it, if there was one. A long-running task is
-// ready soon after its start unless its progress stands. The members of a gang that is broken up must end together.
+// mayBeReady reports whether t is ready, or may be since the last report on it, if there was one. A long-running task
+// is ready soon after its start unless its progress stands. The members of a gang that is broken up must end together.
 func (t *task) mayBeReady() bool {
 	if t.percent == fullPercent {
 		return true
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -211,7 +211,8 @@
 	return w.clock + WorkerClock(ahead/time.Millisecond)
 }
 
-// clockRange returns what the clock of the present incarnation of w may read in a reply that comes within the given time.
+// clockRange returns what the clock of the present incarnation of w may read in a reply that comes within the given
+// time.
 func (w *worker) clockRange(now time.Time, within time.Duration) ClockRange {
 	if w.clockAt.IsZero() {
 		return ClockRange{}
--- a/maintenance/controller_test.go
+++ b/maintenance/controller_test.go
@@ -399,7 +399,7 @@
 	})
 }
 
-// Guards against tasks of a step with a disruption budget that are ended on the worker that came up during an evacuation.
+// Guards against tasks of a step with a disruption budget that end on a worker that came up during an evacuation.
 func TestWorkerThatCameUpDuringTheEvacuationIsEvacuatedToo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
