--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -40,22 +40,24 @@
 	if !contacted {
 		other = other.Add(lateOrderLimit)
 	}
-	if other.After(own) {
-		return other
-	}
-	return own
+	return latest(own, other)
 }
 
 // lateOrdersEnd returns when the lease of an incarnation of w has ended that this leader has not polled, but that may
 // have carried out orders for earlier incarnations.
 func (sched *Scheduler) lateOrdersEnd(w *worker) time.Time {
-	sent := sched.ledSince.Add(supersededExtension)
-	if w.leaseSentAt.After(sent) {
-		sent = w.leaseSentAt
-	}
+	sent := latest(sched.ledSince.Add(supersededExtension), w.leaseSentAt)
 	return sent.Add(lateOrderLimit + sched.longestLease())
 }
 
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // isAnother reports whether i is another incarnation of w than the one that is known. Births are times of day, which
 // may be set back, so they do not tell which is the later one; the order of calls does.
 func (w *worker) isAnother(i table.UnixMillis) bool {
@@ -120,9 +122,7 @@
 	if w.leaseBound.covers(l.Incarnation) && before.Before(other) {
 		other = before // no leader extends it further
 	}
-	if other.After(w.leaseUntil) {
-		w.leaseUntil = other
-	}
+	w.leaseUntil = latest(w.leaseUntil, other)
 	w.contacted, w.contactedAt = true, now
 	if l.Incarnation != 0 {
 		w.info.Incarnation = l.Incarnation
@@ -147,7 +147,7 @@
 	if t == nil || t.worker != w || e.Cause != EndDone || e.Run == t.run {
 		return false
 	}
-	known := t.phase == running && sent.After(t.startResolvedAt) || t.phase == starting && t.startUnknown && o.Token > t.token
+	known := t.phase == running && sent.After(t.startResolvedAt) || t.startSettledBy(o.Token)
 	return known && !slices.ContainsFunc(l.Running, func(r RunningTask) bool { return r.Task == e.Task && r.Run == t.run })
 }
 
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -40,6 +40,22 @@
 	return r, r.place()[0]
 }
 
+// acknowledgingRig returns a rig that runs so many tasks on worker a, of which the first is done, and the poll that
+// acknowledges its result.
+func acknowledgingRig(t *testing.T, tasks int) (*rig, PollOrder) {
+	t.Helper()
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", step(tasks))
+	r.placeAndStart()
+	r.list("a", TaskResult{Number: 1, Task: key("j", 0, 0), Run: 1})
+	r.place()
+	r.now = r.now.Add(pollPause)
+	poll := r.PollOrders(r.now, true)[0]
+	is.New(t).Equal(poll.Acked, ResultNumber(1))
+	return r, poll
+}
+
 // unansweredRig returns a rig whose worker a has not carried out the first start of a task.
 func unansweredRig() (*rig, StartOrder) {
 	r, o := orderedRig()
@@ -256,15 +272,7 @@
 // Guards against a start that follows an unanswered acknowledgement under the same token.
 func TestUnansweredAcknowledgementIsVoidForLaterStarts(t *testing.T) {
 	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	r.submit("j", step(1))
-	r.placeAndStart()
-	r.list("a", TaskResult{Number: 1, Task: key("j", 0, 0), Run: 1})
-	r.place()
-	r.now = r.now.Add(pollPause)
-	poll := r.PollOrders(r.now, true)[0]
-	is.Equal(poll.Acked, ResultNumber(1))
+	r, poll := acknowledgingRig(t, 1)
 	r.PollDone(poll, r.now, PollReply{}, fault.New(fault.OutcomeUnknown, "no answer"), r.now)
 	r.now = r.now.Add(time.Second)
 	r.list("a")
@@ -290,17 +298,8 @@
 
 // Guards against acknowledgements that end once an urgent poll has overtaken one.
 func TestAcknowledgementsGoOnAfterAnUrgentPollHasOvertakenOne(t *testing.T) {
-	is := is.New(t)
-	r := newRig()
-	r.addWorkers("a")
-	r.submit("j", step(2))
-	r.placeAndStart()
-	r.list("a", TaskResult{Number: 1, Task: key("j", 0, 0), Run: 1})
-	r.place()
-	r.now = r.now.Add(pollPause)
+	r, first := acknowledgingRig(t, 2) // waits for an end
 	sent := r.now
-	first := r.PollOrders(r.now, true)[0] // waits for an end
-	is.Equal(first.Acked, ResultNumber(1))
 	r.cancel("j")
 	r.StopDone(r.StopOrders(r.now)[0], nil, r.now) // polls urgently
 	r.now = r.now.Add(pollPause)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -93,6 +93,12 @@
 	risk                  float64     // likelihood that the run crashes its worker, counted in worker.risk
 }
 
+// startSettledBy reports whether a reply to a poll under the given token tells what has become of the start of t, which
+// was not answered: the worker does not carry it out any more.
+func (t *task) startSettledBy(token FenceToken) bool {
+	return t.phase == starting && t.startUnknown && token > t.token
+}
+
 // group holds the tasks of one step of one occurrence.
 type group struct {
 	job               *job
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -177,7 +177,7 @@
 		if ok {
 			continue // another run of it is at work here, which is stopped first
 		}
-		if t.phase == starting && (t.startUnknown && o.Token > t.token) {
+		if t.startSettledBy(o.Token) {
 			sched.startUnanswered(t, now)
 			sched.cfg.Log.Info("unanswered start did not take effect", "Task", key.String(), "Run", t.run, "Worker", w.info.ID)
 			t.notCarriedOut(w, now)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -15,7 +15,7 @@
 	listedIncarnation table.UnixMillis // in its newest entry of the list
 	handedOver        bool             // its handover record is written or scheduled
 	recorded          WorkerInfo       // in its handover record
-	addressUncertain  bool             // its address is from an entry with an earlier birth, so another worker may be there
+	addressUncertain  bool             // its address is from an entry with an earlier birth; another worker may be there
 	contactRecorded   bool             // its handover record tells that the incarnation was polled
 	leavesAt          time.Time        // when a draining worker leaves at the earliest
 	leaveSeen         bool             // this leader listed it before it drained, so that leavesAt is not too late
@@ -176,7 +176,7 @@
 // startOnItsWay reports whether w may yet carry out a start, in this incarnation or the next one.
 func (w *worker) startOnItsWay() bool {
 	for _, t := range w.tasks {
-		if t.phase == reserved || t.phase == starting && !(t.startUnknown && w.answeredToken > t.token) {
+		if t.phase == reserved || t.phase == starting && !t.startSettledBy(w.answeredToken) {
 			return true
 		}
 	}
@@ -203,10 +203,7 @@
 		return 0
 	}
 	// The worker's clock may run slow, so its lease may outlast the term on this host's clock.
-	end := w.clockAt.Add(maxLeaseDuration(ahead))
-	if end.After(w.leaseUntil) {
-		w.leaseUntil = end
-	}
+	w.leaseUntil = latest(w.leaseUntil, w.clockAt.Add(maxLeaseDuration(ahead)))
 	w.leaseSentAt = now
 	return w.clock + WorkerClock(ahead/time.Millisecond)
 }
--- a/maintenance/controller.go
+++ b/maintenance/controller.go
@@ -20,8 +20,8 @@
 	roundInterval = 500 * time.Millisecond // while a wave is active; each round reads the list of machines
 	idleInterval  = 500 * time.Millisecond // between checks for a new wave
 	callTimeout   = 1500 * time.Millisecond
-	// Without a confirmation for longer nothing is ordered: others claim leadership after 1.5 s, and a platform may check
-	// no tokens. An append that succeeds takes less.
+	// Without a confirmation for longer nothing is ordered: others claim leadership after 1.5 s, and a platform may
+	// check no tokens. An append that succeeds takes less.
 	maxUnconfirmed = time.Second
 )
 
@@ -52,8 +52,8 @@
 type Platform struct {
 	Machines func(ctx context.Context) ([]Machine, error)
 	Order    func(ctx context.Context, o Order) error
-	// NotifyOperator tells the operator that a wave has started or is over. It fails with fault.Stale for a token that is
-	// too low. A notice that was not answered does not take effect after a later one of its wave.
+	// NotifyOperator tells the operator that a wave has started or is over. It fails with fault.Stale for a token that
+	// is too low. A notice that was not answered does not take effect after a later one of its wave.
 	NotifyOperator func(ctx context.Context, n Notice) error
 }
 
