--- a/review/standin2/case_label.go
+++ b/review/standin2/case_label.go
@@ -29,7 +29,7 @@
 	if err := p.startHosts(3, nil); err != nil {
 		return err
 	}
-	p.background.Go(func() { p.crashInTurn(3*time.Second, time.Second, room) })
+	p.background.Go(func() { p.crashInTurn(1600*time.Millisecond, time.Second, room) })
 	for p.ctx.Err() == nil && time.Since(p.rec.began) < 90*time.Second {
 		j := p.newJob(1700*time.Millisecond, step{Count: 8, CPU: 3500, MemoryMB: 256, EstimateMs: 1700, Label: kinds[0]})
 		if !p.submit(j) {
--- a/review/standin2/figures.go
+++ b/review/standin2/figures.go
@@ -11,6 +11,8 @@
 	deadline    = 3 * time.Second        // of a caller
 	startup     = 500 * time.Millisecond // of a task that lasts
 	upkeepTime  = 2 * time.Second
+	leastLate   = 2 * time.Second // until an order without an answer is carried out
+	mostLate    = 12 * time.Second
 	noticeTime  = 4500 * time.Millisecond
 )
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,9 +23,11 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(p *play) error{
-	"limit":  playLimit,
+	"twice":  playTwice,  // case 6
+	"flap":   playFlap,   // case 7
+	"limit":  playLimit,  // case 9
+	"memory": playMemory, // case 10
 	"label":  playLabel,
-	"memory": playMemory,
 	"avail":  playAvail,
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -70,6 +70,7 @@
 	mu     sync.Mutex
 	server *http.Server // nil while the worker is down
 	life   *life
+	late   float64 // share of the orders that are not answered, and carried out late
 	over   bool
 }
 
@@ -142,9 +143,11 @@
 	}
 }
 
-// beat lists the worker with each heartbeat while it is up, and removes its entry after three silent ones.
+// beat lists the worker with each heartbeat while it is up, and removes its entry after three silent ones. The
+// heartbeats of the workers are spread.
 func (w *worker) beat() {
 	silent := 0
+	time.Sleep(time.Duration(rand.Int64N(int64(heartbeat))))
 	for range time.Tick(heartbeat) {
 		w.mu.Lock()
 		switch {
@@ -196,45 +199,81 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	path, id := r.URL.Path, r.Header.Get("Persimmonpick-Expect-Instance")
 	w.mu.Lock()
 	l := w.life
-	if id := r.Header.Get("Persimmonpick-Expect-Instance"); id != "" && id != l.id {
+	if w.late > 0 && rand.Float64() < w.late {
+		w.carryOutLate(path, id, o)
 		w.mu.Unlock()
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	reason := ""
-	if o.Token < l.token {
-		reason = "fence"
-	} else {
-		l.token = o.Token
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	}
-	if reason == "" {
-		switch r.URL.Path {
-		case "/-/run-start":
-			reason = w.startRun(l, o)
-		case "/-/run-stop":
-			w.stopRun(l, o)
-		case "/-/hold":
-			w.applyPoll(l, o)
-			w.mu.Unlock()
-			w.answerPoll(rw, r, l, o)
-			return
-		case "/-/pace":
-		default:
-			w.mu.Unlock()
-			rw.WriteHeader(http.StatusNotFound)
-			return
-		}
+	status, reason := w.carryOut(l, path, id, o)
+	if status == http.StatusOK && path == pathHold {
+		w.mu.Unlock()
+		w.answerPoll(rw, r, l, o)
+		return
 	}
-	body, status := map[string]any{"clockMs": l.clock().Milliseconds()}, http.StatusOK
+	body := map[string]any{"clockMs": l.clock().Milliseconds()}
 	if reason != "" {
-		body["reason"], status = reason, http.StatusConflict
+		body["reason"] = reason
 	}
 	w.mu.Unlock()
 	answer(rw, status, body)
 }
 
+// pathHold is the path of a poll.
+const pathHold = "/-/hold"
+
+// carryOut carries out an order for the life with the given ID, and returns the status and the reason of a refusal;
+// w.mu must be held.
+func (w *worker) carryOut(l *life, path, id string, o order) (int, string) {
+	if id != "" && id != l.id {
+		return http.StatusMisdirectedRequest, ""
+	}
+	if o.Token < l.token {
+		return http.StatusConflict, "fence"
+	}
+	l.token = o.Token
+	switch path {
+	case "/-/run-start":
+		if reason := w.startRun(l, o); reason != "" {
+			return http.StatusConflict, reason
+		}
+	case "/-/run-stop":
+		w.stopRun(l, o)
+	case pathHold:
+		w.applyPoll(l, o)
+	case "/-/pace":
+	default:
+		return http.StatusNotFound, ""
+	}
+	return http.StatusOK, ""
+}
+
+// carryOutLate carries out an order that is not answered, seconds later, in whichever life the worker is then; w.mu
+// must be held.
+func (w *worker) carryOutLate(path, id string, o order) {
+	by := leastLate + time.Duration(rand.Int64N(int64(mostLate-leastLate)))
+	w.play.rec.add("worker %s leaves %s %s run %d unanswered, to carry it out after %s", w.life.id, path, o.Task, o.Run, by.Round(time.Millisecond))
+	time.AfterFunc(by, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.server == nil {
+			return
+		}
+		status, reason := w.carryOut(w.life, path, id, o)
+		w.play.rec.add("worker %s carries out %s %s run %d late: %d %s", w.life.id, path, o.Task, o.Run, status, reason)
+	})
+}
+
+// setLate sets the share of the orders that are not answered.
+func (w *worker) setLate(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late = share
+}
+
 func answer(rw http.ResponseWriter, status int, body any) {
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
