--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # line.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review/standin2 ./review/standin2
+go build -buildvcs=false -o target/review/standin2 ./review/standin2
--- a/review/standin2/hosts.go
+++ b/review/standin2/hosts.go
@@ -25,6 +25,15 @@
 	ended     chan struct{}
 }
 
+// workerHost is the last number of the address of all workers, which no entry host has.
+const workerHost = 200
+
+// loopback returns a loopback address with the given last number, which only this process uses, so that no connection
+// of another one takes a port while its listener is down.
+func loopback(last int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, last)
+}
+
 // freePort returns a port that is free on ip.
 func freePort(ip string) (int, error) {
 	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
@@ -37,7 +46,7 @@
 
 // newHost writes the settings of an entry host with an address of its own; change may alter them.
 func (p *play) newHost(n int, change func(map[string]any)) (*host, error) {
-	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, 1+n)
+	ip := loopback(1 + n)
 	var ports [4]int
 	for i := range ports {
 		port, err := freePort(ip)
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -76,7 +76,7 @@
 
 // newWorker starts a worker and lists it.
 func (p *play) newWorker(cfg workerConfig, kind string, c capacity) (*worker, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback(workerHost)+":0")
 	if err != nil {
 		return nil, err
 	}
