--- a/review/standin2/case_twice.go
+++ b/review/standin2/case_twice.go
@@ -56,14 +56,15 @@
 			}
 			open = append(open, j)
 		}
-		p.sleep(2 * time.Second)
-		for i := range 2 {
-			p.sleep(800 * time.Millisecond)
-			if p.trouble {
-				p.crashTwo(4*n+2*i, room)
-			}
+		p.sleep(2800 * time.Millisecond)
+		if p.trouble {
+			p.crashTwo(4*n, room)
+		}
+		p.sleep(1200 * time.Millisecond) // the first two are back
+		if p.trouble {
+			p.crashTwo(4*n+2, room)
 		}
-		p.sleep(1900 * time.Millisecond)
+		p.sleep(1400 * time.Millisecond)
 		p.lateOrders(0)
 		p.sleep(3 * time.Second)
 		for _, j := range open {
