Charge workers with the runs that no task holds

Cause: the final state of a cancelled job is written while its runs are being stopped. The next leader does not load final jobs and takes their runs for strays, which were stopped but not counted.

Change: a worker is charged with each run that it lists and no task holds, by the spec of its job, which is kept as long as its status. If that is not known, the worker takes nothing until the run has ended. The same holds for earlier runs of a task and for the later run of a gang that is done.

Why it works: a leader starts nothing on a worker before the worker's first list under its token, and that list holds every run there.

The type of the scheduler's list of final jobs changed, and the test that reads it.

--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -188,9 +188,9 @@
 func (s *simulatedSite) promptJobs(from time.Time, every time.Duration, jobs int) (prompt, due int) {
 	const objective = 2*siteWork + time.Second
 	due = jobs - int(objective/every)
-	for id, at := range s.finalSince {
+	for id, f := range s.finalJobs {
 		var n int
-		if _, err := fmt.Sscanf(string(id), "fill-%d", &n); err == nil && n < due && at.Sub(from)-time.Duration(n)*every <= objective {
+		if _, err := fmt.Sscanf(string(id), "fill-%d", &n); err == nil && n < due && f.since.Sub(from)-time.Duration(n)*every <= objective {
 			prompt++
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -96,7 +96,7 @@
 		d.scheduler.SetEntry(e, now)
 	}
 	defer d.cfg.View.Watch(nil)
-	d.cfg.Log.Info("scheduler started", "Epoch", d.cfg.Writer.Epoch(), "Jobs", len(d.scheduler.jobs), "FinalJobs", len(d.scheduler.finalSince), "WorkersNamed", len(d.scheduler.workers))
+	d.cfg.Log.Info("scheduler started", "Epoch", d.cfg.Writer.Epoch(), "Jobs", len(d.scheduler.jobs), "FinalJobs", len(d.scheduler.finalJobs), "WorkersNamed", len(d.scheduler.workers))
 	go d.cfg.FollowWorkers(ctx, func(r WorkerListUpdate) { d.post(func(now time.Time) { d.applyWorkerList(r, now) }) })
 	tick := time.NewTicker(roundInterval)
 	defer tick.Stop()
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -56,6 +56,9 @@
 func (sched *Scheduler) gangDone(g *group, now time.Time) {
 	for _, t := range g.tasks {
 		if t.phase.held() {
+			if t.phase != reserved {
+				t.worker.strayUse.add(t.key, g.step)
+			}
 			t.worker.release(t)
 		}
 		sched.taskDone(t, now)
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -80,7 +80,7 @@
 
 // contactAnew has w polled as by a new leader.
 func (sched *Scheduler) contactAnew(w *worker, now time.Time) {
-	w.acknowledged, w.ackDueSince, w.answeredToken = 0, time.Time{}, 0
+	w.acknowledged, w.ackDueSince, w.answeredToken, w.strayUse = 0, time.Time{}, 0, strayUse{}
 	w.restarted = true
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
 	w.raiseToken()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -269,11 +269,14 @@
 	return true
 }
 
-// need returns what one task counts against the capacity of a worker; best-effort tasks count
-// only with their memory and accelerators.
-func (g *group) need() table.Resources {
-	n := g.step.Need
-	if g.step.BestEffort {
+// need returns what one task counts against the capacity of a worker.
+func (g *group) need() table.Resources { return countedNeed(g.step) }
+
+// countedNeed returns what one task of s counts against the capacity of a worker; best-effort tasks count only with
+// their memory and accelerators.
+func countedNeed(s *workload.Step) table.Resources {
+	n := s.Need
+	if s.BestEffort {
 		n.CPU = 0
 	}
 	return n
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -48,12 +48,12 @@
 		return obstacleService
 	case g.step.Label != "" && !slices.Contains(w.info.Labels, g.step.Label):
 		return obstacleLabel
-	case now.Before(w.fullUntil) || !g.need().Fits(w.free()):
+	case now.Before(w.fullUntil) || w.strayUse.unknown || !g.need().Fits(w.free()):
 		if !g.need().Fits(w.info.Capacity) {
 			return obstacleSize
 		}
 		return obstacleRoom
-	case g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID] >= g.step.MaxPerWorker:
+	case g.step.MaxPerWorker > 0 && g.perWorker[w.info.ID]+w.strayUse.steps[g.key()] >= g.step.MaxPerWorker:
 		return obstacleMaxPerWorker
 	}
 	if g.step.BestEffort {
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -167,6 +167,7 @@
 		running[r.Task] = r
 		sched.observe(w, r, sent, now)
 	}
+	sched.chargeStrays(w, l.Running)
 	if len(l.Ended) >= resultPageSize {
 		return // more results follow; until then no run counts as lost
 	}
@@ -224,17 +225,6 @@
 	sched.measure(t, r, now)
 }
 
-// stray records a run that must be stopped because no task holds it.
-func (sched *Scheduler) stray(w *worker, r RunningTask, why string) {
-	if w.strays == nil {
-		w.strays = map[workload.TaskKey]workload.RunNumber{}
-	}
-	if _, known := w.strays[r.Task]; !known {
-		sched.cfg.Log.Info("stray run", "Task", r.Task.String(), "Run", r.Run, "Worker", w.info.ID, "Why", why)
-	}
-	w.strays[r.Task] = r.Run
-}
-
 // measure applies the progress and usage of a run.
 func (sched *Scheduler) measure(t *task, r RunningTask, now time.Time) {
 	if t.phase == starting {
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -127,7 +127,7 @@
 		j.loggedIn = max(j.loggedIn, f.number)
 	}
 	for j := range f.final {
-		j.finalLogged, sched.finalSince[j.id] = true, now
+		j.finalLogged, sched.finalJobs[j.id] = true, finalJob{since: now, spec: j.spec}
 		delete(sched.unloggedFinal, j.id)
 		sched.finishedProgress = append(sched.finishedProgress, ledger.DropProgress(j.id))
 		sched.dropFinished(j)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -41,8 +41,8 @@
 type Scheduler struct {
 	cfg            Config
 	jobs           map[table.JobID]*job
-	finalSince     map[table.JobID]time.Time // when each job became final, or when its state was in the log
-	unloggedFinal  map[table.JobID]bool      // final jobs whose state is not in the log yet
+	finalJobs      map[table.JobID]finalJob
+	unloggedFinal  map[table.JobID]bool // final jobs whose state is not in the log yet
 	workers        map[table.WorkerID]*worker
 	queues         map[workload.QueueID]workload.Queue
 	interference   *interferenceModel
@@ -93,6 +93,12 @@
 	modelWrittenAt time.Time                        // when the interference model was last written to the log
 }
 
+// finalJob is a job that has ended and whose status is kept.
+type finalJob struct {
+	since time.Time // when it became final, or when its state was in the log
+	spec  *workload.Spec
+}
+
 // Counts holds the cumulative counts of scheduling events, for metrics.
 type Counts struct {
 	Starts, Refused, Unknown, Ended, Failed, Stalled, Moved, Lost, Completed, Cancelled int
@@ -104,7 +110,7 @@
 // NewScheduler returns a Scheduler without jobs and workers.
 func NewScheduler(cfg Config) *Scheduler {
 	return &Scheduler{
-		cfg: cfg, jobs: map[table.JobID]*job{}, finalSince: map[table.JobID]time.Time{}, unloggedFinal: map[table.JobID]bool{},
+		cfg: cfg, jobs: map[table.JobID]*job{}, finalJobs: map[table.JobID]finalJob{}, unloggedFinal: map[table.JobID]bool{},
 		workers: map[table.WorkerID]*worker{}, queues: map[workload.QueueID]workload.Queue{},
 		interference: newInterferenceModel(), typicalWork: queueWork{}, durationRatios: durationRatios{},
 		order: triage.New(triage.Config{
@@ -140,11 +146,11 @@
 	}
 	j := sched.jobs[e.ID]
 	if j == nil {
-		if _, ended := sched.finalSince[e.ID]; ended || e.Submission == nil {
+		if _, ended := sched.finalJobs[e.ID]; ended || e.Submission == nil {
 			return
 		}
 		if e.Status.State.Final() {
-			sched.finalSince[e.ID] = now
+			sched.finalJobs[e.ID] = finalJob{since: now, spec: &e.Submission.Spec}
 			return
 		}
 		if err := e.Submission.Spec.Check(); err != nil {
@@ -328,7 +334,7 @@
 // finishJob makes a job final and stops its running tasks.
 func (sched *Scheduler) finishJob(j *job, s workload.State, now time.Time) {
 	j.state, j.statusChanged, j.dirty = s, true, true
-	sched.finalSince[j.id], sched.unloggedFinal[j.id] = now, true
+	sched.finalJobs[j.id], sched.unloggedFinal[j.id] = finalJob{since: now, spec: j.spec}, true
 	sched.recordJobEnd(j, s, now)
 	c := j.summary(now)
 	sched.cfg.Log.Info("job final", "Job", j.id, "Queue", j.queue.ID, "State", s, "After", now.Sub(j.submitted).Round(time.Millisecond),
@@ -379,9 +385,9 @@
 			}
 		}
 	}
-	for id, at := range sched.finalSince {
-		if !sched.unloggedFinal[id] && now.Sub(at) > sched.cfg.StatusRetention {
-			delete(sched.finalSince, id)
+	for id, f := range sched.finalJobs {
+		if !sched.unloggedFinal[id] && now.Sub(f.since) > sched.cfg.StatusRetention {
+			delete(sched.finalJobs, id)
 			sched.droppedRecords = append(sched.droppedRecords, ledger.DropJob(id)...)
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -55,6 +55,7 @@
 	urgent          bool                                    // the next poll must resolve an unknown outcome
 	strays          map[workload.TaskKey]workload.RunNumber // runs to stop that no task holds
 	straysStoppedAt time.Time
+	strayUse        strayUse         // by the newest list of its runs
 	fullUntil       time.Time        // after it refused a start for lack of room
 	appliedResult   ResultNumber     // newest result that was applied
 	loggedResult    ResultNumber     // up to which the effects of all results are in the log
@@ -270,7 +271,9 @@
 	return bestEffortLimit*w.processors() - w.committedCPU() - float64(w.bestEffortCPU)
 }
 
-func (w *worker) free() table.Resources { return w.info.Capacity.Minus(w.used) }
+func (w *worker) free() table.Resources {
+	return w.info.Capacity.Minus(w.used).Minus(w.strayUse.used)
+}
 
 // quarantine keeps new tasks off w for a time that doubles with each quarantine; it returns false if w is in
 // quarantine already.
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -294,6 +294,11 @@
 	At table.UnixMillis `cbor:"1,keyasint"`
 }
 
+// StepKey returns the key of the step of the task.
+func (k TaskKey) StepKey() StepKey {
+	return StepKey{Job: k.Job, Occurrence: k.Occurrence, Step: k.Step}
+}
+
 // String returns k as JOB.OCCURRENCE.STEP.INDEX.
 func (k TaskKey) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", k.Job, k.Occurrence, k.Step, k.Index)
