Request tickets for the next incarnation of a bound task

Found by reading the change that binds tasks to their workers: a bound task of a queue that needs approval waited until it was no longer bound if its worker had restarted. Tickets count for one incarnation, and requests are made for steps that the general placement has tried, which leaves bound tasks out.

placeBound names such steps now, and the workers that tasks are bound to come first in the request.

Test: TestTicketIsRequestedForTheNextIncarnationOfABoundTask, which fails without the change.

--- a/dispatch/approval.go
+++ b/dispatch/approval.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -104,7 +105,11 @@
 	var ps []place
 	for _, w := range sched.workers {
 		if w.accepts(t, now) && sched.obstacle(t, w, now) == obstacleNoTicket {
-			ps = append(ps, place{w, sched.score(t, w, now)})
+			p := place{w, sched.score(t, w, now)}
+			if g.binds(w) {
+				p.score = math.Inf(-1)
+			}
+			ps = append(ps, p)
 		}
 	}
 	slices.SortFunc(ps, func(x, y place) int {
--- a/dispatch/latestarts.go
+++ b/dispatch/latestarts.go
@@ -120,9 +120,12 @@
 	})
 	placed := 0
 	for _, t := range tasks {
+		g := t.group
 		if w := sched.workers[t.late.worker]; w != nil && sched.takesBound(w, t, now) {
 			sched.reserve(t, w, now)
 			placed++
+		} else if g.job.queue.NeedsApproval && !slices.Contains(sched.awaitingApproval, g) {
+			sched.awaitingApproval = append(sched.awaitingApproval, g) // a new incarnation needs a ticket of its own
 		}
 	}
 	return placed
@@ -133,6 +136,11 @@
 	return w.offered(t, now) && sched.fits(t, w, now) && !t.failsOn(w)
 }
 
+// binds reports whether a waiting task of g is bound to w.
+func (g *group) binds(w *worker) bool {
+	return slices.ContainsFunc(g.tasks, func(t *task) bool { return t.bound && t.phase == waiting && t.late.worker == w.info.ID })
+}
+
 // failsOn reports whether t, whose attempts are limited, failed last on w, and w has had no success since.
 func (t *task) failsOn(w *worker) bool {
 	return t.failures > 0 && t.lastFailedOn == w.info.ID && w.failStreak > 0 && !t.group.step.LongRunning
--- a/dispatch/latestarts_test.go
+++ b/dispatch/latestarts_test.go
@@ -249,3 +249,21 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Worker, table.WorkerID("b"))
 }
+
+// Guards against a bound task that never gets a ticket for the next incarnation of its worker.
+func TestTicketIsRequestedForTheNextIncarnationOfABoundTask(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("a")
+	r.submitNeedingApproval("j", step(1))
+	r.place()
+	r.answerApprovals("a")
+	r.StartDone(r.place()[0], StartUnknown, r.now)
+	r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli())})
+	is.Equal(len(r.placeAndStart()), 1)
+	r.restart("a", 2)
+	is.True(r.answerAs("a", 2, PollReply{Clock: 150}))
+	is.Equal(len(r.place()), 0) // the ticket was for the incarnation before
+	is.Equal(len(r.answerApprovals("a")), 1)
+	is.Equal(len(r.place()), 1)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"persimmonpick/table"
@@ -34,9 +35,9 @@
 	}
 	var rejected []rejectedNeed
 	sched.roomWanted = false
+	sched.awaitingApproval = nil
 	placed := sched.placeBound(now)
 	placed += sched.placeLongestWaiting(now)
-	sched.awaitingApproval = nil
 	for _, g := range sched.waitingGroups(now) {
 		if placed >= maxPlaced {
 			return
@@ -49,7 +50,7 @@
 		n, all := sched.placeGroup(g, now)
 		placed += n
 		g.recordUnplaced(!all, now)
-		if !all && g.job.queue.NeedsApproval {
+		if !all && g.job.queue.NeedsApproval && !slices.Contains(sched.awaitingApproval, g) {
 			sched.awaitingApproval = append(sched.awaitingApproval, g)
 		}
 		if !all && need.plain && sched.waitsForRoom(g, now) {
