Use a run number again only until its run begins, and after refusals too

The mark ends with each assignment now, and is set where a start was refused, not sent or taken back.

Test: TestNumberOfAStartIsUsedAgainOnlyUntilItsRunBegins, which fails without the change.

--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -34,7 +34,7 @@
 		return 0, false
 	}
 	for i, t := range g.tasks {
-		t.run, t.notBegun, t.checkpoint = top, false, checkpoint
+		t.run, t.checkpoint = top, checkpoint
 		sched.reserve(t, places[i], now)
 	}
 	return len(g.tasks), true
--- a/dispatch/latestarts_test.go
+++ b/dispatch/latestarts_test.go
@@ -267,3 +267,16 @@
 	is.Equal(len(r.answerApprovals("a")), 1)
 	is.Equal(len(r.place()), 1)
 }
+
+// Guards against a run number that is used again after its run has begun, or is not used again after a refusal.
+func TestNumberOfAStartIsUsedAgainOnlyUntilItsRunBegins(t *testing.T) {
+	is := is.New(t)
+	r, first := boundRig()
+	r.StartDone(r.place()[0], RefusedCapacity, r.now)
+	r.now = r.now.Add(refusedBackoff)
+	r.answerAs("b", 1, PollReply{Clock: 100_500})
+	again := r.runAgain(is)
+	is.Equal(again.Run, first.Run)
+	r.list("a", TaskResult{Number: 1, Task: first.Task, Run: first.Run, Cause: EndStopped})
+	is.True(r.runAgain(is).Run > first.Run)
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -53,7 +53,7 @@
 	w.pollUrgently(now)
 	sched.crashRefuted(t)
 	t.refusedBy = o.Worker
-	sched.requeue(t, now, refusedBackoff)
+	sched.requeueUnbegun(t, now)
 	sched.breakGang(t, "member refused")
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -214,7 +214,7 @@
 		sched.cfg.Log.Info("starved task placed in quarantine", "Task", t.key.String(), "Worker", w.info.ID, "Why", w.quarantineReason, "Until", w.quarantinedUntil)
 	}
 	run := t.nextRun(w)
-	t.repeated, t.notBegun = run == t.run, false
+	t.repeated = run == t.run
 	t.run, t.startResolvedAt = run, time.Time{}
 	if t.starved && t.group.step.BestEffort && w.criticalTasks > 0 {
 		w.imposedAt = now
--- a/dispatch/records.go
+++ b/dispatch/records.go
@@ -150,7 +150,7 @@
 		}
 		w := t.worker
 		if !extend || sched.startsHeld || !w.accepts(t, now) || t.group.job.state.Final() || incomplete[t.group] {
-			sched.requeue(t, now, refusedBackoff)
+			sched.requeueUnbegun(t, now)
 			continue
 		}
 		if w.ackSent {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -331,6 +331,12 @@
 	t.group.job.dirty = true
 }
 
+// requeueUnbegun is requeue for a task whose start was not sent or was refused.
+func (sched *Scheduler) requeueUnbegun(t *task, now time.Time) {
+	sched.requeue(t, now, refusedBackoff)
+	t.notBegun = true
+}
+
 // finishJob makes a job final and stops its running tasks.
 func (sched *Scheduler) finishJob(j *job, s workload.State, now time.Time) {
 	j.state, j.statusChanged, j.dirty = s, true, true
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -102,7 +102,7 @@
 // assign assigns t to w.
 func (w *worker) assign(t *task, p phase) {
 	t.group.waitingTasks--
-	t.worker, t.phase = w, p
+	t.worker, t.phase, t.notBegun = w, p, false
 	w.tasks[t.key] = t
 	w.charge(t, 1)
 	w.watch(t)
