--- a/dispatch/latestarts_test.go
+++ b/dispatch/latestarts_test.go
@@ -237,14 +237,7 @@
 func TestTaskIsNotBoundToAWorkerThatWasReplaced(t *testing.T) {
 	is := is.New(t)
 	r, _ := boundRig()
-	r.now = r.now.Add(pollPause)
-	for _, o := range r.PollOrders(r.now, true) {
-		if o.Worker == "a" {
-			r.PollDone(o, r.now, PollReply{}, fault.New(fault.NotCurrent, "another worker"), r.now)
-			continue
-		}
-		r.PollDone(o, r.now, PollReply{Incarnation: 1, Clock: 100_100}, nil, r.now)
-	}
+	r.replace("a")
 	orders := r.place()
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Worker, table.WorkerID("b"))
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -203,6 +203,16 @@
 	is.True(silent(2 * time.Second)) // polls without an answer do not extend the lease for ever
 }
 
+// replace answers the polls of the given worker as another one at its address, and leaves those of others unanswered.
+func (r *rig) replace(id table.WorkerID) {
+	r.now = r.now.Add(pollPause)
+	for _, o := range r.PollOrders(r.now, true) {
+		if o.Worker == id {
+			r.PollDone(o, r.now, PollReply{}, fault.New(fault.NotCurrent, "another worker"), r.now)
+		}
+	}
+}
+
 func TestAddressOfAnotherIncarnationFreesTasks(t *testing.T) {
 	is := is.New(t)
 	r := newRig()
@@ -210,12 +220,7 @@
 	r.submit("j", step(1))
 	o := r.placeAndStart()[0]
 	r.addWorkers("b")
-	r.now = r.now.Add(pollPause)
-	for _, l := range r.PollOrders(r.now, true) {
-		if l.Worker == o.Worker {
-			r.PollDone(l, r.now, PollReply{}, fault.New(fault.NotCurrent, "another life"), r.now)
-		}
-	}
+	r.replace(o.Worker)
 	again := r.placeAndStart()
 	is.Equal(len(again), 1)
 	is.Equal(again[0].Worker, table.WorkerID("b"))
