Repeat the polls of a new incarnation soon

Callers waited for tasks that are bound to a worker which had restarted: the pause between its polls was that of the incarnation before, up to 1.2 s after four polls without an answer. An incarnation that was listed before the one before had answered was not polled at once either.

The pause counts the polls that the present incarnation has left unanswered, and a new one is polled at once.

Test: TestPollsOfANewIncarnationAreRepeatedSoon, which fails without the change.

--- a/dispatch/births_test.go
+++ b/dispatch/births_test.go
@@ -154,3 +154,32 @@
 	}
 	is.Equal(r.workers["a"].info.Incarnation, table.UnixMillis(5))
 }
+
+// Guards against tasks that wait for a worker which is back, since its former incarnation left many polls unanswered.
+func TestPollsOfANewIncarnationAreRepeatedSoon(t *testing.T) {
+	for _, contacted := range []bool{true, false} {
+		is := is.New(t)
+		r := newRig()
+		if contacted {
+			r.addWorkers("a")
+		} else {
+			r.SetWorker(r.workerInfo("a"), r.now)
+		}
+		unanswered := func(within time.Duration) {
+			r.now = r.now.Add(within)
+			orders := r.PollOrders(r.now, true)
+			is.Equal(len(orders), 1)
+			r.now = r.now.Add(time.Second)
+			r.PollDone(orders[0], r.now.Add(-time.Second), PollReply{}, fault.New(fault.OutcomeUnknown, "no answer"), r.now)
+		}
+		for range 5 {
+			unanswered(pollRetryMaxDelay)
+		}
+		r.restart("a", 2)
+		unanswered(0)
+		unanswered(pollRetryDelay)
+		unanswered(2 * pollRetryDelay)
+		r.now = r.now.Add(2 * pollRetryDelay)
+		is.Equal(len(r.PollOrders(r.now, true)), 0)
+	}
+}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -86,6 +86,7 @@
 	w.raiseToken()
 	w.pollSentAt = now
 	w.failStreak, w.stall = 0, workerStall{}
+	w.retries = 0
 	w.pollUrgently(now)
 }
 
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -98,10 +98,10 @@
 		return
 	}
 	if o.Token < w.token && !w.contacted {
-		w.missedPolls = 0
+		w.missedPolls, w.retries = 0, 0
 		return // only a reply under the newer token shows what has become of earlier orders
 	}
-	w.missedPolls, w.heardAt, w.pollSentAt = 0, now, sent
+	w.missedPolls, w.retries, w.heardAt, w.pollSentAt = 0, 0, now, sent
 	w.answeredToken = max(w.answeredToken, o.Token)
 	if !w.contacted {
 		sched.firstContact(w, l, now)
@@ -137,7 +137,8 @@
 		w.raiseToken() // it may be carried out late
 	}
 	w.missedPolls++
-	w.nextPollAt = now.Add(min(pollRetryMaxDelay, pollRetryDelay<<min(w.missedPolls-1, 4)))
+	w.retries++
+	w.nextPollAt = now.Add(min(pollRetryMaxDelay, pollRetryDelay<<min(w.retries-1, 4)))
 	w.urgent = true
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -42,6 +42,7 @@
 	aliveAt     time.Time // when the newest start that it confirmed was sent
 	silentAt    time.Time // when it first missed a call, while missedPolls is not 0
 	missedPolls int       // calls in a row without an answer
+	retries     int       // of these, those since the present incarnation was known
 
 	clock           WorkerClock // at clockAt
 	clockAt         time.Time
