Bind long-running tasks for 7 s without a run at most

A long-running task that is bound to a worker waited for up to 13 s if the worker was not reached, and the next leader began to count anew. LOST allows 9 s.

Cause: only workers that answer and do not take the task let it go, 4 s after it lost its place or after a change of leader.

Change: the task is let go 7 s after it was last seen at work, whether the worker is reached or not. A leader that has not seen it at work counts 3 s from the first unanswered start. A worker that can take the task at that moment gets it.

Tests: the cases "silent" and "full" of TestLongRunningTaskIsNotBoundToAWorkerThatDoesNotTakeIt (a lower bound too), TestLongRunningTaskStartsOnItsWorkerIfThatAnswersAtLast, TestNextLeaderBindsLongRunningTasksForAShortTimeOnly; each fails without its part of the change.

--- a/dispatch/idle.go
+++ b/dispatch/idle.go
@@ -91,8 +91,10 @@
 
 // updateIdle updates since when t has not run though its turn has come.
 func (t *task) updateIdle(now time.Time) {
+	atWork := t.atWork()
+	t.idleUnknown = t.idleUnknown && !(atWork && t.worker.contacted)
 	switch {
-	case t.phase == done || t.atWork() || !t.group.ready():
+	case t.phase == done || atWork || !t.group.ready():
 		t.idleSince = time.Time{}
 	case t.idleSince.IsZero():
 		t.idleSince = now
--- a/dispatch/latestarts.go
+++ b/dispatch/latestarts.go
@@ -14,25 +14,33 @@
 // no such start is carried out any more, the task starts on the same worker only: what it runs there ends with the
 // incarnation, and the first contact with the next one shows whether that has carried the start out.
 
-// longestBoundWait is the time after which a long-running task is no longer bound to a worker that answers and does not
-// take it, as it may not be without a run for long.
-const longestBoundWait = 4 * time.Second
+// Bounds on how long a long-running task is bound to a worker that does not take it, as LOST bounds how long such a task
+// may be without a run: the second one counts from its first start that was not answered, also where the former is over
+// or not known.
+const (
+	longestIdleWait = 7 * time.Second
+	leastBoundWait  = 3 * time.Second
+)
 
 // lateStart is what is known of the starts of a task that were not answered.
 type lateStart struct {
 	worker table.WorkerID // that may carry them out; empty if there are none
 	until  time.Time
+	since  time.Time // of the first one since the task was at work
 }
 
 // mayComeAt reports whether the worker may carry out a start at the given time.
 func (l lateStart) mayComeAt(now time.Time) bool { return l.worker != "" && now.Before(l.until) }
 
 // noteLateStart records that the given worker may carry out a start of t until the given time.
-func (sched *Scheduler) noteLateStart(t *task, id table.WorkerID, until time.Time) {
+func (sched *Scheduler) noteLateStart(t *task, id table.WorkerID, until, now time.Time) {
 	if !until.After(t.late.until) {
 		return
 	}
-	t.late = lateStart{id, until}
+	if t.late.since.IsZero() || t.late.since.Before(t.idleSince) {
+		t.late.since = now
+	}
+	t.late.worker, t.late.until = id, until
 	sched.lateStarts[t] = true
 	t.group.job.dirty = true
 }
@@ -41,7 +49,7 @@
 // shows that it was carried out.
 func (sched *Scheduler) noteStartOfEarlierLeader(t *task, w *worker, now time.Time) {
 	if until := sched.inheritedStartsEnd(); t.orderedAt.IsZero() && t.started == startNotKnown && now.Before(until) {
-		sched.noteLateStart(t, w.info.ID, until)
+		sched.noteLateStart(t, w.info.ID, until, now)
 	}
 }
 
@@ -73,8 +81,7 @@
 		if w == nil || !sched.mayTake(w, t, now) {
 			return false
 		}
-		waits := latest(latest(t.displacedAt, sched.ledSince), w.contactedAt)
-		if w.reachable(now) && now.Sub(waits) >= longestBoundWait && !sched.takesBound(w, t, now) {
+		if !sched.takesBound(w, t, now) && t.hasWaitedForBound(now) {
 			return false
 		}
 	}
@@ -83,6 +90,16 @@
 	return now.Before(t.late.until) || uncontacted
 }
 
+// hasWaitedForBound reports whether t, which is long-running, has waited for its worker for as long as LOST allows.
+func (t *task) hasWaitedForBound(now time.Time) bool {
+	switch {
+	case t.idleSince.IsZero() || now.Sub(t.late.since) < leastBoundWait:
+		return false
+	default:
+		return t.idleUnknown || now.Sub(t.idleSince) >= longestIdleWait
+	}
+}
+
 // mayTake reports whether w, if it answers, may take t.
 func (sched *Scheduler) mayTake(w *worker, t *task, now time.Time) bool {
 	if !w.listed || w.evacuating || w.zoneEvacuated {
--- a/dispatch/latestarts_test.go
+++ b/dispatch/latestarts_test.go
@@ -100,26 +100,30 @@
 	failed := TaskResult{Number: 1, Task: key("j", 0, 0), Run: 1, Cause: EndFailed}
 	lost := maxLeaseDuration(testTerm)
 	for _, c := range []struct {
-		name    string
-		most    time.Duration // without a run
-		happens func(r *rig)
+		name        string
+		least, most time.Duration // without a run
+		happens     func(r *rig)
 	}{
-		{"full", longestBoundWait, func(r *rig) {
+		{"full", longestIdleWait, longestIdleWait, func(r *rig) {
 			r.list("a", failed)
 			r.workers["a"].fullUntil = r.now.Add(time.Minute)
 		}},
-		{"another kind", 0, func(r *rig) {
+		{"silent", longestIdleWait, longestIdleWait, func(r *rig) {
+			r.list("a", failed)
+			r.silence("a")
+		}},
+		{"another kind", 0, 0, func(r *rig) {
 			info := r.workerInfo("a")
 			info.Incarnation, info.Capacity.CPU = 2, 500
 			r.SetWorker(info, r.now)
 			r.answerAs("a", 2, PollReply{Clock: 150})
 		}},
-		{"draining", 0, func(r *rig) {
+		{"draining", 0, 0, func(r *rig) {
 			r.list("a", failed)
 			r.drain("a")
 		}},
-		{"gone", lost, func(r *rig) {
-			r.workers["a"].missedPolls = 1
+		{"gone", 0, lost, func(r *rig) {
+			r.silence("a")
 			r.RemoveWorker("a", r.now)
 		}},
 	} {
@@ -138,7 +142,7 @@
 				r.now = r.now.Add(50 * time.Millisecond)
 				for _, o := range r.PollOrders(r.now, true) {
 					w := r.workers[o.Worker]
-					if !w.missingSince.IsZero() {
+					if w.missedPolls > 0 {
 						r.PollDone(o, r.now, PollReply{}, fault.New(fault.OutcomeUnknown, "silent"), r.now)
 						continue
 					}
@@ -148,11 +152,68 @@
 				}
 				is.True(r.now.Sub(began) < c.most+time.Second)
 			}
+			is.True(r.now.Sub(began) >= c.least)
 			is.Equal(r.task(failed.Task).worker.info.ID, table.WorkerID("b"))
 		})
 	}
 }
 
+// silence has a poll of a worker go unanswered.
+func (r *rig) silence(id table.WorkerID) {
+	r.now = r.now.Add(pollPause)
+	for _, o := range r.PollOrders(r.now, true) {
+		if o.Worker == id {
+			r.PollDone(o, r.now, PollReply{}, fault.New(fault.OutcomeUnknown, "no answer"), r.now)
+		} else {
+			r.PollDone(o, r.now, r.listRunning(o.Worker), nil, r.now)
+		}
+	}
+}
+
+// Guards against a run elsewhere where the worker answers just as the task has waited for it for as long as it may.
+func TestLongRunningTaskStartsOnItsWorkerIfThatAnswersAtLast(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.addWorkers("b") // a has the better score of equal ones
+	r.submit("j", longRunningStep())
+	r.StartDone(r.place()[0], StartUnknown, r.now)
+	r.answerAs("b", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000})
+	r.SetWorker(r.workerInfo("a"), r.now)
+	r.silence("b")
+	is.Equal(len(r.place()), 0)
+	r.now = r.now.Add(longestIdleWait)
+	r.workers["b"].pollUrgently(r.now)
+	is.True(r.answerAs("b", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000}))
+	orders := r.place()
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Worker, table.WorkerID("b"))
+}
+
+// Guards against a long-running task that has no run for long, since each leader counts its wait anew.
+func TestNextLeaderBindsLongRunningTasksForAShortTimeOnly(t *testing.T) {
+	is := is.New(t)
+	var log []ledger.Record
+	r := newRig()
+	r.addWorkers("a")
+	r.submit("j", longRunningStep())
+	r.StartDone(r.place()[0], StartUnknown, r.now)
+	r.answerAs("a", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000})
+	r.flushRecords(&log)
+	next := nextLeader(log, 2, r.now, r.now)
+	next.SetWorker(next.workerInfo("a"), next.now)
+	next.SetWorker(next.workerInfo("b"), next.now)
+	next.workers["a"].fullUntil = next.now.Add(time.Minute)
+	began := next.now
+	var orders []StartOrder
+	for len(orders) == 0 {
+		next.answerPolls(nil)
+		orders = next.place()
+		is.True(next.now.Sub(began) < leastBoundWait+time.Second)
+	}
+	is.True(next.now.Sub(began) >= leastBoundWait)
+	is.Equal(orders[0].Worker, table.WorkerID("b"))
+}
+
 // Guards against attempts that are used up on a worker that fails what it starts.
 func TestTaskDoesNotUseUpItsAttemptsOnTheWorkerItIsBoundTo(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -10,7 +10,7 @@
 func (sched *Scheduler) StartDone(o StartOrder, res StartResult, now time.Time) {
 	t := sched.task(o.Task)
 	if t != nil && res == StartUnknown && t.phase != done {
-		sched.noteLateStart(t, o.Worker, now.Add(lateOrderLimit))
+		sched.noteLateStart(t, o.Worker, now.Add(lateOrderLimit), now)
 	}
 	if t == nil || t.run != o.Run || t.phase != starting || t.worker.info.ID != o.Worker {
 		return
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -201,8 +201,9 @@
 				t.confirmedAt = now // at the latest
 			}
 			if id := t.late.worker; id != "" {
-				sched.noteLateStart(t, id, sched.inheritedStartsEnd())
+				sched.noteLateStart(t, id, sched.inheritedStartsEnd(), now)
 			}
+			t.idleUnknown = true
 		})
 	}
 	if j.completed() && !j.state.Final() {
