--- a/dispatch/latestarts.go
+++ b/dispatch/latestarts.go
@@ -14,9 +14,9 @@
 // no such start is carried out any more, the task starts on the same worker only: what it runs there ends with the
 // incarnation, and the first contact with the next one shows whether that has carried the start out.
 
-// Bounds on how long a long-running task is bound to a worker that does not take it, as LOST bounds how long such a task
-// may be without a run: the second one counts from its first start that was not answered, also where the former is over
-// or not known.
+// LOST bounds how long a long-running task may be without a run. After longestIdleWait without one it is not bound to a
+// worker that does not take it, but for leastBoundWait from its first unanswered start. Only the latter counts if it is
+// not known since when the task has been without a run.
 const (
 	longestIdleWait = 7 * time.Second
 	leastBoundWait  = 3 * time.Second
@@ -26,7 +26,7 @@
 type lateStart struct {
 	worker table.WorkerID // that may carry them out; empty if there are none
 	until  time.Time
-	since  time.Time // of the first one since the task was at work
+	since  time.Time // of the first one since the task was last at work
 }
 
 // mayComeAt reports whether the worker may carry out a start at the given time.
@@ -92,12 +92,10 @@
 
 // hasWaitedForBound reports whether t, which is long-running, has waited for its worker for as long as LOST allows.
 func (t *task) hasWaitedForBound(now time.Time) bool {
-	switch {
-	case t.idleSince.IsZero() || now.Sub(t.late.since) < leastBoundWait:
+	if t.idleSince.IsZero() || now.Sub(t.late.since) < leastBoundWait {
 		return false
-	default:
-		return t.idleUnknown || now.Sub(t.idleSince) >= longestIdleWait
 	}
+	return t.idleUnknown || now.Sub(t.idleSince) >= longestIdleWait
 }
 
 // mayTake reports whether w, if it answers, may take t.
