--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -71,7 +71,7 @@
 	wasRunning      bool
 	throttled       bool      // the run was throttled at some time
 	idleSince       time.Time // since when it has not run though its turn has come; zero if it runs or must wait
-	idleUnknown     bool      // an earlier leader may have seen it without a run, and this one has not seen it at work
+	idleUnknown     bool      // it may have been idle under an earlier leader, and has not been at work since
 	triedAt         time.Time // when placeLongestWaiting last found no place for it
 	turn            bool      // it may be isolated on any worker, see takeTurns
 	turnAt          time.Time // when it last got its turn
--- a/dispatch/latestarts.go
+++ b/dispatch/latestarts.go
@@ -140,7 +140,8 @@
 			sched.reserve(t, w, now)
 			placed++
 		} else if g.job.queue.NeedsApproval && !slices.Contains(sched.awaitingApproval, g) {
-			sched.awaitingApproval = append(sched.awaitingApproval, g) // a new incarnation needs a ticket of its own
+			// A new incarnation needs a ticket of its own.
+			sched.awaitingApproval = append(sched.awaitingApproval, g)
 		}
 	}
 	return placed
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -214,7 +214,8 @@
 			if t.phase == reserved {
 				sched.requeue(t, now, 0)
 			}
-			t.notBefore = latest(t.notBefore, now.Add(pollWaitIdle+pollGrace)) // its next report tells whether it has ended
+			// The next report tells whether that run has ended.
+			t.notBefore = latest(t.notBefore, now.Add(pollWaitIdle+pollGrace))
 		}
 		return
 	}
