Poll new incarnations through one function

Found by the last reading: contactAnew and SetWorker began the polls of a new incarnation with the same three steps, and a condition in updateIdle read worse than it had to. Behavior stays as it is; no test of ./dispatch fails but the known red ones.

--- a/dispatch/idle.go
+++ b/dispatch/idle.go
@@ -92,7 +92,9 @@
 // updateIdle updates since when t has not run though its turn has come.
 func (t *task) updateIdle(now time.Time) {
 	atWork := t.atWork()
-	t.idleUnknown = t.idleUnknown && !(atWork && t.worker.contacted)
+	if atWork && t.worker.contacted {
+		t.idleUnknown = false
+	}
 	switch {
 	case t.phase == done || atWork || !t.group.ready():
 		t.idleSince = time.Time{}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -84,9 +84,13 @@
 	w.restarted = true
 	w.contacted, w.clockAt, w.appliedResult, w.loggedResult, w.unlogged = false, time.Time{}, 0, 0, nil
 	w.raiseToken()
-	w.pollSentAt = now
 	w.failStreak, w.stall = 0, workerStall{}
-	w.retries = 0
+	w.pollAnew(now)
+}
+
+// pollAnew has a new incarnation of w polled at once, and again soon if it does not answer.
+func (w *worker) pollAnew(now time.Time) {
+	w.pollSentAt, w.retries = now, 0
 	w.pollUrgently(now)
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -252,8 +252,7 @@
 		w.forgetAges()
 	}
 	if info.Incarnation > w.info.Incarnation && !w.contacted {
-		w.pollSentAt, w.retries = now, 0
-		w.pollUrgently(now)
+		w.pollAnew(now)
 		w.restarted = w.restarted || w.info.Incarnation != 0
 		if w.leaseBound.incarnation != 0 {
 			w.leaseUntil = sched.inheritedLeaseEnd(now) // the bound is that of an earlier incarnation
