--- a/dispatch/latestarts_test.go
+++ b/dispatch/latestarts_test.go
@@ -110,7 +110,7 @@
 		}},
 		{"silent", longestIdleWait, longestIdleWait, func(r *rig) {
 			r.list("a", failed)
-			r.silence("a")
+			r.failPoll("a", fault.OutcomeUnknown)
 		}},
 		{"another kind", 0, 0, func(r *rig) {
 			info := r.workerInfo("a")
@@ -123,7 +123,7 @@
 			r.drain("a")
 		}},
 		{"gone", 0, lost, func(r *rig) {
-			r.silence("a")
+			r.failPoll("a", fault.OutcomeUnknown)
 			r.RemoveWorker("a", r.now)
 		}},
 	} {
@@ -158,18 +158,6 @@
 	}
 }
 
-// silence has a poll of a worker go unanswered.
-func (r *rig) silence(id table.WorkerID) {
-	r.now = r.now.Add(pollPause)
-	for _, o := range r.PollOrders(r.now, true) {
-		if o.Worker == id {
-			r.PollDone(o, r.now, PollReply{}, fault.New(fault.OutcomeUnknown, "no answer"), r.now)
-		} else {
-			r.PollDone(o, r.now, r.listRunning(o.Worker), nil, r.now)
-		}
-	}
-}
-
 // Guards against a run elsewhere where the worker answers just as the task has waited for it for as long as it may.
 func TestLongRunningTaskStartsOnItsWorkerIfThatAnswersAtLast(t *testing.T) {
 	is := is.New(t)
@@ -179,7 +167,7 @@
 	r.StartDone(r.place()[0], StartUnknown, r.now)
 	r.answerAs("b", 1, PollReply{Clock: WorkerClock(r.now.UnixMilli()) + 1000})
 	r.SetWorker(r.workerInfo("a"), r.now)
-	r.silence("b")
+	r.failPoll("b", fault.OutcomeUnknown)
 	is.Equal(len(r.place()), 0)
 	r.now = r.now.Add(longestIdleWait)
 	r.workers["b"].pollUrgently(r.now)
@@ -298,7 +286,7 @@
 func TestTaskIsNotBoundToAWorkerThatWasReplaced(t *testing.T) {
 	is := is.New(t)
 	r, _ := boundRig()
-	r.replace("a")
+	r.failPoll("a", fault.NotCurrent)
 	orders := r.place()
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Worker, table.WorkerID("b"))
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -203,12 +203,14 @@
 	is.True(silent(2 * time.Second)) // polls without an answer do not extend the lease for ever
 }
 
-// replace answers the polls of the given worker as another one at its address, and leaves those of others unanswered.
-func (r *rig) replace(id table.WorkerID) {
+// failPoll answers all polls that are due, that of the given worker with an error of kind k.
+func (r *rig) failPoll(id table.WorkerID, k fault.Kind) {
 	r.now = r.now.Add(pollPause)
 	for _, o := range r.PollOrders(r.now, true) {
 		if o.Worker == id {
-			r.PollDone(o, r.now, PollReply{}, fault.New(fault.NotCurrent, "another worker"), r.now)
+			r.PollDone(o, r.now, PollReply{}, fault.New(k, "no reply of the worker"), r.now)
+		} else {
+			r.PollDone(o, r.now, r.listRunning(o.Worker), nil, r.now)
 		}
 	}
 }
@@ -220,7 +222,7 @@
 	r.submit("j", step(1))
 	o := r.placeAndStart()[0]
 	r.addWorkers("b")
-	r.replace(o.Worker)
+	r.failPoll(o.Worker, fault.NotCurrent)
 	again := r.placeAndStart()
 	is.Equal(len(again), 1)
 	is.Equal(again[0].Worker, table.WorkerID("b"))
